--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,889 @@
+//! Every decision of waydoor. Its settings, events, actions and ids stand in `src/interface.rs`.
+//!
+//! The ordinary path is Dalal and Jordan's: when all slots are full, a freed one goes to the held message of
+//! highest worth x decayed freshness x service rate; what can no longer be delivered is refused unsent.
+//! All else is an exception for a condition that the paper does not treat; each says what it guards.
+
+use crate::interface::*;
+use crate::state::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Service time where none is known: the design page's quarter second.
+const UNKNOWN_LATENCY: f64 = 0.25;
+/// Weight of a new sample in a decayed mean: about the last five calls count.
+const SAMPLE: f64 = 0.2;
+/// Learned latency and failure shares fall back by half in this time: no old reading freezes anyone out.
+const FORGET: f64 = 8.0;
+/// A destination is skipped once it holds this share of the slots (design page) ...
+const SLOT_SHARE: f64 = 0.75;
+/// ... or this one, if it fails or is slow.
+const SICK_SLOT_SHARE: f64 = 0.5;
+/// Slow is this many times the mean of all destinations: well outside the spread of healthy ones.
+const SLOW_TIMES: f64 = 3.0;
+/// Calls vary widely around their mean; one in hundreds lasts longer than this many means.
+const TIMEOUT_MEANS: f64 = 8.0;
+/// No time-out is shorter: connecting and one pause of the other side fit into it.
+const TIMEOUT_LEAST: f64 = 0.8;
+/// Each failure in a row doubles the time-out, up to this often: slow is told from silent by waiting longer.
+const TIMEOUT_DOUBLES: u32 = 3;
+/// An unsafe message is lost by its time-out, so it gets this much longer.
+const UNSAFE_PATIENCE: f64 = 3.0;
+/// Unanswered for this many means, with nothing else served since, a destination is suspect.
+const SILENT_MEANS: f64 = 5.0;
+/// And not before this time, for the same reason as `TIMEOUT_LEAST`.
+const SILENT_LEAST: f64 = 1.2;
+/// Failures in a row that shut a destination: one may be chance.
+const FAILS_TO_SHUT: u32 = 2;
+/// A gap between two served calls that is shorter is no outage: nothing restarts and goes cold so fast.
+const OUTAGE_LEAST: f64 = 4.0;
+/// Share of failures above which it is out: the rule says most calls; this errs on the safe side.
+const SICK_SHARE: f64 = 0.4;
+/// Share of failures above which nothing unsafe is risked.
+const UNSAFE_SHARE: f64 = 0.3;
+/// Refusals in a row, over at least `SHUT_FULL_TIME`, that look like a shut door rather than a limit.
+const SHUT_FULLS: u32 = 4;
+/// No span of a limit lasts as long without room for anyone.
+const SHUT_FULL_TIME: f64 = 4.0;
+/// First interval between trials of a shut destination; it grows by a fifth each up to `TRIAL_MOST`.
+const TRIAL: f64 = 0.5;
+/// An outage's end should not stay unseen for longer.
+const TRIAL_MOST: f64 = 0.9;
+/// Trials out at once: more would fill the slots while a place is silent.
+const TRIALS_OUT: usize = 2;
+/// Share of the returning budget that is used: parts of uneven dispatchers may add up to more than the whole.
+const RAMP_SHARE: f64 = 0.85;
+/// In a crowd less: parts in a hot place add up to more, and others know nothing of the outage.
+const CROWD_RAMP_SHARE: f64 = 0.65;
+/// Where no rate is listed or learned, a returning destination is taken to be small (calls a second).
+const SMALL_CAPACITY: f64 = 1.0;
+/// First pause after an untold refusal, or the own turn at the limit if that is longer; doubles each time.
+const FULL_PAUSE: f64 = 0.15;
+/// Longest such pause: longer than the spans in which limits are counted.
+const FULL_PAUSE_MOST: f64 = 1.6;
+/// The longest pause, in spans in which the limit lets one call of every dispatcher through ...
+const CROWD_PAUSES: f64 = 2.0;
+/// ... and no longer than this, which leaves a message several attempts.
+const CROWD_PAUSE_MOST: f64 = 9.0;
+/// A refusal cuts the pace to this share of what was sent.
+const PACE_CUT: f64 = 0.8;
+/// The pace grows by this share a second while nothing is refused.
+const PACE_GROWTH: f64 = 0.15;
+/// The pace never falls below this share of the own part, so that a small sender keeps its place.
+const PACE_LEAST: f64 = 0.6;
+/// Calls that the pace lets through at once.
+const PACE_BURST: f64 = 2.0;
+/// Time over which the own sending rate is measured.
+const RATE_TIME: f64 = 3.0;
+/// Time over which the demand is measured: longer than clumps, shorter than the day's swings.
+const DEMAND_TIME: f64 = 10.0;
+/// The own part of a shared capacity is never taken to be below this share of an even split.
+const PART_LEAST: f64 = 0.5;
+/// Time kept before the deadline for the final answer.
+const ANSWER_MARGIN: f64 = 0.03;
+/// Time that a send takes to arrive, kept before the end of a key's memory.
+const KEY_MARGIN: f64 = 0.25;
+/// Places kept free for new messages: those refused at the door are not chosen by rank.
+const ROOM_KEPT: usize = 1;
+/// First pause before asking for the list again; doubles up to `ASK_MOST`.
+const ASK: f64 = 0.3;
+/// Longest pause before asking again, and the longest wait for an answer to the first request.
+const ASK_MOST: f64 = 2.0;
+/// A standing subscription is asked for anew after this share of the rule's time, in case it died unseen.
+const ASK_AGAIN: f64 = 0.8;
+/// A connection that is idle for less than this is as good as in use.
+const IDLE_LEAST: f64 = 0.2;
+/// What was learned of idle connections doubles back to the listed time in this time.
+const IDLE_FORGET: f64 = 15.0;
+/// An unsafe message goes on no connection that has been idle for longer.
+const IDLE_UNSAFE: f64 = 1.0;
+/// A timer that comes later than this tells of an own stall: what came meanwhile looks slow and is not.
+const STALL: f64 = 0.25;
+/// Expected time of a new connection, as a handicap of endpoints without an idle one.
+const CONNECT_COST: f64 = 0.1;
+
+/// A destination without endpoints, messages or demand for so long is forgotten.
+const DESTINATION_KEPT: f64 = 120.0;
+/// After a failed connect idle connections are kept for half of this at most: others wait for a place.
+const IDLE_MOST: f64 = 1.0;
+/// Failures of idle connections in a row that tell of their being dropped: fewer may be the place's.
+const DROPS_TO_TELL: u32 = 2;
+/// Expected uses of an idle connection that are worth its place.
+const USES_LEAST: f64 = 0.3;
+/// So few dispatchers fill no table with unused connections, and the rule's slack covers a call of each.
+const FEW: f64 = 6.0;
+/// Ended ids that are remembered, against repeated events.
+const ENDED_KEPT: usize = 4096;
+/// Log lines in one life.
+const NOTES_MOST: u32 = 200;
+
+impl Lane {
+    /// Whether so many dispatchers share the place that rates meant for one do not add up.
+    fn crowded(&self) -> bool {
+        self.even * FEW < 1.0
+    }
+
+    fn aged(&self, now: Seconds) -> f64 {
+        0.5f64.powf((now - self.learned_at).max(0.0) / FORGET)
+    }
+
+    /// Expected service time; old readings age back to the unknown one.
+    fn latency(&self, now: Seconds) -> f64 {
+        UNKNOWN_LATENCY + (self.latency - UNKNOWN_LATENCY) * self.aged(now)
+    }
+
+    fn failing(&self, now: Seconds) -> f64 {
+        self.failing * self.aged(now)
+    }
+
+    fn sample(&mut self, now: Seconds, latency: Option<f64>, failed: f64) {
+        let (old, share) = (self.latency(now), self.failing(now));
+        self.latency = latency.map_or(old, |l| old + SAMPLE * (l - old));
+        self.failing = share + SAMPLE * (failed - share);
+        self.learned_at = now;
+    }
+
+    fn shut(&mut self, now: Seconds, rule: &ReturnRule, rng: &mut fastrand::Rng) {
+        self.trials = if self.health == Health::Shut { self.trials } else { 0 };
+        (self.health, self.vouched) = (Health::Shut, false);
+        self.trial_at = self.trial_at.max(now + self.trial_wait(now, rule, rng));
+    }
+
+    /// Trials of all dispatchers together weigh on a place that comes back cold. Each of a crowd spends its
+    /// own part of the cold budget, by seeded chance; a few are covered by the slack of the rule.
+    /// Harm: quiet dispatchers see a return late; new messages bring chances of their own.
+    fn trial_wait(&self, now: Seconds, rule: &ReturnRule, rng: &mut fastrand::Rng) -> Seconds {
+        let alone = (TRIAL * 1.2f64.powi(self.trials.min(8) as i32)).min(TRIAL_MOST);
+        let turn = 1.0 / self.ramp(now, rule).1;
+        let crowd = if self.crowded() { turn } else { (turn - rule.window).max(0.0) };
+        (alone * (0.75 + 0.5 * rng.f64())).max(crowd * -(1.0 - rng.f64()).ln())
+    }
+
+    /// While shut or cold: the share of a warm place's traffic that may go there, and the own part in calls
+    /// a second.
+    fn ramp(&self, now: Seconds, rule: &ReturnRule) -> (f64, f64) {
+        let warm = match self.health {
+            Health::Returning(since) => ((now - since) / rule.cold_time).clamp(0.0, 1.0),
+            _ => 0.0,
+        };
+        let used = if self.crowded() { CROWD_RAMP_SHARE } else { RAMP_SHARE };
+        let share = used * rule.multiple * (rule.cold_share + (1.0 - rule.cold_share) * warm);
+        let part = if self.crowded() { self.part } else { self.part.max(self.even) };
+        (share, share * part * self.capacity.unwrap_or(SMALL_CAPACITY))
+    }
+
+    /// A new message where the own part is under a call in a while: it may go at once with the chance that
+    /// keeps all dispatchers together inside the budget.
+    fn chance(&mut self, now: Seconds, rule: &ReturnRule, rng: &mut fastrand::Rng) {
+        let (share, own) = self.ramp(now, rule);
+        if self.health != Health::Healthy && own * TRIAL_MOST < 1.0 && rng.f64() < share {
+            (self.trial_at, self.due) = (now, now);
+        }
+    }
+
+    /// Learns from the end of a call or probe. `own_limit`: the limit is counted on this lane.
+    fn learn(
+        &mut self, now: Seconds, outcome: Outcome, latency: f64, own_limit: bool, rule: &ReturnRule,
+        rng: &mut fastrand::Rng,
+    ) {
+        match outcome {
+            Outcome::Served => {
+                self.sample(now, Some(latency), 0.0);
+                // A short gap was a limit, lost calls or a full table of connections, not an outage.
+                let out = now - self.served_at > OUTAGE_LEAST || self.failing > SICK_SHARE;
+                (self.fails, self.fulls, self.trials, self.served_at) = (0, 0, 0, now);
+                self.health = match self.health {
+                    Health::Shut if out => Health::Returning(now),
+                    Health::Shut | Health::Suspect => Health::Healthy,
+                    other => other,
+                };
+            }
+            Outcome::Full => {
+                if self.fulls == 0 || now - self.pause_until > FORGET {
+                    (self.fulls, self.full_since) = (0, now);
+                }
+                self.fulls += 1;
+                let own = self.part * self.capacity.unwrap_or(SMALL_CAPACITY);
+                let doubled = 2f64.powi(self.fulls.min(8) as i32 - 1);
+                // Refused calls may use up the limit: all retrying at once must stay well below it, or
+                // nobody is ever served. Harm: with many dispatchers a door that reopens is seen later.
+                let crowd = CROWD_PAUSES / (self.even * self.capacity.unwrap_or(SMALL_CAPACITY));
+                // Where no limit is counted a queue was full for a moment, and asking again costs nobody.
+                let first = if self.uncounted { 2.0 * FULL_PAUSE } else { FULL_PAUSE.max(1.0 / own) };
+                let pause = (first * doubled).min(crowd.clamp(FULL_PAUSE_MOST, CROWD_PAUSE_MOST));
+                self.pause_until = self.pause_until.max(now + pause * (0.75 + 0.5 * rng.f64()));
+                if own_limit && self.fulls == 1 && !self.uncounted {
+                    let sent = self.pace(now).min(self.sent.per_second.max(own));
+                    self.pace = Some(((sent * PACE_CUT).max(PACE_LEAST * own), now));
+                }
+                if self.fulls >= SHUT_FULLS && now - self.full_since.max(self.served_at) > SHUT_FULL_TIME {
+                    self.shut(now, rule, rng);
+                }
+            }
+            Outcome::Error | Outcome::TimedOut | Outcome::NoConnection | Outcome::Reset => {
+                self.sample(now, None, 1.0);
+                // What was sent before the last served call tells nothing of now: guards against taking
+                // single lost calls for an outage. Harm: none in an outage, in which nothing is served.
+                let stale = self.served_at > now - latency;
+                self.fails += u32::from(!stale);
+                let doubted = self.health == Health::Shut && !stale;
+                if self.fails >= FAILS_TO_SHUT || self.failing > SICK_SHARE || doubted {
+                    self.shut(now, rule, rng);
+                } else if self.fails > 0 && self.crowded() && self.health == Health::Healthy {
+                    // One try more of each of a crowd is too much for a place that comes back cold.
+                    (self.health, self.trials) = (Health::Suspect, 0);
+                    self.trial_at = now + self.trial_wait(now, rule, rng);
+                    self.chance(now, rule, rng);
+                }
+            }
+            Outcome::Cancelled | Outcome::Moot => {}
+        }
+    }
+
+    fn pace(&self, now: Seconds) -> f64 {
+        self.pace.map_or(f64::INFINITY, |(rate, at)| rate * (1.0 + PACE_GROWTH).powf(now - at))
+    }
+
+    /// The rate that is allowed now, and how many calls at once. While shut, the trials' own interval binds.
+    fn allowed(&self, now: Seconds, rule: &ReturnRule) -> (f64, f64) {
+        match self.health {
+            Health::Returning(_) => (self.pace(now).min(self.ramp(now, rule).1), 1.0),
+            _ => (self.pace(now), PACE_BURST),
+        }
+    }
+
+    fn gate(&self, now: Seconds, rule: &ReturnRule) -> Gate {
+        let mut open_at = self.wait_until.max(self.pause_until);
+        let (rate, burst) = self.allowed(now, rule);
+        if rate.is_finite() {
+            open_at = open_at.max(self.due - (burst - 1.0) / rate);
+        }
+        let trial = matches!(self.health, Health::Suspect | Health::Shut);
+        if trial {
+            open_at = open_at.max(if self.out < TRIALS_OUT { self.trial_at } else { f64::INFINITY });
+        }
+        match (now < open_at, trial) {
+            (true, _) => Gate::Closed(open_at),
+            (false, true) => Gate::Trial,
+            (false, false) => Gate::Open,
+        }
+    }
+
+    /// Books a call or a probe that goes out.
+    fn book(&mut self, now: Seconds, rule: &ReturnRule, rng: &mut fastrand::Rng) {
+        let (rate, _) = self.allowed(now, rule);
+        self.due = self.due.max(now) + 1.0 / rate;
+        self.sent.count(now, RATE_TIME);
+        if matches!(self.health, Health::Suspect | Health::Shut) {
+            self.trial_at = now + self.trial_wait(now, rule, rng);
+            (self.trials, self.vouched) = (self.trials + 1, false);
+        }
+    }
+}
+
+impl Dispatcher {
+    /// A dispatcher that knows nothing yet; `seed` feeds its jitter.
+    ///
+    /// # Errors
+    ///
+    /// If a setting makes no sense; the error names it.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        settings.check()?;
+        Ok(Dispatcher::empty(settings, seed, UNKNOWN_LATENCY))
+    }
+
+    // ---- Learning
+
+    /// Takes note of one event. Unknown, late and repeated ids change nothing.
+    pub fn handle(&mut self, now: Seconds, event: Event) {
+        if self.timer.is_some_and(|(_, at)| now > at + STALL) {
+            (self.stalled_at, self.timer) = (now, None);
+        }
+        match event {
+            Event::Taken(message) => self.take(now, message),
+            Event::Ended(end) => self.attempt_ended(now, end),
+            Event::Withdrawn(id) => {
+                if let Some(parcel) = self.parcels.get_mut(&id) {
+                    parcel.over = true;
+                    self.settle(id, ENDED_KEPT);
+                }
+            }
+            Event::ListChanged(entries) => self.list(now, entries, false),
+            Event::ListWhole(entries) => self.list(now, entries, true),
+            Event::ListFailed => {
+                self.asks += 1;
+                let wait = (ASK * 2f64.powi(self.asks.min(8) as i32 - 1)).min(ASK_MOST);
+                self.ask_at = now + wait * (0.75 + 0.5 * self.rng.f64());
+            }
+            Event::Timer(token) => {
+                self.timer = self.timer.filter(|(set, _)| *set != token);
+            }
+            Event::Probed { endpoint, outcome, latency, allowance } => {
+                self.observe(now, endpoint, outcome, latency, None, allowance, true);
+            }
+        }
+    }
+
+    fn take(&mut self, now: Seconds, message: Message) {
+        if self.parcels.contains_key(&message.id) || self.ended.0.contains(&message.id) {
+            return;
+        }
+        let Some(class) = self.settings.classes.get(message.class) else {
+            self.unknown.push(message.id);
+            return;
+        };
+        if let Some(key) = message.key.filter(|_| class.ordered) {
+            self.lines.entry(key).or_default().queue.push_back(message.id);
+        }
+        let unlisted =
+            Destination::new(None, UNKNOWN_LATENCY, usize::MAX, Kind { routes_apart: false, batch: 1 });
+        self.destinations.entry(message.destination).or_insert(unlisted).demand.count(now, DEMAND_TIME);
+        self.refresh(now, message.destination);
+        if let Some(destination) = self.destinations.get_mut(&message.destination) {
+            let rule = &self.settings.returning;
+            destination.lane.chance(now, rule, &mut self.rng);
+            for id in &destination.endpoints {
+                self.endpoints.entry(*id).and_modify(|e| e.lane.chance(now, rule, &mut self.rng));
+            }
+        }
+        let parcel = Parcel { message, taken: now, attempts: 0, out: None, may_have_run: None, over: false };
+        self.parcels.insert(message.id, parcel);
+        self.hold(&message);
+    }
+
+    fn attempt_ended(&mut self, now: Seconds, end: AttemptEnd) {
+        let Some(parcel) = self.parcels.get_mut(&end.id) else { return };
+        let Some(flight) = parcel.out.filter(|_| parcel.attempts == end.attempt + 1) else { return };
+        parcel.out = None;
+        let sent_at = self.calls.get(&flight.call).map_or(now, |call| call.sent_at);
+        if !matches!(end.outcome, Outcome::Full | Outcome::NoConnection | Outcome::Moot) {
+            let zone = self.endpoints.get(&flight.endpoint).map_or(0, |e| e.zone);
+            parcel.may_have_run.get_or_insert((sent_at, zone));
+        }
+        parcel.over |= end.closed || end.outcome == Outcome::Served;
+        if matches!(end.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled)
+            && let Some(line) = parcel.message.key.and_then(|key| self.lines.get_mut(&key))
+        {
+            line.rest_until = line.rest_until.max(now + self.settings.key_rest);
+        }
+        let (over, message) = (parcel.over, parcel.message);
+        if over {
+            self.settle(end.id, ENDED_KEPT)
+        } else {
+            self.hold(&message)
+        }
+        let Some(call) = self.calls.get_mut(&flight.call) else { return };
+        call.pending -= 1;
+        if call.pending > 0 {
+            return;
+        }
+        let idle = call.idle;
+        self.calls.remove(&flight.call);
+        if let Some(endpoint) = self.endpoints.get_mut(&flight.endpoint) {
+            endpoint.lane.out = endpoint.lane.out.saturating_sub(1);
+            if let Some(destination) = self.destinations.get_mut(&endpoint.destination) {
+                destination.lane.out = destination.lane.out.saturating_sub(1);
+            }
+        }
+        if end.outcome == Outcome::Served && self.stalled_at != now {
+            self.usual_latency += SAMPLE * (end.latency - self.usual_latency) * 0.5;
+        }
+        if self.judge_connection(now, flight.endpoint, end.outcome, idle) {
+            self.observe(now, flight.endpoint, end.outcome, end.latency, end.wait, end.allowance, false);
+        }
+        self.forget(flight.endpoint);
+    }
+
+    /// Idle connections: one that is dropped unseen fails its next call, and those of hundreds of dispatchers
+    /// fill a small table of connections. So one is kept as long as idle ones of its kind prove good, and if
+    /// the own demand makes a use in that time likely. False where a failure tells of the connection and not
+    /// of the place. Harm: more new connections; an outage costs one more call.
+    fn judge_connection(&mut self, now: Seconds, id: EndpointId, outcome: Outcome, idle: Seconds) -> bool {
+        let Some(endpoint) = self.endpoints.get_mut(&id) else { return true };
+        let Some(destination) = self.destinations.get(&endpoint.destination) else { return true };
+        let most = self.settings.keepalive.unwrap_or(f64::INFINITY);
+        let hold = self.holds.entry(destination.kind).or_insert((most, now, 0));
+        let known = (hold.0 * 2f64.powf((now - hold.1) / IDLE_FORGET)).min(most);
+        let broke = matches!(outcome, Outcome::Reset | Outcome::TimedOut);
+        let drops = match idle > IDLE_LEAST {
+            true if broke => hold.2 + 1,
+            true if outcome == Outcome::Served => 0,
+            _ => hold.2,
+        };
+        let stale = broke && idle > IDLE_LEAST && drops >= DROPS_TO_TELL;
+        let crowd = outcome == Outcome::NoConnection && endpoint.lane.crowded();
+        let keep = if crowd { known.min(IDLE_MOST) / 2.0 } else { known };
+        let keep = if stale { keep.min(idle / 2.0) } else { keep };
+        *hold = (keep, now, drops);
+        if matches!(outcome, Outcome::Served | Outcome::Full | Outcome::Error) {
+            let own = destination.demand.now(now, DEMAND_TIME) - 1.0 / DEMAND_TIME;
+            let even = destination.lane.even * destination.lane.capacity.unwrap_or(SMALL_CAPACITY);
+            let shares = (destination.batch * destination.endpoints.len().max(1)) as f64;
+            let used = own.max(even) / shares * keep >= USES_LEAST;
+            endpoint.idle_since = Some(now);
+            if keep < most || !used {
+                self.closing.push((if used { now + keep } else { now }, id));
+            }
+        }
+        !(stale && endpoint.lane.fails == 0)
+    }
+
+    /// Feeds the end of a call or probe to the lanes of the endpoint and of its destination.
+    #[allow(clippy::too_many_arguments)]
+    fn observe(
+        &mut self, now: Seconds, id: EndpointId, outcome: Outcome, latency: f64, wait: Option<Seconds>,
+        allowance: Option<Allowance>, probe: bool,
+    ) {
+        if let Some(endpoint) = self.endpoints.get(&id) {
+            self.refresh(now, endpoint.destination);
+        }
+        let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
+        let Some(destination) = self.destinations.get_mut(&endpoint.destination) else { return };
+        let rule = &self.settings.returning;
+        // What was found after an own stall is as old as the stall: its time tells nothing.
+        let late = self.stalled_at == now && outcome == Outcome::Served;
+        let latency = if late { latency.min(destination.lane.latency(now)) } else { latency };
+        let apart = destination.apart;
+        let limited = if apart { &mut endpoint.lane } else { &mut destination.lane };
+        if let Some(told) = allowance {
+            limited.capacity = Some(told.rate).filter(|rate| *rate > 0.0).or(limited.capacity);
+            limited.uncounted = told.rate <= 0.0;
+        }
+        if let Some(wait) = wait.filter(|w| *w > 0.0) {
+            limited.wait_until = limited.wait_until.max(now + wait);
+        }
+        if probe && outcome == Outcome::Served {
+            // A probe shows that the process runs, not that it serves: it vouches for one real trial.
+            for lane in [&mut endpoint.lane, &mut destination.lane] {
+                (lane.vouched, lane.trial_at) = (true, now);
+            }
+            return;
+        }
+        // Short of connections: the connect failed while other calls were out. Guards against taking a full
+        // table for an outage. Harm: after a crash it may seem so until those calls have ended.
+        if outcome == Outcome::NoConnection && endpoint.lane.out > 0 && endpoint.lane.fails == 0 && !probe {
+            endpoint.lane.pause_until = now + FULL_PAUSE;
+            return;
+        }
+        let before = (endpoint.lane.health, destination.lane.health);
+        endpoint.lane.learn(now, outcome, latency, apart, rule, &mut self.rng);
+        // One bad endpoint among good ones is not an outage of the destination.
+        let known_bad = before.0 != Health::Healthy && outcome != Outcome::Served && outcome != Outcome::Full;
+        if !(known_bad && destination.endpoints.len() > 1 && before.1 == Health::Healthy) {
+            destination.lane.learn(now, outcome, latency, !apart, rule, &mut self.rng);
+        }
+        let after = (endpoint.lane.health, destination.lane.health);
+        let number = if apart { id.0 } else { u64::from(endpoint.destination.0) };
+        let (was, is) = if apart { (before.0, after.0) } else { (before.1, after.1) };
+        self.note(NOTES_MOST, apart, number, was, is, outcome);
+    }
+
+    fn list(&mut self, now: Seconds, entries: Vec<Entry>, whole: bool) {
+        // A list that came unasked, the saved one of an earlier life, is no subscription.
+        if let Listing::OnRequest { ask_within } = self.settings.listing
+            && self.asked
+        {
+            (self.ask_at, self.asks, self.asked) = (now + ASK_AGAIN * ask_within, 0, false);
+        }
+        let changed = self.enrol(entries, whole, UNKNOWN_LATENCY);
+        // An endpoint of a shared limit is taken to stand for an even part of it.
+        for number in changed {
+            let Some(destination) = self.destinations.get(&number).filter(|d| !d.apart) else { continue };
+            let part = destination.lane.capacity.map(|rate| rate / destination.endpoints.len().max(1) as f64);
+            for id in &destination.endpoints {
+                self.endpoints.entry(*id).and_modify(|e| e.lane.capacity = part);
+            }
+        }
+        self.destinations.retain(|_, d| {
+            !(d.endpoints.is_empty() && d.held.is_empty() && now - d.demand.at > DESTINATION_KEPT)
+        });
+    }
+
+    // ---- The ordinary path
+
+    /// Decides once for a round, after all its events.
+    pub fn decide(&mut self, now: Seconds, actions: &mut Vec<Action>) {
+        let mut wake = f64::INFINITY;
+        self.keep_list(now, actions, &mut wake);
+        self.suspect_silence(now);
+        self.answer(now, actions);
+        self.release(now, actions, &mut wake);
+        self.keep_room(now, actions);
+        self.close_idle(now, actions, &mut wake);
+        self.lines.retain(|_, line| !line.queue.is_empty() || line.rest_until > now);
+        actions.extend(self.notes.drain(..).map(Action::Note));
+        wake = wake.min(self.silent_at).min(self.answer_at);
+        if wake.is_finite() && self.timer.is_none_or(|(_, at)| at > wake || at < now) {
+            self.counter += 1;
+            let (token, at) = (self.counter as u32, wake.max(now + 0.001));
+            self.timer = Some((token, at));
+            actions.push(Action::SetTimer { token, at });
+        }
+    }
+
+    /// The rank of a held message: worth x decayed freshness x expected rate of (successful) service.
+    fn rank(&self, now: Seconds, parcel: &Parcel, rate: f64) -> f64 {
+        let Some(class) = self.settings.classes.get(parcel.message.class) else { return 0.0 };
+        let decay = match self.settings.decay {
+            Decay::ByHalf => std::f64::consts::LN_2 / class.aim,
+            Decay::Even => {
+                std::f64::consts::LN_2 * (1.0 - class.late_share)
+                    / (class.deadline - class.aim).max(class.aim)
+            }
+        };
+        let life = parcel.message.deadline - parcel.taken;
+        class.worth * (-decay.max(std::f64::consts::LN_2 / life) * (now - parcel.taken)).exp() * rate
+    }
+
+    /// The expected rate of successful service.
+    fn service(&self, now: Seconds, destination: &Destination) -> f64 {
+        (1.0 - destination.lane.failing(now)) / destination.lane.latency(now)
+    }
+
+    /// Gives free slots to the held messages of highest rank that may go.
+    fn release(&mut self, now: Seconds, actions: &mut Vec<Action>, wake: &mut Seconds) {
+        if self.calls.len() >= self.settings.slots {
+            return;
+        }
+        let mut held = Vec::new();
+        for number in self.waiting.clone() {
+            self.refresh(now, number);
+            let Some(destination) = self.destinations.get(&number) else { continue };
+            let gate = destination.lane.gate(now, &self.settings.returning);
+            if let Gate::Closed(until) = gate
+                && !destination.apart
+            {
+                *wake = wake.min(until);
+            } else if !self.over_share(now, destination) {
+                let rate = self.service(now, destination);
+                let parcels = destination.held.iter().filter_map(|id| self.parcels.get(id));
+                held.extend(parcels.map(|p| (self.rank(now, p, rate), p.taken, p.message.id)));
+            }
+        }
+        held.sort_by(|a, b| b.0.total_cmp(&a.0).then(b.1.total_cmp(&a.1)).then(b.2.cmp(&a.2)));
+        let mut closed: BTreeSet<DestinationId> = BTreeSet::new();
+        // Calls of this round with room for more messages.
+        let mut open_calls: BTreeMap<EndpointId, u64> = BTreeMap::new();
+        for (_, _, id) in held {
+            let Some(parcel) = self.parcels.get(&id) else { continue };
+            if closed.contains(&parcel.message.destination) || !self.has_turn(now, parcel, wake) {
+                continue;
+            }
+            let Some(destination) = self.destinations.get(&parcel.message.destination) else { continue };
+            let batch = destination.batch;
+            let joined = open_calls.iter().find(|(endpoint, call)| {
+                destination.endpoints.contains(endpoint)
+                    && self.calls.get(call).is_some_and(|c| c.pending < batch)
+                    && self.fits(parcel, **endpoint)
+            });
+            let (endpoint, call) = if let Some((endpoint, call)) = joined {
+                (*endpoint, *call)
+            } else if self.calls.len() >= self.settings.slots || self.over_share(now, destination) {
+                closed.extend((batch == 1).then_some(parcel.message.destination));
+                continue;
+            } else {
+                match self.place(now, parcel) {
+                    Ok((endpoint, trial)) => {
+                        let risky = self.settings.classes[parcel.message.class].effect == Effect::Unsafe;
+                        let call = self.open_call(now, endpoint, risky, actions);
+                        open_calls.extend((batch > 1 && !trial).then_some((endpoint, call)));
+                        (endpoint, call)
+                    }
+                    Err((until, probe)) => {
+                        *wake = wake.min(until);
+                        let class = &self.settings.classes[parcel.message.class];
+                        let all = class.effect == Effect::Safe && batch == 1;
+                        closed.extend(all.then_some(parcel.message.destination));
+                        if let Some(endpoint) = probe {
+                            self.book(now, endpoint);
+                            actions.push(Action::Probe(endpoint));
+                        }
+                        continue;
+                    }
+                }
+            };
+            self.send(now, id, endpoint, call, actions);
+        }
+    }
+
+    /// The share rule: a destination holds at most so many of the slots.
+    fn over_share(&self, now: Seconds, destination: &Destination) -> bool {
+        let lane = &destination.lane;
+        let slots = self.settings.slots as f64;
+        let slow = lane.latency(now) > SLOW_TIMES * self.usual_latency.max(UNKNOWN_LATENCY);
+        if slow || lane.failing(now) > SICK_SHARE || lane.health != Health::Healthy {
+            lane.out > 0 && (lane.out + 1) as f64 > SICK_SLOT_SHARE * slots
+        } else {
+            lane.out as f64 >= SLOT_SHARE * slots
+        }
+    }
+
+    fn send(
+        &mut self, now: Seconds, id: MessageId, endpoint: EndpointId, call: u64, actions: &mut Vec<Action>,
+    ) {
+        self.release_hold(id);
+        let Some(parcel) = self.parcels.get_mut(&id) else { return };
+        let class = &self.settings.classes[parcel.message.class];
+        let lane = self.endpoints.get(&endpoint).map(|e| &e.lane);
+        let (latency, fails) = lane.map_or((UNKNOWN_LATENCY, 0), |l| (l.latency(now), l.fails));
+        let patience = if class.effect == Effect::Unsafe { UNSAFE_PATIENCE } else { 1.0 };
+        let stretch = patience * 2f64.powi(fails.min(TIMEOUT_DOUBLES) as i32);
+        let timeout = stretch * (TIMEOUT_MEANS * latency).max(TIMEOUT_LEAST);
+        let left = (parcel.message.deadline - ANSWER_MARGIN - now).max(0.001);
+        (parcel.attempts, parcel.out) = (parcel.attempts + 1, Some(Flight { endpoint, call }));
+        if let Some(call) = self.calls.get_mut(&call) {
+            call.pending += 1;
+        }
+        actions.push(Action::Send { id, endpoint, timeout: timeout.min(left) });
+    }
+
+    fn open_call(
+        &mut self, now: Seconds, endpoint: EndpointId, risky: bool, actions: &mut Vec<Action>,
+    ) -> u64 {
+        self.book(now, endpoint);
+        let (mut idle, mut at) = (0.0, SILENT_LEAST);
+        if let Some(e) = self.endpoints.get_mut(&endpoint) {
+            idle = e.idle_since.take().filter(|_| e.lane.out == 0).map_or(0.0, |since| now - since);
+            (e.lane.out, e.used_at) = (e.lane.out + 1, now);
+            at = at.max(SILENT_MEANS * e.lane.latency(now));
+            if let Some(destination) = self.destinations.get_mut(&e.destination) {
+                destination.lane.out += 1;
+                at = at.min(SILENT_LEAST.max(SILENT_MEANS * destination.lane.latency(now)));
+            }
+        }
+        if risky && idle > IDLE_UNSAFE {
+            actions.push(Action::CloseIdle(endpoint));
+            idle = 0.0;
+        }
+        self.silent_at = self.silent_at.min(now + at);
+        self.counter += 1;
+        self.calls.insert(self.counter, Call { endpoint, sent_at: now, pending: 0, idle });
+        self.counter
+    }
+
+    fn close_idle(&mut self, now: Seconds, actions: &mut Vec<Action>, wake: &mut Seconds) {
+        let endpoints = &mut self.endpoints;
+        self.closing.retain(|(at, id)| {
+            if now < *at {
+                *wake = wake.min(*at);
+                return true;
+            }
+            // One that was used meanwhile has a later entry.
+            if let Some(e) = endpoints.get_mut(id)
+                && e.idle_since.take_if(|since| *since <= *at).is_some()
+            {
+                actions.push(Action::CloseIdle(*id));
+            }
+            false
+        });
+    }
+
+    fn book(&mut self, now: Seconds, endpoint: EndpointId) {
+        let rule = self.settings.returning;
+        let Some(e) = self.endpoints.get_mut(&endpoint) else { return };
+        e.lane.book(now, &rule, &mut self.rng);
+        if let Some(destination) = self.destinations.get_mut(&e.destination).filter(|d| !d.apart) {
+            destination.lane.book(now, &rule, &mut self.rng);
+        }
+    }
+
+    /// The endpoint for a message, and whether it is a trial; or when to look again, and what to probe.
+    fn place(
+        &self, now: Seconds, parcel: &Parcel,
+    ) -> Result<(EndpointId, bool), (Seconds, Option<EndpointId>)> {
+        let rule = &self.settings.returning;
+        let never = Err((f64::INFINITY, None));
+        let Some(destination) = self.destinations.get(&parcel.message.destination) else { return never };
+        let risky = self.settings.classes[parcel.message.class].effect == Effect::Unsafe;
+        let mut whole_trial = false;
+        if !destination.apart {
+            match destination.lane.gate(now, rule) {
+                Gate::Closed(until) => return Err((until, None)),
+                Gate::Trial => whole_trial = true,
+                Gate::Open => {}
+            }
+        }
+        let mut best: Option<(bool, f64, EndpointId)> = None;
+        let mut wake = f64::INFINITY;
+        let mut probe = None;
+        for id in &destination.endpoints {
+            let Some(endpoint) = self.endpoints.get(id).filter(|_| self.fits(parcel, *id)) else { continue };
+            // Where the place as a whole is out or cold, its own budget binds; endpoints only pause.
+            let whole = !destination.apart && destination.lane.health != Health::Healthy;
+            let paused = endpoint.lane.pause_until.max(endpoint.lane.wait_until);
+            let gate = match endpoint.lane.gate(now, rule) {
+                Gate::Closed(_) if whole && now >= paused => Gate::Open,
+                Gate::Closed(_) if whole => Gate::Closed(paused),
+                other => other,
+            };
+            let trial = match gate {
+                Gate::Closed(until) => {
+                    wake = wake.min(until);
+                    continue;
+                }
+                Gate::Trial => true,
+                Gate::Open => whole_trial,
+            };
+            let lane = if destination.apart { &endpoint.lane } else { &destination.lane };
+            if risky && trial && !endpoint.lane.vouched {
+                // An unsafe message is no trial: a probe goes first.
+                probe = Some(*id).filter(|_| self.settings.probes);
+                continue;
+            }
+            if risky && lane.failing(now) > UNSAFE_SHARE && !endpoint.lane.vouched {
+                wake = wake.min(now + TRIAL);
+                continue;
+            }
+            let idle = endpoint.idle_since.is_some() && endpoint.lane.out == 0;
+            let cost = endpoint.lane.latency(now) * (1.0 + endpoint.lane.out as f64)
+                + if idle { 0.0 } else { CONNECT_COST }
+                + if endpoint.zone == self.settings.zone { 0.0 } else { CONNECT_COST };
+            // Trials of a place as a whole go round its endpoints: some may be back before others.
+            let cost = if whole_trial { endpoint.used_at } else { cost };
+            let cost = if whole && endpoint.lane.health == Health::Shut { cost + TRIAL_MOST } else { cost };
+            // A due trial of one endpoint goes first, or its recovery would never be seen.
+            let trial = trial && !whole;
+            if best.is_none_or(|(t, c, _)| (trial && !t) || (trial == t && cost < c)) {
+                best = Some((trial, cost, *id));
+            }
+        }
+        best.map(|(trial, _, id)| (id, trial || whole_trial)).ok_or((wake, probe))
+    }
+
+    /// Whether the list and the memory of keys let a message go to an endpoint.
+    fn fits(&self, parcel: &Parcel, endpoint: EndpointId) -> bool {
+        let Some(endpoint) = self.endpoints.get(&endpoint).filter(|e| e.ready) else { return false };
+        match (self.settings.classes[parcel.message.class].effect, parcel.may_have_run) {
+            (Effect::Keyed { by_zone: true, .. }, Some((_, zone))) => zone == endpoint.zone,
+            _ => true,
+        }
+    }
+
+    // ---- Exceptions
+
+    /// Order by key: one at a time, in the order taken, with a rest after what may still run.
+    fn has_turn(&self, now: Seconds, parcel: &Parcel, wake: &mut Seconds) -> bool {
+        if !self.settings.classes[parcel.message.class].ordered {
+            return true;
+        }
+        let Some(line) = parcel.message.key.and_then(|key| self.lines.get(&key)) else { return true };
+        if line.queue.front() != Some(&parcel.message.id) {
+            return false;
+        }
+        let resting = parcel.attempts == 0 && now < line.rest_until;
+        *wake = if resting { wake.min(line.rest_until) } else { *wake };
+        !resting
+    }
+
+    /// Final answers: what cannot be delivered any more is refused where that is lawful, else failed.
+    fn answer(&mut self, now: Seconds, actions: &mut Vec<Action>) {
+        actions.extend(self.unknown.drain(..).map(Action::Refuse));
+        let mut look = std::mem::take(&mut self.review);
+        if now >= self.answer_at {
+            look = self.parcels.keys().copied().collect();
+            self.answer_at = f64::INFINITY;
+        }
+        for id in look {
+            let Some(parcel) = self.parcels.get(&id).filter(|p| p.out.is_none() && !p.over) else { continue };
+            let effect = self.settings.classes[parcel.message.class].effect;
+            let usual = self.destinations.get(&parcel.message.destination);
+            let usual = usual.map_or(UNKNOWN_LATENCY, |d| d.lane.latency(now));
+            let mut last = parcel.message.deadline - usual.max(ANSWER_MARGIN);
+            if let (Effect::Keyed { window, .. }, Some((first, _))) = (effect, parcel.may_have_run) {
+                last = last.min(first + window - KEY_MARGIN);
+            }
+            let lost = effect == Effect::Unsafe && parcel.may_have_run.is_some();
+            if now >= last || lost || parcel.attempts >= self.settings.attempts {
+                self.end(id, actions);
+            } else {
+                self.answer_at = self.answer_at.min(last);
+            }
+        }
+    }
+
+    fn end(&mut self, id: MessageId, actions: &mut Vec<Action>) {
+        let Some(parcel) = self.parcels.get_mut(&id) else { return };
+        let harmless = match self.settings.classes[parcel.message.class].effect {
+            Effect::Safe => true,
+            Effect::Keyed { by_zone, .. } => parcel.may_have_run.is_none() || !by_zone,
+            Effect::Unsafe => parcel.may_have_run.is_none(),
+        };
+        actions.push(if harmless { Action::Refuse(id) } else { Action::Fail(id) });
+        parcel.over = true;
+        self.settle(id, ENDED_KEPT);
+    }
+
+    /// When the room is almost full, the held message of lowest rank makes place: what is turned away at the
+    /// door is not chosen by rank. Harm: none while there is room.
+    fn keep_room(&mut self, now: Seconds, actions: &mut Vec<Action>) {
+        let excess = (self.parcels.len() + ROOM_KEPT).saturating_sub(self.settings.room);
+        let mut ranked = Vec::new();
+        for number in self.waiting.iter().filter(|_| excess > 0) {
+            let Some(destination) = self.destinations.get(number) else { continue };
+            let rate = self.service(now, destination);
+            let parcels = destination.held.iter().filter_map(|id| self.parcels.get(id));
+            ranked.extend(parcels.map(|p| (self.rank(now, p, rate), p.message.id)));
+        }
+        ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        for (_, id) in ranked.into_iter().take(excess) {
+            self.end(id, actions);
+        }
+    }
+
+    /// The list: subscribe where it must be asked for, again after each failure.
+    fn keep_list(&mut self, now: Seconds, actions: &mut Vec<Action>, wake: &mut Seconds) {
+        let Listing::OnRequest { ask_within } = self.settings.listing else { return };
+        if now >= self.ask_at {
+            actions.push(Action::Subscribe);
+            (self.ask_at, self.asked) = (now + ASK_MOST.min(ask_within / 2.0), true);
+        }
+        *wake = wake.min(self.ask_at);
+    }
+
+    /// The own part of a destination's capacity. Traffic is uneven: the own demand over the capacity tells it
+    /// better than an even split, and where all do so, the parts add up to the load. At most midway to all.
+    /// A returning place is healthy once its cold time has passed.
+    fn refresh(&mut self, now: Seconds, number: DestinationId) {
+        let Some(destination) = self.destinations.get_mut(&number) else { return };
+        let even = 1.0 / f64::from(self.settings.dispatchers);
+        // A young measure of demand lacks what came before it.
+        let young = (-(now - *self.started.get_or_insert(now)) / DEMAND_TIME).exp();
+        let calls = destination.demand.now(now, DEMAND_TIME) / destination.batch as f64;
+        let own = destination.lane.capacity.map(|c| calls / c);
+        let part = own.map_or(even, |own| own + young * even).clamp(PART_LEAST * even, 0.5 + 0.5 * even);
+        let cold_time = self.settings.returning.cold_time;
+        let renew = |lane: &mut Lane| {
+            (lane.part, lane.even) = (part, even);
+            if matches!(lane.health, Health::Returning(since) if now - since >= cold_time) {
+                lane.health = Health::Healthy;
+            }
+        };
+        renew(&mut destination.lane);
+        for id in &destination.endpoints {
+            self.endpoints.entry(*id).and_modify(|e| renew(&mut e.lane));
+        }
+    }
+
+    /// Silence: a call unanswered for far longer than usual, with nothing served since, makes its lane
+    /// suspect, so that no more is lost there until something answers. Harm: a slow call delays others.
+    /// What an own stall kept from coming is no silence: the calls get as long again.
+    fn suspect_silence(&mut self, now: Seconds) {
+        if now < self.silent_at {
+            return;
+        }
+        self.silent_at = f64::INFINITY;
+        for call in self.calls.values() {
+            let Some(endpoint) = self.endpoints.get_mut(&call.endpoint) else { continue };
+            let Some(destination) = self.destinations.get_mut(&endpoint.destination) else { continue };
+            for lane in [&mut endpoint.lane, &mut destination.lane] {
+                let since = call.sent_at.max(self.stalled_at);
+                let at = since + (SILENT_MEANS * lane.latency(now)).max(SILENT_LEAST);
+                let silent = lane.health == Health::Healthy && lane.served_at < call.sent_at;
+                if silent && now >= at {
+                    (lane.health, lane.trial_at, lane.trials) = (Health::Suspect, now + TRIAL, 0);
+                } else if silent {
+                    self.silent_at = self.silent_at.min(at);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,353 @@
+//! What goes into a [`Dispatcher`](crate::Dispatcher) and what comes out: settings, events, actions, ids.
+//!
+//! Times are seconds on the caller's clock; spans are seconds too. No decision lives here.
+
+/// A point on the caller's clock, or a span, in seconds.
+pub type Seconds = f64;
+
+/// A message, unique for as long as the dispatcher runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct MessageId(pub u64);
+
+/// One address of a destination.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct EndpointId(pub u64);
+
+/// A system of another firm, reached through one or more endpoints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct DestinationId(pub u32);
+
+/// The key under which messages of an ordered class keep their order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct OrderKey(pub u64);
+
+/// What one more delivery of the same message would do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Effect {
+    /// It may be repeated freely.
+    Safe,
+    /// A repeat is dropped for `window` after the first attempt that may have run.
+    Keyed {
+        /// For how long the key is remembered.
+        window: Seconds,
+        /// Only endpoints of one zone share the memory of keys.
+        by_zone: bool,
+    },
+    /// It must never take effect twice.
+    Unsafe,
+}
+
+/// A class of messages.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// Delivered within this time it earns its full worth.
+    pub aim: Seconds,
+    /// Time from first hand-in to the end of its life.
+    pub deadline: Seconds,
+    /// Worth of one message.
+    pub worth: f64,
+    /// Share of the worth that is left at the deadline.
+    pub late_share: f64,
+    /// What a repeat would do.
+    pub effect: Effect,
+    /// Messages of one key are delivered one at a time, in the order taken.
+    pub ordered: bool,
+}
+
+/// A kind of destination.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Kind {
+    /// The endpoints are separate routes, each with its own limit and outages.
+    pub routes_apart: bool,
+    /// Messages that one call carries at most.
+    pub batch: usize,
+}
+
+/// How worth falls once the aim has passed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decay {
+    /// Evenly, down to the late share at the deadline.
+    Even,
+    /// By half with each further aim, not under the late share.
+    ByHalf,
+}
+
+/// How the list of endpoints arrives.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Listing {
+    /// Changes come by themselves.
+    Pushed,
+    /// Changes come to those who ask; one who has not asked for this long counts as told.
+    OnRequest {
+        /// Longest time without asking.
+        ask_within: Seconds,
+    },
+}
+
+/// How a destination that was out must be treated.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReturnRule {
+    /// Share of its capacity that it starts with.
+    pub cold_share: f64,
+    /// Time until it is warm.
+    pub cold_time: Seconds,
+    /// Sent more than this multiple of its present capacity ...
+    pub multiple: f64,
+    /// ... for this long, it falls over.
+    pub window: Seconds,
+}
+
+/// All that a dispatcher is told at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// How many dispatchers share the destinations.
+    pub dispatchers: u32,
+    /// Calls out at once.
+    pub slots: usize,
+    /// Messages held or out at once; more are turned away before the dispatcher.
+    pub room: usize,
+    /// Attempts for one message.
+    pub attempts: u32,
+    /// Idle connections close after this.
+    pub keepalive: Option<Seconds>,
+    /// Whether probes may be sent.
+    pub probes: bool,
+    /// The zone of this dispatcher.
+    pub zone: u16,
+    /// Classes, by their index.
+    pub classes: Vec<Class>,
+    /// Kinds of destination, by their index.
+    pub kinds: Vec<Kind>,
+    /// How worth falls.
+    pub decay: Decay,
+    /// How the list of endpoints arrives.
+    pub listing: Listing,
+    /// Whether listed rates mean anything.
+    pub rates_listed: bool,
+    /// How returning destinations are to be treated.
+    pub returning: ReturnRule,
+    /// Rest of a key after an attempt that may still run.
+    pub key_rest: Seconds,
+}
+
+impl Settings {
+    /// Whether the settings make sense; the error names the one that does not.
+    pub(crate) fn check(&self) -> Result<(), SettingsError> {
+        let settings = self;
+        let fault = |name: String, problem: &str| Err(SettingsError { name, problem: problem.into() });
+        let span = |x: f64| x.is_finite() && x >= 0.0;
+        for (name, n) in
+            [("slots", settings.slots), ("room", settings.room), ("attempts", settings.attempts as usize)]
+        {
+            if n == 0 {
+                return fault(name.into(), "must be at least 1");
+            }
+        }
+        if settings.dispatchers == 0 {
+            return fault("dispatchers".into(), "must be at least 1");
+        }
+        for (i, class) in settings.classes.iter().enumerate() {
+            let figures = [("aim", class.aim), ("deadline", class.deadline), ("worth", class.worth)];
+            for (name, x) in figures {
+                if !span(x) || (x == 0.0 && name != "worth") {
+                    return fault(format!("classes[{i}].{name}"), "must be a number above 0");
+                }
+            }
+            if !(0.0..=1.0).contains(&class.late_share) {
+                return fault(format!("classes[{i}].late_share"), "must lie between 0 and 1");
+            }
+            if let Effect::Keyed { window, .. } = class.effect
+                && !(span(window) && window > 0.0)
+            {
+                return fault(format!("classes[{i}].effect.window"), "must be a number above 0");
+            }
+        }
+        let rule = &settings.returning;
+        let ask = match settings.listing {
+            Listing::OnRequest { ask_within } => ask_within,
+            Listing::Pushed => 1.0,
+        };
+        let figures = [
+            ("returning.cold_share", rule.cold_share),
+            ("returning.cold_time", rule.cold_time),
+            ("returning.multiple", rule.multiple),
+            ("returning.window", rule.window),
+            ("listing.ask_within", ask),
+            ("keepalive", settings.keepalive.unwrap_or(1.0)),
+        ];
+        for (name, x) in figures {
+            if !(span(x) && x > 0.0) {
+                return fault(name.into(), "must be a number above 0");
+            }
+        }
+        if !span(settings.key_rest) {
+            return fault("key_rest".into(), "must be a number, 0 or more");
+        }
+        Ok(())
+    }
+}
+
+/// Settings that make no sense; the text names the setting.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+#[error("setting {name}: {problem}")]
+pub struct SettingsError {
+    /// The setting.
+    pub name: String,
+    /// What is wrong with it.
+    pub problem: String,
+}
+
+/// A message to deliver.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Message {
+    /// Its id.
+    pub id: MessageId,
+    /// Its class, an index of [`Settings::classes`].
+    pub class: usize,
+    /// Where it goes.
+    pub destination: DestinationId,
+    /// It may be delivered until then.
+    pub deadline: Seconds,
+    /// Its key of order, if any.
+    pub key: Option<OrderKey>,
+}
+
+/// How a call or a probe ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Delivered.
+    Served,
+    /// Answered with an error; it may have run.
+    Error,
+    /// Turned away unseen.
+    Full,
+    /// No answer in time; it may have run.
+    TimedOut,
+    /// No connection could be made; it never ran.
+    NoConnection,
+    /// The connection broke; it may have run.
+    Reset,
+    /// Called off; it may have run.
+    Cancelled,
+    /// Never sent.
+    Moot,
+}
+
+/// What an endpoint tells of its limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// The limit in calls a second; 0 where none is counted.
+    pub rate: f64,
+}
+
+/// Whether an endpoint may get new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listed {
+    /// In service; nothing is said of its health.
+    Ready,
+    /// Nothing new may go there.
+    Draining,
+    /// No longer there.
+    Gone,
+}
+
+/// A line of the list of endpoints.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Entry {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Its destination.
+    pub destination: DestinationId,
+    /// Its destination's kind, an index of [`Settings::kinds`].
+    pub kind: usize,
+    /// Its zone.
+    pub zone: u16,
+    /// Calls a second that the destination (or the route apart) takes from all dispatchers.
+    pub rate: f64,
+    /// Whether it may get new work.
+    pub listed: Listed,
+}
+
+/// The end of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AttemptEnd {
+    /// The message.
+    pub id: MessageId,
+    /// Where the attempt went.
+    pub endpoint: EndpointId,
+    /// Its number, from 0.
+    pub attempt: u32,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// A wait that the destination told.
+    pub wait: Option<Seconds>,
+    /// Nothing more is owed for the message.
+    pub closed: bool,
+    /// Time since the send.
+    pub latency: Seconds,
+    /// What the endpoint tells of its limit.
+    pub allowance: Option<Allowance>,
+}
+
+/// What a dispatcher learns.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A message was taken.
+    Taken(Message),
+    /// An attempt ended.
+    Ended(AttemptEnd),
+    /// Nobody wants the message any more.
+    Withdrawn(MessageId),
+    /// Changed lines of the list.
+    ListChanged(Vec<Entry>),
+    /// The whole list; what is not in it is gone.
+    ListWhole(Vec<Entry>),
+    /// Asking for the list failed, or the subscription broke.
+    ListFailed,
+    /// A timer that was set is due.
+    Timer(u32),
+    /// A probe ended.
+    Probed {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// How it ended.
+        outcome: Outcome,
+        /// Time it took.
+        latency: Seconds,
+        /// What the endpoint tells of its limit.
+        allowance: Option<Allowance>,
+    },
+}
+
+/// What a dispatcher wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Call the endpoint with the message.
+    Send {
+        /// The message.
+        id: MessageId,
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Give the attempt up after this long.
+        timeout: Seconds,
+    },
+    /// End it undelivered; coming again is harmless.
+    Refuse(MessageId),
+    /// End it as failed; nothing is promised.
+    Fail(MessageId),
+    /// Wake the dispatcher.
+    SetTimer {
+        /// Comes back as given.
+        token: u32,
+        /// When.
+        at: Seconds,
+    },
+    /// Check an endpoint; it counts as a call there.
+    Probe(EndpointId),
+    /// Close the idle connections to an endpoint.
+    CloseIdle(EndpointId),
+    /// Ask for the changes of the list from now on.
+    Subscribe,
+    /// A line for the log.
+    Note(String),
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,301 @@
+//! What a dispatcher holds in mind: plain data, no decision and no tuned value. `src/choice.rs` fills it.
+
+use crate::interface::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) enum Health {
+    #[default]
+    Healthy,
+    /// Silent for too long; nothing failed yet.
+    Suspect,
+    /// Failing or refusing all: only trials.
+    Shut,
+    /// Served again, cold.
+    Returning(Seconds),
+}
+
+pub(crate) enum Gate {
+    Open,
+    Trial,
+    Closed(Seconds),
+}
+
+/// A decayed count of events a second.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Rate {
+    pub(crate) per_second: f64,
+    pub(crate) at: Seconds,
+}
+
+impl Rate {
+    pub(crate) fn now(&self, now: Seconds, time: f64) -> f64 {
+        self.per_second * (-(now - self.at) / time).exp()
+    }
+
+    pub(crate) fn count(&mut self, now: Seconds, time: f64) {
+        (self.per_second, self.at) = (self.now(now, time) + 1.0 / time, now);
+    }
+}
+
+/// What was learned of a destination as a whole, or of one endpoint.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Lane {
+    pub(crate) capacity: Option<f64>,
+    pub(crate) latency: f64,
+    pub(crate) failing: f64,
+    pub(crate) learned_at: Seconds,
+    pub(crate) served_at: Seconds,
+    pub(crate) fails: u32,
+    pub(crate) fulls: u32,
+    pub(crate) full_since: Seconds,
+    pub(crate) wait_until: Seconds,
+    pub(crate) pause_until: Seconds,
+    pub(crate) due: Seconds,
+    pub(crate) pace: Option<(f64, Seconds)>,
+    pub(crate) sent: Rate,
+    /// Share of the capacity that this dispatcher takes to be its own.
+    pub(crate) part: f64,
+    pub(crate) even: f64,
+    pub(crate) health: Health,
+    pub(crate) trial_at: Seconds,
+    pub(crate) trials: u32,
+    pub(crate) vouched: bool,
+    /// It told that it has no limit but its capacity.
+    pub(crate) uncounted: bool,
+    pub(crate) out: usize,
+}
+
+impl Lane {
+    pub(crate) fn new(capacity: Option<f64>, latency: f64) -> Self {
+        let (learned_at, served_at) = (f64::NEG_INFINITY, f64::NEG_INFINITY);
+        Lane { capacity, latency, part: 1.0, even: 1.0, learned_at, served_at, ..Default::default() }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Destination {
+    pub(crate) lane: Lane,
+    pub(crate) endpoints: BTreeSet<EndpointId>,
+    pub(crate) held: BTreeSet<MessageId>,
+    /// Messages that come for it.
+    pub(crate) demand: Rate,
+    pub(crate) kind: usize,
+    pub(crate) apart: bool,
+    pub(crate) batch: usize,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Endpoint {
+    pub(crate) lane: Lane,
+    pub(crate) destination: DestinationId,
+    pub(crate) zone: u16,
+    pub(crate) ready: bool,
+    pub(crate) used_at: Seconds,
+    /// Since when an idle connection is there, if one is.
+    pub(crate) idle_since: Option<Seconds>,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Flight {
+    pub(crate) endpoint: EndpointId,
+    pub(crate) call: u64,
+}
+
+/// The ledger of one message: what was sent and what may have run.
+#[derive(Clone, Debug)]
+pub(crate) struct Parcel {
+    pub(crate) message: Message,
+    pub(crate) taken: Seconds,
+    pub(crate) attempts: u32,
+    pub(crate) out: Option<Flight>,
+    /// First attempt that may have run, and its zone.
+    pub(crate) may_have_run: Option<(Seconds, u16)>,
+    pub(crate) over: bool,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub(crate) endpoint: EndpointId,
+    pub(crate) sent_at: Seconds,
+    pub(crate) pending: usize,
+    /// How long its connection had been idle; 0 for a new one.
+    pub(crate) idle: Seconds,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Line {
+    pub(crate) queue: VecDeque<MessageId>,
+    pub(crate) rest_until: Seconds,
+}
+
+impl Destination {
+    pub(crate) fn new(rate: Option<f64>, latency: f64, kind: usize, traits: Kind) -> Self {
+        Destination {
+            lane: Lane::new(rate, latency),
+            endpoints: BTreeSet::new(),
+            held: BTreeSet::new(),
+            demand: Rate::default(),
+            kind,
+            apart: traits.routes_apart,
+            batch: traits.batch.max(1),
+        }
+    }
+}
+
+/// One dispatcher: learns with [`handle`](Dispatcher::handle), acts with [`decide`](Dispatcher::decide).
+#[derive(Clone, Debug)]
+pub struct Dispatcher {
+    pub(crate) settings: Settings,
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) parcels: BTreeMap<MessageId, Parcel>,
+    pub(crate) calls: BTreeMap<u64, Call>,
+    pub(crate) counter: u64,
+    pub(crate) destinations: BTreeMap<DestinationId, Destination>,
+    pub(crate) endpoints: BTreeMap<EndpointId, Endpoint>,
+    pub(crate) lines: BTreeMap<OrderKey, Line>,
+    /// Destinations with held messages; messages to look at this round; idle connections to close, when.
+    pub(crate) waiting: BTreeSet<DestinationId>,
+    pub(crate) review: Vec<MessageId>,
+    pub(crate) closing: Vec<(Seconds, EndpointId)>,
+    /// For how long an idle connection is kept, by kind, and since when that is known.
+    pub(crate) holds: BTreeMap<usize, (Seconds, Seconds, u32)>,
+    pub(crate) answer_at: Seconds,
+    pub(crate) silent_at: Seconds,
+    pub(crate) stalled_at: Seconds,
+    pub(crate) usual_latency: f64,
+    pub(crate) started: Option<Seconds>,
+    pub(crate) unknown: Vec<MessageId>,
+    pub(crate) ended: (BTreeSet<MessageId>, VecDeque<MessageId>),
+    pub(crate) ask_at: Seconds,
+    pub(crate) asked: bool,
+    pub(crate) asks: u32,
+    pub(crate) timer: Option<(u32, Seconds)>,
+    pub(crate) notes: Vec<String>,
+    pub(crate) noted: u32,
+}
+
+impl Dispatcher {
+    pub(crate) fn empty(settings: Settings, seed: u64, latency: Seconds) -> Self {
+        Dispatcher {
+            settings,
+            rng: fastrand::Rng::with_seed(seed),
+            parcels: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            counter: 0,
+            destinations: BTreeMap::new(),
+            endpoints: BTreeMap::new(),
+            lines: BTreeMap::new(),
+            waiting: BTreeSet::new(),
+            review: Vec::new(),
+            closing: Vec::new(),
+            holds: BTreeMap::new(),
+            answer_at: f64::INFINITY,
+            silent_at: f64::INFINITY,
+            stalled_at: f64::NEG_INFINITY,
+            usual_latency: latency,
+            started: None,
+            unknown: Vec::new(),
+            ended: Default::default(),
+            ask_at: f64::NEG_INFINITY,
+            asked: false,
+            asks: 0,
+            timer: None,
+            notes: Vec::new(),
+            noted: 0,
+        }
+    }
+
+    /// Puts a message among the held ones of its destination.
+    pub(crate) fn hold(&mut self, message: &Message) {
+        self.waiting.insert(message.destination);
+        self.review.push(message.id);
+        let destination = self.destinations.get_mut(&message.destination);
+        destination.map(|destination| destination.held.insert(message.id));
+    }
+
+    /// Takes a message from the held ones.
+    pub(crate) fn release_hold(&mut self, id: MessageId) {
+        let Some(parcel) = self.parcels.get(&id) else { return };
+        let number = parcel.message.destination;
+        let Some(destination) = self.destinations.get_mut(&number) else { return };
+        destination.held.remove(&id);
+        if destination.held.is_empty() {
+            self.waiting.remove(&number);
+            // Nothing is kept of a destination that was never listed.
+            if destination.kind == usize::MAX {
+                self.destinations.remove(&number);
+            }
+        }
+    }
+
+    /// Drops a message that is over and has nothing out.
+    pub(crate) fn settle(&mut self, id: MessageId, kept: usize) {
+        self.release_hold(id);
+        let Some(parcel) = self.parcels.get(&id).filter(|p| p.over && p.out.is_none()) else { return };
+        if let Some(line) = parcel.message.key.and_then(|key| self.lines.get_mut(&key)) {
+            line.queue.retain(|other| *other != id);
+        }
+        self.parcels.remove(&id);
+        self.ended.1.extend(self.ended.0.insert(id).then_some(id));
+        if self.ended.1.len() > kept
+            && let Some(old) = self.ended.1.pop_front()
+        {
+            self.ended.0.remove(&old);
+        }
+    }
+
+    /// Drops an endpoint that is off the list once nothing is out there.
+    pub(crate) fn forget(&mut self, id: EndpointId) {
+        let Some(endpoint) = self.endpoints.get(&id).filter(|e| !e.ready && e.lane.out == 0) else { return };
+        if let Some(destination) = self.destinations.get_mut(&endpoint.destination) {
+            destination.endpoints.remove(&id);
+        }
+        self.endpoints.remove(&id);
+    }
+
+    /// Notes a change of health for the log.
+    pub(crate) fn note(
+        &mut self, most: u32, apart: bool, number: u64, was: Health, is: Health, cause: Outcome,
+    ) {
+        if std::mem::discriminant(&was) != std::mem::discriminant(&is) && self.noted < most {
+            self.noted += 1;
+            let place = if apart { "route" } else { "destination" };
+            self.notes.push(format!("{place} {number}: {was:?} -> {is:?} after {cause:?}"));
+        }
+    }
+
+    /// Copies lines of the list; returns the destinations that they name.
+    pub(crate) fn enrol(
+        &mut self, entries: Vec<Entry>, whole: bool, latency: Seconds,
+    ) -> BTreeSet<DestinationId> {
+        if whole {
+            self.endpoints.values_mut().for_each(|endpoint| endpoint.ready = false);
+        }
+        let mut changed: BTreeSet<DestinationId> = BTreeSet::new();
+        for entry in entries {
+            let Some(kind) = self.settings.kinds.get(entry.kind).copied() else { continue };
+            let rate = Some(entry.rate).filter(|r| self.settings.rates_listed && r.is_finite() && *r > 0.0);
+            let new = || Destination::new(rate, latency, entry.kind, kind);
+            let destination = self.destinations.entry(entry.destination).or_insert_with(new);
+            (destination.kind, destination.apart, destination.batch) =
+                (entry.kind, kind.routes_apart, kind.batch.max(1));
+            destination.endpoints.insert(entry.endpoint);
+            destination.lane.capacity = rate.or(destination.lane.capacity);
+            let endpoint = self.endpoints.entry(entry.endpoint).or_insert_with(|| Endpoint {
+                lane: Lane::new(rate, latency),
+                destination: entry.destination,
+                zone: entry.zone,
+                ready: false,
+                used_at: f64::NEG_INFINITY,
+                idle_since: None,
+            });
+            endpoint.ready = entry.listed == Listed::Ready;
+            endpoint.zone = entry.zone;
+            changed.insert(entry.destination);
+        }
+        let old: Vec<_> = self.endpoints.iter().filter(|(_, e)| !e.ready).map(|(id, _)| *id).collect();
+        old.into_iter().for_each(|id| self.forget(id));
+        changed
+    }
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,392 @@
+//! The six rules and the ordinary path, through the public interface.
+
+mod common;
+
+use common::*;
+use waydoor::*;
+
+#[test]
+fn rule_1_a_message_without_an_endpoint_is_refused_in_time() {
+    let mut stage = Stage::new(settings());
+    stage.take(1, 0, 99);
+    assert!(stage.round().is_empty());
+    stage.now += 19.0;
+    stage.round();
+    assert!(!stage.refused(1), "there is still hope");
+    stage.now = 1019.99;
+    stage.round();
+    assert!(stage.refused(1));
+}
+
+#[test]
+fn rule_1_a_timer_is_set_for_the_answer() {
+    let mut stage = Stage::new(settings());
+    stage.take(1, 0, 99);
+    stage.round();
+    let timer = stage.actions.iter().find_map(|a| match a {
+        Action::SetTimer { at, .. } => Some(*at),
+        _ => None,
+    });
+    assert!(timer.is_some_and(|at| at < 1020.0), "{timer:?}");
+}
+
+#[test]
+fn rule_1_no_attempt_outlives_the_message() {
+    let mut stage = Stage::new(settings());
+    for class in 0..3 {
+        stage.take(class as u64, class, 1 + class as u32);
+    }
+    stage.now += 19.0;
+    for sent in stage.round() {
+        assert!(sent.timeout < 1.0, "{sent:?}");
+    }
+}
+
+#[test]
+fn rule_2_an_unsafe_message_that_may_have_run_fails() {
+    for outcome in [Outcome::Error, Outcome::TimedOut, Outcome::Reset, Outcome::Cancelled] {
+        let mut stage = Stage::new(settings());
+        stage.take(1, 2, 1);
+        assert_eq!(stage.round().len(), 1);
+        stage.end(1, 1, 0, outcome, 0.2);
+        assert!(stage.round().is_empty());
+        assert!(stage.failed(1), "{outcome:?}");
+    }
+}
+
+#[test]
+fn rule_2_an_unsafe_message_that_never_ran_goes_again() {
+    let mut stage = Stage::new(settings());
+    stage.take(1, 2, 1);
+    assert_eq!(stage.round().len(), 1);
+    stage.end(1, 1, 0, Outcome::Full, 0.05);
+    let later = stage.until(1005.0);
+    assert_eq!(later.len(), 1);
+    assert_eq!(later[0].1.id, 1);
+}
+
+#[test]
+fn rule_2_a_keyed_message_goes_again_only_inside_its_window() {
+    let mut stage = Stage::new(settings());
+    stage.take(1, 1, 1);
+    assert_eq!(stage.round().len(), 1);
+    stage.now += 11.9;
+    stage.end(1, 1, 0, Outcome::TimedOut, 11.9);
+    assert!(stage.round().is_empty());
+    assert!(stage.refused(1), "all endpoints share the memory, so a refusal is lawful");
+}
+
+#[test]
+fn rule_2_a_keyed_message_stays_in_its_zone_and_fails_where_keys_are_kept_by_zone() {
+    let mut own = settings();
+    own.classes[1].effect = Effect::Keyed { window: 12.0, by_zone: true };
+    let mut stage = Stage::new(own);
+    let other = Entry { zone: 1, ..entry(11, 1) };
+    stage.event(Event::ListChanged(vec![other]));
+    stage.take(1, 1, 1);
+    let first = stage.round();
+    stage.now += 0.2;
+    stage.end(1, first[0].endpoint, 0, Outcome::Error, 0.2);
+    let again = stage.until(1001.5);
+    assert!(!again.is_empty());
+    assert_eq!(again[0].1.endpoint, first[0].endpoint);
+    stage.end(1, first[0].endpoint, 1, Outcome::TimedOut, 0.2);
+    stage.now = 1012.0;
+    stage.round();
+    assert!(stage.failed(1));
+}
+
+#[test]
+fn rule_3_nothing_goes_to_a_draining_or_gone_endpoint() {
+    for listed in [Listed::Draining, Listed::Gone] {
+        let mut stage = Stage::new(settings());
+        stage.event(Event::ListChanged(vec![Entry { listed, ..entry(1, 1) }]));
+        stage.take(1, 0, 1);
+        assert!(stage.until(1010.0).is_empty());
+        stage.event(Event::ListChanged(vec![entry(1, 1)]));
+        assert_eq!(stage.round().len(), 1, "back on the list");
+    }
+}
+
+#[test]
+fn rule_3_a_whole_list_replaces_the_old_one() {
+    let mut stage = Stage::new(settings());
+    stage.event(Event::ListWhole(vec![entry(2, 2)]));
+    stage.take(1, 0, 1);
+    assert!(stage.until(1005.0).is_empty());
+}
+
+#[test]
+fn rule_3_the_list_is_asked_for_again_after_each_failure() {
+    let mut own = settings();
+    own.listing = Listing::OnRequest { ask_within: 10.0 };
+    let mut stage = Stage::new(own);
+    stage.dispatcher =
+        Dispatcher::new(Settings { listing: Listing::OnRequest { ask_within: 10.0 }, ..settings() }, 1)
+            .unwrap();
+    let mut asked = 0;
+    let end = stage.now + 10.0;
+    while stage.now < end {
+        stage.round();
+        if stage.actions.contains(&Action::Subscribe) {
+            asked += 1;
+            stage.event(Event::ListFailed);
+        }
+        stage.now += 0.05;
+    }
+    assert!((4..30).contains(&asked), "{asked}");
+}
+
+/// Sends to a destination in the first seconds after an outage of the given kind, with much held for it.
+fn sent_after_outage(outcome: Outcome) -> usize {
+    let mut stage = Stage::new(settings());
+    stage.serve(1, 1);
+    for id in 100..140 {
+        stage.take(id, 0, 1);
+    }
+    let mut attempts = std::collections::BTreeMap::new();
+    let back = stage.now + 8.0;
+    let mut after = 0;
+    let mut first_served = None;
+    while first_served.is_none_or(|at| stage.now < at + 3.0) && stage.now < 1018.0 {
+        for sent in stage.round() {
+            let attempt = attempts.entry(sent.id).or_insert(0);
+            let outcome = if stage.now < back { outcome } else { Outcome::Served };
+            after += usize::from(stage.now >= back);
+            stage.end(sent.id, sent.endpoint, *attempt, outcome, 0.01);
+            *attempt += 1;
+            if outcome == Outcome::Served {
+                first_served.get_or_insert(stage.now);
+            }
+        }
+        for action in stage.actions.clone() {
+            if let Action::Probe(endpoint) = action {
+                after += usize::from(stage.now >= back);
+                stage.event(Event::Probed { endpoint, outcome, latency: 0.01, allowance: None });
+            }
+        }
+        stage.now += 0.05;
+    }
+    assert!(first_served.is_some(), "the return is seen after {outcome:?}");
+    after
+}
+
+#[test]
+fn rule_4_a_returning_destination_gets_its_budget_only() {
+    for outcome in [Outcome::Error, Outcome::NoConnection, Outcome::Reset, Outcome::TimedOut, Outcome::Full] {
+        let sent = sent_after_outage(outcome);
+        // multiple x mean share over the window x rate x window, all of it even for one of two dispatchers.
+        let budget = 1.5 * (0.25 + 0.75 * 0.15) * 8.0 * 3.0;
+        assert!((1..=budget as usize).contains(&sent), "{sent} sent after {outcome:?}, budget {budget}");
+    }
+}
+
+#[test]
+fn rule_5_messages_of_a_key_go_one_at_a_time_in_order_with_rest() {
+    let mut stage = Stage::new(settings());
+    for id in 1..=3 {
+        stage.take_keyed(id, 3, 1, Some(7));
+    }
+    stage.take_keyed(4, 3, 2, Some(8));
+    let sent: Vec<_> = stage.round().iter().map(|s| s.id).collect();
+    assert_eq!(sent.len(), 2);
+    assert!(sent.contains(&1) && sent.contains(&4));
+    stage.now += 0.2;
+    stage.end(1, 1, 0, Outcome::Served, 0.2);
+    let sent = stage.round();
+    assert_eq!(sent.iter().map(|s| s.id).collect::<Vec<_>>(), [2]);
+    // The second message ends while it may still run: the key rests for the third.
+    stage.now += 0.2;
+    let ended = stage.now;
+    stage.event(Event::Ended(AttemptEnd {
+        id: MessageId(2),
+        endpoint: EndpointId(1),
+        attempt: 0,
+        outcome: Outcome::Reset,
+        wait: None,
+        closed: true,
+        latency: 0.2,
+        allowance: None,
+    }));
+    let later = stage.until(ended + 6.0);
+    assert_eq!(later.len(), 1);
+    assert_eq!(later[0].1.id, 3);
+    assert!(later[0].0 >= ended + 2.0);
+}
+
+#[test]
+fn rule_6_a_told_wait_binds_all_messages() {
+    let mut stage = Stage::new(settings());
+    stage.take(1, 0, 1);
+    stage.round();
+    stage.end_waiting(1, 1, 0, Outcome::Full, 0.05, Some(3.0));
+    stage.take(2, 2, 1);
+    stage.take(3, 0, 2);
+    assert_eq!(stage.round().iter().map(|s| s.id).collect::<Vec<_>>(), [3], "others are not bound");
+    let later = stage.until(1006.0);
+    assert!(!later.is_empty());
+    assert!(later.iter().all(|(at, _)| *at >= 1003.0), "{later:?}");
+    assert!(!stage.actions.iter().any(|a| matches!(a, Action::Probe(_))));
+}
+
+#[test]
+fn rule_6_a_told_wait_binds_one_route_where_they_are_apart() {
+    let mut stage = Stage::new(settings());
+    let route = |id| Entry { kind: 1, ..entry(id, 5) };
+    stage.event(Event::ListChanged(vec![route(51), route(52)]));
+    stage.take(1, 0, 5);
+    let first = stage.round()[0].endpoint;
+    stage.end_waiting(1, first, 0, Outcome::Full, 0.05, Some(3.0));
+    let later = stage.until(1002.0);
+    assert!(!later.is_empty(), "the other route is free");
+    assert!(later.iter().all(|(_, sent)| sent.endpoint != first));
+}
+
+#[test]
+fn never_two_attempts_of_one_message_are_out() {
+    let mut stage = Stage::new(settings());
+    stage.take(1, 0, 1);
+    assert_eq!(stage.round().len(), 1);
+    assert!(stage.until(1015.0).is_empty());
+}
+
+#[test]
+fn when_slots_are_full_the_highest_rank_leaves_first() {
+    let mut own = settings();
+    own.slots = 1;
+    own.classes[1].worth = 5.0;
+    let mut stage = Stage::new(own);
+    stage.take(1, 0, 1);
+    assert_eq!(stage.round().len(), 1);
+    stage.take(2, 0, 2);
+    stage.now += 1.0;
+    stage.take(3, 0, 2);
+    stage.take(4, 1, 2);
+    assert!(stage.round().is_empty(), "all slots are full");
+    let mut left = Vec::new();
+    let mut out = (1, 1);
+    for _ in 0..3 {
+        stage.end(out.0, out.1, 0, Outcome::Served, 0.2);
+        let sent = stage.round();
+        out = (sent[0].id, sent[0].endpoint);
+        left.push(out.0);
+    }
+    assert_eq!(left, [4, 3, 2], "worth first, then the newest");
+}
+
+#[test]
+fn a_destination_holds_three_quarters_of_the_slots_at_most() {
+    let mut stage = Stage::new(settings());
+    for id in 0..20 {
+        stage.take(id, 0, 1);
+    }
+    assert_eq!(stage.round().len(), 6);
+    stage.take(30, 0, 2);
+    assert_eq!(stage.round().len(), 1);
+}
+
+#[test]
+fn what_cannot_be_delivered_any_more_is_refused_unsent() {
+    let mut stage = Stage::new(settings());
+    let (id, destination) = (MessageId(1), DestinationId(1));
+    stage.event(Event::Taken(Message { id, class: 0, destination, deadline: stage.now + 0.1, key: None }));
+    assert!(stage.round().is_empty());
+    assert!(stage.refused(1));
+}
+
+#[test]
+fn messages_for_a_kind_that_batches_share_a_call() {
+    let mut own = settings();
+    own.slots = 2;
+    own.kinds[0].batch = 3;
+    let mut stage = Stage::new(own);
+    for id in 0..3 {
+        stage.take(id, 0, 1);
+    }
+    assert_eq!(stage.round().len(), 3);
+    stage.take(9, 0, 2);
+    assert_eq!(stage.round().len(), 1, "the three hold one slot");
+    stage.take(10, 0, 3);
+    assert!(stage.round().is_empty(), "two calls are out");
+}
+
+#[test]
+fn rule_3_a_saved_list_is_no_subscription() {
+    // Incident i01344f: the saved list of an earlier life was taken for the answer to a subscription.
+    let own = Settings { listing: Listing::OnRequest { ask_within: 10.0 }, ..settings() };
+    let mut stage = Stage::new(own);
+    stage.round();
+    assert!(stage.actions.contains(&Action::Subscribe));
+    // Once answered it stands, and is asked for anew within the rule's time.
+    stage.event(Event::ListChanged(vec![]));
+    let mut asked = Vec::new();
+    while stage.now < 1030.0 {
+        stage.now += 0.05;
+        stage.round();
+        if stage.actions.contains(&Action::Subscribe) {
+            asked.push(stage.now);
+            stage.event(Event::ListChanged(vec![]));
+        }
+    }
+    assert!(asked[0] < 1010.0 && asked[0] > 1003.0, "{asked:?}");
+    assert!(asked.windows(2).all(|pair| pair[1] - pair[0] < 10.0), "{asked:?}");
+}
+
+#[test]
+fn many_senders_leave_room_at_a_small_limit_whose_refusals_count() {
+    // Incident i7b7f9f: twelve senders retried at a limit of four a second, and nobody was ever served.
+    let own = Settings { dispatchers: 12, ..settings() };
+    let mut stage = Stage::new(own);
+    stage.event(Event::ListChanged(vec![Entry { rate: 4.0, ..entry(1, 1) }]));
+    let mut attempts = std::collections::BTreeMap::new();
+    let mut late = 0;
+    for step in 0..600 {
+        if step % 20 == 0 {
+            stage.take(step, 0, 1);
+        }
+        for sent in stage.round() {
+            let attempt = attempts.entry(sent.id).or_insert(0);
+            stage.end(sent.id, sent.endpoint, *attempt, Outcome::Full, 0.03);
+            *attempt += 1;
+            late += usize::from(step >= 300);
+        }
+        stage.now += 0.05;
+    }
+    // Twelve such senders in 15 s must stay under the 60 calls that the limit lets through.
+    assert!((1..=5).contains(&late), "{late} calls of one sender");
+}
+
+#[test]
+fn lost_calls_do_not_shut_a_destination() {
+    // Incident if48d6a: a quarter of the calls got no answer, the others were served at the usual pace.
+    let mut stage = Stage::new(settings());
+    let mut out: Vec<(u64, u64, f64, f64)> = Vec::new();
+    let (mut served, mut taken) = (0, 0);
+    for step in 0..800u64 {
+        if step % 10 == 0 {
+            taken += 1;
+            stage.take(step, 0, 1);
+        }
+        for sent in stage.round() {
+            out.push((sent.id, sent.endpoint, stage.now, sent.timeout));
+        }
+        stage.now += 0.05;
+        let now = stage.now;
+        let mut still = Vec::new();
+        for (id, endpoint, at, timeout) in std::mem::take(&mut out) {
+            let lost = (id / 10) % 4 == 3;
+            if lost && now - at >= timeout {
+                stage.end(id, endpoint, 0, Outcome::TimedOut, now - at);
+                // Its next attempts stay lost; the client gives it up.
+                stage.event(Event::Withdrawn(MessageId(id)));
+            } else if !lost && now - at >= 0.2 {
+                served += 1;
+                stage.end(id, endpoint, 0, Outcome::Served, 0.2);
+            } else {
+                still.push((id, endpoint, at, timeout));
+            }
+        }
+        out = still;
+    }
+    assert!(served as f64 > 0.7 * taken as f64, "{served} of {taken}");
+}
