Tests over loopback sockets; a client that left is asked for at its socket

Seen: of 48 runs side by side of the test in which a client leaves while the process stands still, 30 delivered the message that nobody waits for. Checked: the client's end was in the kernel before the process went on, in each run. Ruled out: the order of STOP and send, since the id that was to be withdrawn was called after CONT. To blame: Line::poll_write in src/bin/fawnspoke/intake.rs asked the runtime's cached readiness, which had not heard of the end yet.

--- a/src/bin/fawnspoke/intake.rs
+++ b/src/bin/fawnspoke/intake.rs
@@ -9,6 +9,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
@@ -99,10 +100,10 @@
 impl AsyncWrite for Line {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         if self.unheard.get().is_some() {
-            // A client that closed while this process was stalled has handed the message in elsewhere.
-            let mut byte = [0];
-            let mut peek = ReadBuf::new(&mut byte);
-            if let Poll::Ready(Ok(0)) = self.stream.poll_peek(cx, &mut peek) {
+            // A client that closed while this process was stalled has handed the message in elsewhere. The
+            // socket itself is asked: the runtime may not have heard of the end yet.
+            let mut byte = [std::mem::MaybeUninit::uninit()];
+            if matches!(SockRef::from(&self.stream).peek(&mut byte), Ok(0)) {
                 return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
             }
         }
--- /dev/null
+++ b/tests/sockets/main.rs
@@ -0,0 +1,490 @@
+//! The dispatcher as a process, on loopback sockets. Each test waits on conditions, never on a tight time.
+
+mod stage;
+
+use stage::*;
+use std::fs;
+use std::io::Write;
+use std::process::Stdio;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+fn ok() -> Reply {
+    Reply::status(200)
+}
+
+/// An endpoint for destination 7 that answers by the script, a platform, a dispatcher that knows both.
+fn one(script: impl Fn(usize, &Http) -> Reply + Send + Sync + 'static) -> (Endpoint, Platform, Dispatcher) {
+    let (endpoint, platform) = (Endpoint::start(script), Platform::start());
+    let dispatcher = Dispatcher::started(&platform, &[endpoint.host("e", 7, "up")]);
+    (endpoint, platform, dispatcher)
+}
+
+#[test]
+fn delivers_unchanged_over_kept_connections() {
+    let (endpoint, platform, dispatcher) = one(|_, _| ok());
+    let mut client = dispatcher.connect();
+    client.write(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert_eq!(client.answer().status(), 200);
+    let body: Vec<u8> = (0..=255).collect();
+    assert_eq!(client.hand_in("keyed", "m1", 7, 15_000, &body).status(), 202);
+    eventually("the first call", || endpoint.seen().len() == 1);
+    assert_eq!(client.hand_in("safe", "m2", 7, 15_000, b"two").status(), 202);
+    eventually("the second call", || endpoint.seen().len() == 2);
+    let seen = endpoint.seen();
+    assert!(seen[0].request.first.starts_with("POST /receive "));
+    assert_eq!((seen[0].id(), seen[0].request.header("idempotency-key")), ("m1", Some("key-m1")));
+    assert!(seen[0].request.header("request-timeout-ms").is_some_and(|ms| ms.parse::<u64>().is_ok()));
+    assert_eq!(seen[0].request.body, body);
+    assert_eq!(seen[1].connection, 0, "the idle connection is used again");
+    assert!(platform.notices().is_empty(), "what is delivered needs no notice");
+}
+
+#[test]
+fn refuses_what_is_malformed_or_too_long() {
+    let (endpoint, _platform, dispatcher) = one(|_, _| ok());
+    let status = |head: &str| {
+        let mut client = dispatcher.connect();
+        client.write(format!("{head}\r\nHost: x\r\n\r\n").as_bytes());
+        client.answer().status()
+    };
+    assert_eq!(status("GET /nowhere HTTP/1.1"), 404);
+    assert_eq!(status("GET /safe HTTP/1.1"), 405);
+    assert_eq!(status("POST /safe HTTP/1.1\r\nContent-Length: 0"), 400);
+    let good = [
+        "Request-Id: m1",
+        "Request-Class: safe",
+        "Request-Timeout-Ms: 900",
+        "X-Consignee: dest=7",
+        "Content-Length: 0",
+    ];
+    let wrong =
+        ["Request-Id: two words", "Request-Class: keyed", "Request-Timeout-Ms: soon", "X-Consignee: 7"];
+    for (i, wrong) in wrong.iter().enumerate() {
+        let mut lines = good;
+        lines[i] = wrong;
+        assert_eq!(status(&format!("POST /safe HTTP/1.1\r\n{}", lines.join("\r\n"))), 400, "{wrong}");
+    }
+    // A keyed message without its key could not be told from its repeat.
+    let keyed = good.join("\r\n").replace("safe", "keyed");
+    assert_eq!(status(&format!("POST /keyed HTTP/1.1\r\n{keyed}")), 400);
+    let long = vec![b'x'; 64 * 1024 + 1];
+    assert_eq!(dispatcher.connect().hand_in("safe", "m2", 7, 9000, &long).status(), 413);
+    assert_eq!(dispatcher.connect().hand_in("safe", "m3", 7, 9000, &long[1..]).status(), 202);
+    eventually("the longest body that is allowed", || endpoint.seen().len() == 1);
+    assert_eq!(endpoint.seen()[0].request.body.len(), 64 * 1024);
+}
+
+#[test]
+fn bad_configuration_names_the_key() {
+    let platform = Platform::start();
+    let mut dispatcher = Dispatcher::new(&platform, &[]);
+    for (path, value, key) in [
+        ("/settings/limits/open_cap", serde_json::json!(0), "settings.limits.open_cap"),
+        ("/settings/family_info/call_slots", serde_json::json!("nine"), "settings.family_info.call_slots"),
+        ("/settings/grades/1/repeat_window", serde_json::Value::Null, "settings.grades[1].repeat_window"),
+        ("/listen", serde_json::json!("nowhere"), "listen"),
+    ] {
+        let good = dispatcher.config.clone();
+        *dispatcher.config.pointer_mut(path).unwrap() = value;
+        let output = dispatcher.command().stderr(Stdio::piped()).output().unwrap();
+        let text = String::from_utf8(output.stderr).unwrap();
+        assert!(!output.status.success());
+        assert_eq!(text.lines().count(), 1, "{text}");
+        assert!(text.contains(key), "{text}");
+        dispatcher.config = good;
+    }
+}
+
+#[test]
+fn killed_with_messages_held() {
+    let platform = Platform::start();
+    let mut dispatcher = Dispatcher::started(&platform, &[]);
+    assert_eq!(dispatcher.hand_in("safe", "m1", 7), 202);
+    assert_eq!(dispatcher.hand_in("unsafe", "m2", 7), 202);
+    dispatcher.kill();
+    let endpoint = Endpoint::start(|_, _| ok());
+    dispatcher.config["known"]["hosts"] = serde_json::json!([endpoint.host("e", 7, "up")]);
+    dispatcher.start();
+    eventually("both calls", || endpoint.seen().len() == 2);
+    let mut ids = endpoint.ids();
+    ids.sort();
+    assert_eq!(ids, ["m1", "m2"]);
+    // What was delivered is over for a third life, too.
+    dispatcher.kill();
+    dispatcher.start();
+    assert_eq!(dispatcher.hand_in("safe", "m3", 7), 202);
+    eventually("the new call", || endpoint.seen().len() == 3);
+    assert_eq!(endpoint.ids()[2], "m3");
+}
+
+#[test]
+fn killed_with_calls_out() {
+    let (endpoint, platform, mut dispatcher) = one(|n, _| if n < 2 { Reply::Hang } else { ok() });
+    assert_eq!(dispatcher.hand_in("keyed", "m1", 7), 202);
+    eventually("the first call", || endpoint.seen().len() == 1);
+    assert_eq!(dispatcher.hand_in("unsafe", "m2", 7), 202);
+    eventually("the second call", || endpoint.seen().len() == 2);
+    dispatcher.kill();
+    dispatcher.start();
+    // The key is still remembered: sent again, the same. The unsafe one may have run: it is given up.
+    eventually("the keyed message again", || endpoint.seen().len() == 3);
+    let again = &endpoint.seen()[2];
+    assert_eq!((again.id(), again.request.header("idempotency-key")), ("m1", Some("key-m1")));
+    assert_eq!(again.request.text(), "hello");
+    eventually("the notice", || platform.told("m2") == ["given_up"]);
+    assert_eq!(endpoint.ids().iter().filter(|id| *id == "m2").count(), 1);
+}
+
+#[test]
+fn attempts_of_an_earlier_life_count() {
+    let (endpoint, platform) = (Endpoint::start(|_, _| Reply::Hang), Platform::start());
+    let mut dispatcher = Dispatcher::new(&platform, &[endpoint.host("e", 7, "up")]);
+    dispatcher.config["settings"]["limits"]["send_cap"] = 2.into();
+    dispatcher.start();
+    assert_eq!(dispatcher.hand_in("safe", "m1", 7), 202);
+    for calls in 1..=2 {
+        eventually("a call", || endpoint.seen().len() == calls);
+        dispatcher.kill();
+        dispatcher.start();
+    }
+    eventually("the notice", || platform.told("m1") == ["handed_back"]);
+    assert_eq!(endpoint.seen().len(), 2);
+}
+
+#[test]
+fn killed_with_a_notice_unanswered() {
+    let (endpoint, platform) = (Endpoint::start(|_, _| Reply::Break), Platform::start());
+    platform.answer.store(500, Ordering::SeqCst);
+    let mut dispatcher = Dispatcher::started(&platform, &[endpoint.host("e", 7, "up")]);
+    assert_eq!(dispatcher.hand_in("unsafe", "m1", 7), 202);
+    // At once, though the message had much time left; and again until it is heard.
+    eventually("the notice, twice", || platform.told("m1").len() >= 2);
+    dispatcher.kill();
+    let before = platform.told("m1").len();
+    platform.answer.store(204, Ordering::SeqCst);
+    dispatcher.start();
+    eventually("the notice of the second life", || platform.told("m1").len() > before);
+    assert!(platform.told("m1").iter().all(|outcome| outcome == "given_up"));
+    eventually("the record that it was heard", || {
+        let before = platform.told("m1").len();
+        dispatcher.kill();
+        dispatcher.start();
+        assert_eq!(dispatcher.hand_in("unsafe", &format!("n{before}"), 7), 202);
+        eventually("a later notice", || !platform.told(&format!("n{before}")).is_empty());
+        platform.told("m1").len() == before
+    });
+    assert_eq!(endpoint.ids().iter().filter(|id| *id == "m1").count(), 1);
+}
+
+#[test]
+fn hands_back_with_a_time_to_come_again() {
+    let platform = Platform::start();
+    let dispatcher = Dispatcher::started(&platform, &[]);
+    // No endpoint is known and the time is short.
+    assert_eq!(dispatcher.connect().hand_in("keyed", "m1", 7, 300, b"x").status(), 202);
+    eventually("the notice", || platform.told("m1") == ["handed_back"]);
+    assert!(platform.notices()[0]["retry_in_ms"].as_u64().is_some_and(|ms| (1..=3000).contains(&ms)));
+}
+
+#[test]
+fn torn_journal() {
+    let platform = Platform::start();
+    let mut dispatcher = Dispatcher::started(&platform, &[]);
+    assert_eq!(dispatcher.hand_in("safe", "m1", 7), 202);
+    assert_eq!(dispatcher.hand_in("safe", "m2", 7), 202);
+    dispatcher.kill();
+    let mut bytes = fs::read(dispatcher.journal()).unwrap();
+    bytes.truncate(bytes.len() - 3);
+    fs::write(dispatcher.journal(), bytes).unwrap();
+    // Half of a file that was being written anew is no journal.
+    fs::write(dispatcher.state().join("journal.next"), b"half").unwrap();
+    let endpoint = Endpoint::start(|_, _| ok());
+    dispatcher.config["known"]["hosts"] = serde_json::json!([endpoint.host("e", 7, "up")]);
+    dispatcher.start();
+    eventually("the whole record's call", || endpoint.ids() == ["m1"]);
+    // What comes after the torn place is read again.
+    assert_eq!(dispatcher.hand_in("unsafe", "m3", 8), 202);
+    dispatcher.kill();
+    dispatcher.config["known"]["hosts"] = serde_json::json!([endpoint.host("e", 8, "up")]);
+    dispatcher.start();
+    eventually("the call after the tear", || endpoint.ids() == ["m1", "m3"]);
+}
+
+#[test]
+fn full_disk_budget() {
+    let platform = Platform::start();
+    let mut dispatcher = Dispatcher::new(&platform, &[]);
+    dispatcher.config["limits"]["disk_mb"] = 0.8.into();
+    dispatcher.start();
+    let on_disk = |dispatcher: &Dispatcher| {
+        let files = fs::read_dir(dispatcher.state()).unwrap().flatten();
+        files.filter_map(|file| file.metadata().ok()).map(|file| file.len().div_ceil(512) * 512).sum::<u64>()
+    };
+    let mut client = dispatcher.connect();
+    let body = vec![b'x'; 60_000];
+    let mut taken = 0;
+    let refused = loop {
+        let answer = client.hand_in("safe", &format!("m{taken}"), 7, 15_000, &body);
+        assert!(on_disk(&dispatcher) <= 800_000);
+        if answer.status() != 202 {
+            break answer;
+        }
+        taken += 1;
+        assert!(taken < 14, "there is no room for so many");
+    };
+    assert_eq!(refused.status(), 503);
+    assert!(refused.header("retry-after").is_some_and(|s| s.parse::<f64>().is_ok_and(|s| s > 0.0)));
+    assert!(taken >= 3);
+    // Small ones come and go all along; the file is written anew and no message is lost by that.
+    let (endpoint, other) = (Endpoint::start(|_, _| ok()), Endpoint::start(|_, _| ok()));
+    platform.push(2, &[other.host("o", 8, "up")]);
+    for i in 0..10 {
+        assert_eq!(client.hand_in("safe", &format!("s{i}"), 8, 15_000, b"small").status(), 202);
+        eventually("the small one's call", || other.seen().len() == i + 1);
+    }
+    dispatcher.kill();
+    dispatcher.config["known"]["hosts"] = serde_json::json!([endpoint.host("e", 7, "up")]);
+    dispatcher.start();
+    eventually("all that was taken", || endpoint.seen().len() == taken);
+    assert!(on_disk(&dispatcher) <= 800_000);
+}
+
+#[test]
+fn failed_write_is_no_taking() {
+    let (endpoint, platform) = (Endpoint::start(|_, _| ok()), Platform::start());
+    let mut dispatcher = Dispatcher::new(&platform, &[endpoint.host("e", 7, "up")]);
+    // No file may pass 20 blocks of 512 bytes; the write fails instead of ending the process.
+    dispatcher.before = "trap '' XFSZ; ulimit -f 20;".into();
+    dispatcher.start();
+    let mut client = dispatcher.connect();
+    assert_eq!(client.hand_in("safe", "m1", 8, 15_000, b"fits").status(), 202);
+    assert_eq!(client.hand_in("safe", "m2", 8, 15_000, &vec![b'x'; 30_000]).status(), 503);
+    assert_eq!(client.hand_in("safe", "m3", 8, 15_000, b"fits").status(), 202);
+    dispatcher.kill();
+    dispatcher.config["known"]["hosts"] = serde_json::json!([endpoint.host("e", 8, "up")]);
+    dispatcher.start();
+    eventually("the calls", || endpoint.seen().len() == 2);
+    let mut ids = endpoint.ids();
+    ids.sort();
+    assert_eq!(ids, ["m1", "m3"]);
+}
+
+#[test]
+fn more_than_the_room_is_refused() {
+    let platform = Platform::start();
+    let mut dispatcher = Dispatcher::new(&platform, &[]);
+    dispatcher.config["settings"]["limits"]["open_cap"] = 3.into();
+    dispatcher.start();
+    let statuses: Vec<u16> = (0..4).map(|i| dispatcher.hand_in("safe", &format!("m{i}"), 7)).collect();
+    assert!(statuses.iter().all(|status| [202, 503].contains(status)));
+    let taken = statuses.iter().filter(|status| **status == 202).count();
+    eventually("each beyond the room ends", || {
+        let ended = (0..4).filter(|i| !platform.told(&format!("m{i}")).is_empty()).count();
+        taken - ended < 3
+    });
+}
+
+#[test]
+fn time_out_closes_the_connection() {
+    let (endpoint, platform, dispatcher) = one(|n, _| if n == 0 { Reply::Hang } else { ok() });
+    assert_eq!(dispatcher.hand_in("safe", "m1", 7), 202);
+    eventually("the first call's connection closes", || endpoint.given_up() == 1);
+    eventually("the second call", || endpoint.seen().len() == 2);
+    let seen = endpoint.seen();
+    assert_ne!(seen[0].connection, seen[1].connection);
+    assert_eq!(seen[1].id(), "m1");
+    assert!(platform.notices().is_empty());
+}
+
+#[test]
+fn a_broken_connection_may_have_run() {
+    let (endpoint, platform, dispatcher) = one(|_, request| match request.header("request-id") {
+        Some("m1") => Reply::Break,
+        _ => ok(),
+    });
+    assert_eq!(dispatcher.hand_in("unsafe", "m1", 7), 202);
+    eventually("the notice", || platform.told("m1") == ["given_up"]);
+    assert_eq!(dispatcher.hand_in("safe", "m2", 7), 202);
+    eventually("the next call", || endpoint.ids().contains(&"m2".to_string()));
+    assert_eq!(endpoint.ids().iter().filter(|id| *id == "m1").count(), 1);
+}
+
+#[test]
+fn a_refused_connection_never_ran() {
+    let platform = Platform::start();
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = gone.local_addr().unwrap();
+    drop(gone);
+    let dispatcher = Dispatcher::started(&platform, &[host("e", at, 7, "single", "up")]);
+    assert_eq!(dispatcher.hand_in("unsafe", "m1", 7), 202);
+    thread::sleep(Duration::from_millis(100));
+    let endpoint = Endpoint::start_at(at, |_, _| ok());
+    eventually("the call", || endpoint.seen().iter().any(|seen| seen.id() == "m1"));
+    assert!(platform.told("m1").is_empty());
+}
+
+#[test]
+fn a_stale_idle_connection_costs_no_message() {
+    // The connection is closed behind the answer. An unsafe message must not be risked on it.
+    let (endpoint, platform, dispatcher) = one(|_, _| Reply::AnswerAndClose(200));
+    for i in 0..4 {
+        assert_eq!(dispatcher.hand_in("unsafe", &format!("m{i}"), 7), 202);
+        eventually("the call", || endpoint.seen().len() == i + 1);
+        thread::sleep(Duration::from_millis(30));
+    }
+    assert_eq!(endpoint.ids(), ["m0", "m1", "m2", "m3"]);
+    assert!(platform.notices().is_empty());
+}
+
+#[test]
+fn a_batch_with_mixed_ends() {
+    let endpoint = Endpoint::start(|n, request| {
+        if n > 0 {
+            return ok();
+        }
+        let ids = ["safe-a", "safe-b", "unsafe-c", "unsafe-d", "safe-e"];
+        let text = request.text();
+        assert!(ids.iter().all(|id| text.contains(&format!("{id} key-{id} 5\r\nhello\r\n"))), "{text}");
+        let ends = "safe-a delivered\nsafe-b refused\nunsafe-c failed\nunsafe-d refused\nsafe-e over\n";
+        Reply::Answer(200, String::new(), ends.into())
+    });
+    let platform = Platform::start();
+    let dispatcher = Dispatcher::started(&platform, &[]);
+    for id in ["safe-a", "safe-b", "unsafe-c", "unsafe-d", "safe-e"] {
+        let class = id.split('-').next().unwrap();
+        assert_eq!(dispatcher.hand_in(class, id, 7), 202);
+    }
+    // All are held; once the endpoint is listed they go in one round.
+    platform.push(2, &[host("e", endpoint.at, 7, "many", "up")]);
+    eventually("the call with all", || !endpoint.seen().is_empty());
+    assert!(endpoint.seen()[0].request.first.starts_with("POST /receive-many "));
+    eventually("the notice", || platform.told("unsafe-c") == ["given_up"]);
+    // The refused ones come again, by themselves or together; the others do not.
+    let later = |id: &str| {
+        endpoint.seen()[1..].iter().any(|seen| seen.id() == id || seen.request.text().contains(id))
+    };
+    eventually("those refused", || later("safe-b") && later("unsafe-d"));
+    assert!(!later("safe-a") && !later("unsafe-c") && !later("safe-e"));
+    assert_eq!(platform.notices().len(), 1);
+}
+
+#[test]
+fn a_told_wait_is_kept() {
+    let (endpoint, _platform, dispatcher) = one(|n, _| match n {
+        0 => Reply::Answer(429, "Retry-After: 1.25\r\n".into(), String::new()),
+        _ => ok(),
+    });
+    assert_eq!(dispatcher.hand_in("safe", "m1", 7), 202);
+    eventually("the refusal", || endpoint.seen().len() == 1);
+    assert_eq!(dispatcher.hand_in("safe", "m2", 7), 202);
+    eventually("both after the wait", || endpoint.seen().len() == 3);
+    let seen = endpoint.seen();
+    assert!(seen[1].at - seen[0].at >= Duration::from_millis(1250));
+}
+
+#[test]
+fn drained_while_calling() {
+    let first = Endpoint::start(|_, _| Reply::Late(Duration::from_millis(400), 200));
+    let second = Endpoint::start(|_, _| ok());
+    let platform = Platform::start();
+    let dispatcher = Dispatcher::started(&platform, &[first.host("e1", 7, "up")]);
+    assert_eq!(dispatcher.hand_in("unsafe", "m1", 7), 202);
+    eventually("the first call", || first.seen().len() == 1);
+    platform.push(2, &[first.host("e1", 7, "draining"), second.host("e2", 7, "up")]);
+    // Once the second one gets a call, the list has come.
+    for i in 0..4 {
+        assert_eq!(dispatcher.hand_in("safe", &format!("n{i}"), 7), 202);
+        eventually("a call", || first.seen().len() + second.seen().len() >= i + 2);
+        thread::sleep(Duration::from_millis(30));
+    }
+    let drained_from = first.seen().len();
+    assert_eq!(dispatcher.hand_in("safe", "last", 7), 202);
+    eventually("the last one's call", || second.ids().contains(&"last".to_string()));
+    assert_eq!(first.seen().len(), drained_from);
+    thread::sleep(Duration::from_millis(400));
+    assert!(platform.notices().is_empty(), "the call that was out has ended well");
+}
+
+#[test]
+fn silent_discovery_is_watched_anew() {
+    let (endpoint, platform) = (Endpoint::start(|_, _| ok()), Platform::start());
+    platform.silent.store(true, Ordering::SeqCst);
+    let dispatcher = Dispatcher::started(&platform, &[endpoint.host("e", 7, "up")]);
+    assert_eq!(dispatcher.hand_in("safe", "m1", 7), 202);
+    eventually("the call", || endpoint.seen().len() == 1);
+    eventually("a second watch", || platform.watched_from().len() >= 2);
+    platform.silent.store(false, Ordering::SeqCst);
+    let silent = platform.watched_from().len();
+    eventually("a watch that is answered", || platform.watched_from().len() > silent);
+    platform.push_line("this is no list");
+    platform.push(9, &[serde_json::json!({"host": "no entry"}), endpoint.host("e", 8, "up")]);
+    assert_eq!(dispatcher.hand_in("safe", "m2", 8), 202);
+    eventually("the call by the new list", || endpoint.seen().len() == 2);
+    // This one breaks off by its silence; the next goes on from the last version.
+    eventually("a watch from there", || platform.watched_from().iter().any(|w| w.contains("index=9 ")));
+}
+
+#[test]
+fn a_block_that_differs_gets_nothing() {
+    let (endpoint, platform, dispatcher) = one(|_, _| ok());
+    assert_eq!(dispatcher.connect().hand_in("safe", "m1", 8, 400, b"x").status(), 202);
+    eventually("the notice", || platform.told("m1") == ["handed_back"]);
+    assert!(endpoint.seen().is_empty());
+}
+
+#[test]
+fn stops_under_traffic() {
+    let (endpoint, _platform, mut dispatcher) = one(|_, _| Reply::Late(Duration::from_millis(500), 200));
+    let mut kept = dispatcher.connect();
+    assert_eq!(kept.hand_in("unsafe", "m1", 7, 15_000, b"x").status(), 202);
+    eventually("the call", || endpoint.seen().len() == 1);
+    dispatcher.signal("TERM");
+    // A kept connection and a new one are answered still, and told to close.
+    eventually("the word to close", || {
+        let mut probe = dispatcher.connect();
+        probe.write(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+        probe.answer().status() == 503
+    });
+    let answer = kept.hand_in("safe", "m2", 7, 15_000, b"x");
+    assert_eq!((answer.status(), answer.header("connection")), (202, Some("close")));
+    let answer = dispatcher.connect().hand_in("safe", "m3", 7, 15_000, b"x");
+    assert_eq!((answer.status(), answer.header("connection")), (202, Some("close")));
+    assert!(dispatcher.wait(), "it ends by itself and without fault");
+    dispatcher.start();
+    eventually("all that was taken", || {
+        ["m1", "m2", "m3"].iter().all(|id| endpoint.ids().contains(&id.to_string()))
+    });
+    // The unsafe call that was out has ended on record: it is not made again.
+    assert_eq!(endpoint.ids().iter().filter(|id| *id == "m1").count(), 1);
+}
+
+#[test]
+fn a_client_that_left_before_its_answer_withdraws() {
+    let (endpoint, platform, dispatcher) = one(|_, _| ok());
+    let mut client = dispatcher.connect();
+    dispatcher.signal("STOP");
+    client.send("safe", "m1", 7, 15_000, b"x");
+    drop(client);
+    dispatcher.signal("CONT");
+    assert_eq!(dispatcher.hand_in("safe", "m2", 7), 202);
+    eventually("the call", || endpoint.ids().contains(&"m2".to_string()));
+    assert_eq!(endpoint.ids(), ["m2"]);
+    assert!(platform.notices().is_empty());
+}
+
+#[test]
+fn half_a_request_takes_nothing() {
+    let (endpoint, _platform, dispatcher) = one(|_, _| ok());
+    let mut client = dispatcher.connect();
+    client.write(
+        b"POST /safe HTTP/1.1\r\nHost: x\r\nRequest-Id: m1\r\nRequest-Class: safe\r\n\
+          Request-Timeout-Ms: 9000\r\nX-Consignee: dest=7\r\nContent-Length: 10\r\n\r\nhalf",
+    );
+    drop(client);
+    assert_eq!(dispatcher.hand_in("safe", "m2", 7), 202);
+    eventually("the call", || endpoint.seen().len() == 1);
+    assert_eq!(endpoint.ids(), ["m2"]);
+    std::io::stdout().flush().unwrap();
+}
