--- a/src/choice.rs
+++ b/src/choice.rs
@@ -300,6 +300,12 @@
         }
         match event {
             Event::Taken(message) => self.take(now, message),
+            Event::Resumed { message, may_have_run: Some(_), .. }
+                if message.class >= self.settings.classes.len() =>
+            {
+                // What a repeat of it would do is no longer known, so its refusal would promise too much.
+                self.unknown.push(Action::Fail(message.id));
+            }
             Event::Resumed { message, taken, attempts, may_have_run } => {
                 self.take(now, message);
                 if let Some(parcel) = self.parcels.get_mut(&message.id) {
@@ -335,7 +341,7 @@
             return;
         }
         let Some(class) = self.settings.classes.get(message.class) else {
-            self.unknown.push(message.id);
+            self.unknown.push(Action::Refuse(message.id));
             return;
         };
         if let Some(key) = message.key.filter(|_| class.ordered) {
@@ -793,7 +799,7 @@
 
     /// Final answers: what cannot be delivered any more is refused where that is lawful, else failed.
     fn answer(&mut self, now: Seconds, actions: &mut Vec<Action>) {
-        actions.extend(self.unknown.drain(..).map(Action::Refuse));
+        actions.append(&mut self.unknown);
         let mut look = std::mem::take(&mut self.review);
         if now >= self.answer_at {
             look = self.parcels.keys().copied().collect();
--- a/src/state.rs
+++ b/src/state.rs
@@ -165,7 +165,8 @@
     pub(crate) stalled_at: Seconds,
     pub(crate) usual_latency: f64,
     pub(crate) started: Option<Seconds>,
-    pub(crate) unknown: Vec<MessageId>,
+    /// Ends of messages of no known class.
+    pub(crate) unknown: Vec<Action>,
     pub(crate) ended: (BTreeSet<MessageId>, VecDeque<MessageId>),
     pub(crate) ask_at: Seconds,
     pub(crate) asked: bool,
