Answers read after a stall count; idle connections older than a failed call are dropped

Seen, in tests over sockets: a process that stood still past a call's time-out took the answer that lay in its socket for a time-out and sent the message again (calls m1, m2, m1). And after a call that was never answered, the next try went over another idle connection to the same silent machine. To blame: exchange in src/bin/fawnspoke/calls.rs, where the elapsed time-out wins over the answer that is not read yet, and the pool that keeps what was idle before the failed call. Both tests fail without the mend and pass with it.

--- a/src/bin/fawnspoke/calls.rs
+++ b/src/bin/fawnspoke/calls.rs
@@ -12,6 +12,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
@@ -24,6 +25,8 @@
 const KEEPALIVE_SHARE: f64 = 0.85;
 /// After its first line an answer is there or will not come.
 const REST_OF_ANSWER: Duration = Duration::from_secs(1);
+/// What has arrived is read within this time.
+const LATE_READ: Duration = Duration::from_millis(5);
 
 /// A connection. Dropped, it is closed, whatever is still out on it.
 pub struct Link {
@@ -75,6 +78,14 @@
         self.idle.borrow_mut().remove(&at);
     }
 
+    /// Drops connections that have been idle since before `since`, when a call went out that has failed. A
+    /// machine that vanished leaves all of them open and silent: each would cost one more call.
+    fn distrust(&self, at: SocketAddr, since: Instant) {
+        if let Some(links) = self.idle.borrow_mut().get_mut(&at) {
+            links.retain(|link| link.idle_since > since);
+        }
+    }
+
     /// Drops what has been idle for too long or is dead, and the oldest beyond `most`.
     pub fn sweep(&self, keepalive: Duration, most: usize) {
         let mut idle = self.idle.borrow_mut();
@@ -224,15 +235,29 @@
             node.pool.put_back(at, link);
             return Err(Outcome::Moot);
         }
-        match timeout_at(until, link.sender.try_send_request(request)).await {
-            Err(_) => return Err(Outcome::TimedOut),
+        let sent_at = Instant::now();
+        let mut sent = pin!(link.sender.try_send_request(request));
+        let answer = match timeout_at(until, sent.as_mut()).await {
+            // After a stall of this process the time is up before anything was read: what came meanwhile is
+            // no time-out.
+            Err(_) => timeout(LATE_READ, sent).await,
+            answer => answer,
+        };
+        match answer {
             Ok(Ok(answer)) => return Ok(rest(node, at, link, answer, until).await),
             Ok(Err(mut error)) => match error.take_message() {
                 // An idle connection that was closed meanwhile: no byte was written, so this is no resend.
                 Some(unsent) if reused => request = unsent,
                 Some(_) => return Err(Outcome::NoConnection),
-                None => return Err(Outcome::Reset),
+                None => {
+                    node.pool.distrust(at, sent_at);
+                    return Err(Outcome::Reset);
+                }
             },
+            Err(_) => {
+                node.pool.distrust(at, sent_at);
+                return Err(Outcome::TimedOut);
+            }
         }
     }
 }
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -298,6 +298,41 @@
     assert!(platform.notices().is_empty());
 }
 
+#[test]
+fn a_silent_endpoint_is_tried_on_a_new_connection() {
+    let (endpoint, _platform, dispatcher) = one(|n, _| match n {
+        0 | 1 => Reply::Late(Duration::from_millis(500), 200),
+        2 => Reply::Hang,
+        _ => ok(),
+    });
+    assert_eq!(dispatcher.hand_in("safe", "m1", 7), 202);
+    assert_eq!(dispatcher.hand_in("safe", "m2", 7), 202);
+    eventually("two calls", || endpoint.seen().len() == 2);
+    // Both connections are idle once both answers are in; the third call takes one of them.
+    thread::sleep(Duration::from_millis(800));
+    assert_eq!(dispatcher.hand_in("safe", "m3", 7), 202);
+    eventually("the time-out and another try", || endpoint.seen().len() == 4);
+    let seen = endpoint.seen();
+    assert!(seen[2].connection < 2, "an idle connection is used");
+    assert_eq!(seen[3].connection, 2, "the other idle one is not trusted any more");
+}
+
+#[test]
+fn an_answer_that_came_during_a_stall_counts() {
+    let (endpoint, platform, dispatcher) = one(|_, _| Reply::Late(Duration::from_millis(700), 200));
+    assert_eq!(dispatcher.hand_in("safe", "m1", 7), 202);
+    eventually("the call", || endpoint.seen().len() == 1);
+    let timeout: u64 = endpoint.seen()[0].request.header("request-timeout-ms").unwrap().parse().unwrap();
+    dispatcher.signal("STOP");
+    thread::sleep(Duration::from_millis(timeout + 500));
+    dispatcher.signal("CONT");
+    assert_eq!(dispatcher.hand_in("safe", "m2", 7), 202);
+    eventually("the next call", || endpoint.ids().contains(&"m2".to_string()));
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!(endpoint.ids(), ["m1", "m2"], "the first one was delivered");
+    assert!(platform.notices().is_empty());
+}
+
 #[test]
 fn a_broken_connection_may_have_run() {
     let (endpoint, platform, dispatcher) = one(|_, request| match request.header("request-id") {
@@ -314,7 +349,8 @@
 #[test]
 fn a_refused_connection_never_ran() {
     let platform = Platform::start();
-    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    // An address of its own, or another test may be given the port while it is free.
+    let gone = std::net::TcpListener::bind("127.0.0.2:0").unwrap();
     let at = gone.local_addr().unwrap();
     drop(gone);
     let dispatcher = Dispatcher::started(&platform, &[host("e", at, 7, "single", "up")]);
@@ -342,7 +378,7 @@
 fn a_batch_with_mixed_ends() {
     let endpoint = Endpoint::start(|n, request| {
         if n > 0 {
-            return ok();
+            return Reply::Answer(200, String::new(), "safe-b delivered\nunsafe-d delivered\n".into());
         }
         let ids = ["safe-a", "safe-b", "unsafe-c", "unsafe-d", "safe-e"];
         let text = request.text();
