SIGHUP reads the configuration anew; watch and notices follow discovery's address

To blame: main.rs asked for SIGTERM and SIGINT alone, and only once the listener was up; discovery.rs took the address from the start's configuration. Ruled out: anything but the default action of the signal (exit 129). Now: the handlers are set before anything is opened; the new address goes to the watch and the notices at once, without waiting for a back-off; a notice that is under way is brought again. A file that cannot be read is one line in the log; other keys that differ are named as needing a restart. Tests: reload::discovery_moves_under_traffic, reload::a_file_that_cannot_be_read_changes_nothing.

--- a/src/bin/fawnspoke/config.rs
+++ b/src/bin/fawnspoke/config.rs
@@ -15,8 +15,8 @@
     pub state: PathBuf,
     pub seed: u64,
     pub limits: Limits,
-    /// The list of endpoints as last known, in discovery's form.
-    pub known: Value,
+    /// The file as it was read; its `known` is the list of endpoints, in discovery's form.
+    pub file: Value,
     pub settings: Settings,
     pub classes: Vec<String>,
     pub kinds: Vec<String>,
@@ -42,7 +42,6 @@
     discovery: SocketAddr,
     seed: String,
     limits: Limits,
-    known: Value,
     settings: RawSettings,
 }
 
@@ -241,7 +240,7 @@
             state,
             seed,
             limits: raw.limits,
-            known: raw.known,
+            file: serde_json::from_slice(text).map_err(|error| error.to_string())?,
             settings,
             classes: given.grades.into_iter().map(|class| class.name).collect(),
             kinds: given.kinds,
@@ -252,4 +251,28 @@
             report_field: reports.then_some("x1"),
         })
     }
+
+    /// The keys by which `other` differs, but for the one that is followed while the process runs.
+    pub fn differences(&self, other: &Config) -> Vec<String> {
+        let mut keys = Vec::new();
+        differences("", &self.file, &other.file, &mut keys);
+        keys.retain(|key| key != "discovery");
+        keys
+    }
+}
+
+/// Adds the paths at which two values differ; what is no object is one leaf.
+fn differences(path: &str, one: &Value, other: &Value, keys: &mut Vec<String>) {
+    match (one, other) {
+        (Value::Object(one), Value::Object(other)) => {
+            let added = other.keys().filter(|key| !one.contains_key(*key));
+            for key in one.keys().chain(added) {
+                let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+                let (one, other) = (one.get(key), other.get(key));
+                differences(&path, one.unwrap_or(&Value::Null), other.unwrap_or(&Value::Null), keys);
+            }
+        }
+        _ if one != other => keys.push(path.to_string()),
+        _ => {}
+    }
 }
--- a/src/bin/fawnspoke/discovery.rs
+++ b/src/bin/fawnspoke/discovery.rs
@@ -8,12 +8,11 @@
 use hyper::{Method, Request, StatusCode};
 use serde::Deserialize;
 use serde_json::Value;
-use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 use waydoor::{DestinationId, EndpointId, Entry, Event, Listed};
 
 /// A watch that is silent for two heartbeats and more is broken, though its connection may look well.
@@ -138,28 +137,34 @@
 
 /// Watches the list for as long as the process runs.
 pub async fn watch(node: Rc<Node>) {
+    let mut moved = node.discovery.subscribe();
     let mut backoff = BACKOFF;
     loop {
-        let seq = node.directory.borrow().seq;
+        let (at, seq) = (*moved.borrow_and_update(), node.directory.borrow().seq);
         tokio::select! {
-            heard = follow(&node, seq) => {
+            heard = follow(&node, at, seq) => {
                 println!("discovery: watch ended: {}", heard.unwrap_or_else(|error| error.to_string()));
                 node.tell(Event::ListFailed);
             }
             () = node.resubscribe.notified() => {}
+            // The sender lives as long as the node.
+            _ = moved.changed() => {
+                backoff = BACKOFF;
+                continue;
+            }
         }
         // A watch that brought something was a good one.
         let news = node.directory.borrow().seq != seq;
         backoff = if news { BACKOFF } else { (backoff * 2).min(BACKOFF_MOST) };
-        sleep(backoff).await;
+        // A new address is tried at once.
+        let _ = timeout(backoff, moved.wait_for(|now| *now != at)).await;
     }
 }
 
 type Failure = Box<dyn std::error::Error>;
 
 /// One watch, from the connection to its end.
-async fn follow(node: &Node, seq: u64) -> Result<String, Failure> {
-    let at = node.config.discovery;
+async fn follow(node: &Node, at: SocketAddr, seq: u64) -> Result<String, Failure> {
     let mut link = timeout(ANSWER, calls::connect(at)).await??;
     let request = Request::get(format!("/registry/instances?stream=1&index={seq}"))
         .header("Host", at.to_string())
@@ -191,7 +196,8 @@
 
 /// Brings notices to the platform until it has heard each.
 pub async fn notices(node: Rc<Node>) {
-    let link = RefCell::new(None);
+    let mut moved = node.discovery.subscribe();
+    let mut link = None;
     let mut backoff = BACKOFF;
     let mut at_once = NOTICES;
     loop {
@@ -200,7 +206,16 @@
             node.notices.notified().await;
             continue;
         }
-        match post(&node, &link, &owed).await {
+        let at = *moved.borrow_and_update();
+        let answered = tokio::select! {
+            answered = post(at, &mut link, &owed) => answered,
+            // What the old address has heard already does no harm at the new one.
+            _ = moved.changed() => {
+                (link, backoff) = (None, BACKOFF);
+                continue;
+            }
+        };
+        match answered {
             Ok(StatusCode::NO_CONTENT) => {
                 (backoff, at_once) = (BACKOFF, NOTICES);
                 for (number, ..) in owed {
@@ -221,16 +236,17 @@
             Ok(status) => println!("notices: answered {status}"),
             Err(error) => println!("notices: {error}"),
         }
-        *link.borrow_mut() = None;
-        sleep(backoff).await;
+        link = None;
+        let _ = timeout(backoff, moved.wait_for(|now| *now != at)).await;
         backoff = (backoff * 2).min(BACKOFF_MOST);
     }
 }
 
+/// One request with notices, over the connection that is kept from the last one where it is to the same
+/// address.
 async fn post(
-    node: &Node, link: &RefCell<Option<Link>>, owed: &[(u64, String, Notice)],
+    at: SocketAddr, kept: &mut Option<(SocketAddr, Link)>, owed: &[(u64, String, Notice)],
 ) -> Result<StatusCode, Failure> {
-    let at = node.config.discovery;
     let mut lines = Vec::new();
     for (_, id, notice) in owed {
         let line = match notice {
@@ -243,20 +259,19 @@
         lines.push(b'\n');
     }
     let until = Instant::now() + ANSWER;
-    let kept = link.borrow_mut().take().filter(|link| !link.sender.is_closed());
-    let mut link_now = match kept {
-        Some(link) => link,
-        None => timeout_at(until, calls::connect(at)).await??,
+    let mut link = match kept.take() {
+        Some((to, link)) if to == at && !link.sender.is_closed() => link,
+        _ => timeout_at(until, calls::connect(at)).await??,
     };
     let request = Request::builder()
         .method(Method::POST)
         .uri("/status")
         .header("Host", at.to_string())
         .body(Full::new(Bytes::from(lines)))?;
-    timeout_at(until, link_now.sender.ready()).await??;
-    let answer = timeout_at(until, link_now.sender.send_request(request)).await??;
+    timeout_at(until, link.sender.ready()).await??;
+    let answer = timeout_at(until, link.sender.send_request(request)).await??;
     let status = answer.status();
     timeout_at(until, answer.into_body().collect()).await??;
-    *link.borrow_mut() = Some(link_now);
+    *kept = Some((at, link));
     Ok(status)
 }
--- a/src/bin/fawnspoke/main.rs
+++ b/src/bin/fawnspoke/main.rs
@@ -15,13 +15,14 @@
 use journal::{Journal, Notice, Start, UnixMicros};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::Notify;
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::{Notify, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep_until;
 use waydoor::{
@@ -58,6 +59,8 @@
     journal: RefCell<Journal>,
     directory: RefCell<Directory>,
     pool: Pool,
+    /// Where discovery is now; a new configuration may move it.
+    discovery: watch::Sender<SocketAddr>,
     /// Taken in the journal, but the 202 is not written yet.
     unheard: RefCell<HashSet<u64>>,
     clients: Cell<usize>,
@@ -266,14 +269,52 @@
     node.notices.notify_one();
 }
 
+/// Reads the configuration anew at each SIGHUP. Discovery's address is followed at once; all else is what
+/// this process was started with. A file that is no configuration changes nothing.
+async fn reload(node: Rc<Node>, mut hangup: Signal) {
+    while hangup.recv().await.is_some() {
+        match Config::from_environment() {
+            Ok(config) => {
+                let kept = node.config.differences(&config);
+                let kept = if kept.is_empty() {
+                    String::new()
+                } else {
+                    format!("; restart for {}", kept.join(", "))
+                };
+                println!("configuration read anew: discovery at {}{kept}", config.discovery);
+                node.discovery
+                    .send_if_modified(|at| std::mem::replace(at, config.discovery) != config.discovery);
+            }
+            Err(error) => println!("configuration not read, the old one stays: {error}"),
+        }
+    }
+}
+
+/// The signals that the process heeds. They are asked for before clients can know of it.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn heed() -> std::io::Result<Signals> {
+        Ok(Signals {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
 /// Rounds, until the process is told to stop and has nothing out any more.
-async fn rounds(node: Rc<Node>, mut inbox: UnboundedReceiver<Input>) -> std::io::Result<()> {
+async fn rounds(
+    node: Rc<Node>, mut inbox: UnboundedReceiver<Input>, mut terminate: Signal, mut interrupt: Signal,
+) {
     let tick = Duration::from_secs_f64(node.config.tick);
     let at = |seconds: Seconds| -> tokio::time::Instant {
         (node.started + Duration::from_secs_f64(seconds.clamp(0.0, 1e9))).into()
     };
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
     let mut timer = None;
     let mut sweep_at = 0.0;
     let mut told_at = None;
@@ -314,13 +355,14 @@
             let idle = journal.iter().next().is_none() && now - told_at >= EXIT_LEAST;
             let quiet = node.calls_out.get() == 0 && (idle || now - told_at >= CALLS_END);
             if quiet || now - told_at >= EXIT {
-                return Ok(());
+                return;
             }
         }
     }
 }
 
 async fn run(config: Config) -> Result<(), String> {
+    let signals = Signals::heed().map_err(|error| format!("signals: {error}"))?;
     let journal = Journal::open(&config.state, (config.limits.disk_mb * 1e6) as u64)
         .map_err(|error| format!("GW_STATE: {}: {error}", config.state.display()))?;
     let dispatcher =
@@ -333,6 +375,7 @@
         journal: RefCell::new(journal),
         directory: RefCell::default(),
         pool: Pool::default(),
+        discovery: watch::Sender::new(config.discovery),
         unheard: RefCell::default(),
         clients: Cell::new(0),
         calls_out: Cell::new(0),
@@ -342,7 +385,7 @@
         stopping: Notify::new(),
         config,
     });
-    discovery::list(&node, node.config.known.to_string().as_bytes());
+    discovery::list(&node, node.config.file["known"].to_string().as_bytes());
     node.resume();
     // Clients come once all that was owed is taken up again; nothing here waits for discovery.
     let listener = TcpListener::bind(node.config.listen)
@@ -352,7 +395,8 @@
     spawn_local(discovery::watch(node.clone()));
     spawn_local(discovery::notices(node.clone()));
     spawn_local(intake::serve(node.clone(), listener));
-    rounds(node.clone(), inbox).await.map_err(|error| format!("signals: {error}"))?;
+    spawn_local(reload(node.clone(), signals.hangup));
+    rounds(node.clone(), inbox, signals.terminate, signals.interrupt).await;
     // Idle clients hear that the connection ends; a request that is being answered is still answered.
     node.stopping.notify_waiters();
     tokio::time::sleep(Duration::from_millis(50)).await;
--- /dev/null
+++ b/tests/sockets/reload.rs
@@ -0,0 +1,55 @@
+//! SIGHUP: a new configuration while the process runs.
+
+use crate::stage::*;
+
+#[test]
+fn discovery_moves_under_traffic() {
+    let endpoint = Endpoint::start(|_, request| match request.header("request-id") {
+        Some(id) if id.starts_with("broken") => Reply::Break,
+        _ => Reply::status(200),
+    });
+    let (old, new) = (Platform::start(), Platform::start());
+    let mut dispatcher = Dispatcher::started(&old, &[endpoint.host("e", 7, "up")]);
+    eventually("the first watch", || old.watched_from().len() == 1);
+    // A notice that the old address never answers is owed to the new one.
+    old.answer.store(500, std::sync::atomic::Ordering::SeqCst);
+    assert_eq!(dispatcher.hand_in("unsafe", "broken-1", 7), 202);
+    eventually("the notice at the old address", || !old.told("broken-1").is_empty());
+    dispatcher.config["discovery"] = new.at.to_string().into();
+    dispatcher.config["settings"]["limits"]["open_cap"] = 7.into();
+    dispatcher.configure(&dispatcher.config.to_string());
+    for i in 0..5 {
+        assert_eq!(dispatcher.hand_in("safe", &format!("m{i}"), 7), 202);
+    }
+    dispatcher.signal("HUP");
+    for i in 5..10 {
+        assert_eq!(dispatcher.hand_in("safe", &format!("m{i}"), 7), 202);
+    }
+    eventually("the notice at the new address", || new.told("broken-1") == ["given_up"]);
+    eventually("the watch at the new address", || new.watched_from().len() == 1);
+    assert!(new.watched_from()[0].contains("index=1 "), "it goes on from the version that is known");
+    assert!(dispatcher.logged("restart for settings.limits.open_cap"));
+    new.push(2, &[endpoint.host("e2", 8, "up")]);
+    assert_eq!(dispatcher.hand_in("safe", "by-new-list", 8), 202);
+    eventually("the call by the new list", || endpoint.ids().contains(&"by-new-list".to_string()));
+    eventually("all that was taken", || (0..10).all(|i| endpoint.ids().contains(&format!("m{i}"))));
+}
+
+#[test]
+fn a_file_that_cannot_be_read_changes_nothing() {
+    let (endpoint, platform) = (Endpoint::start(|_, _| Reply::status(200)), Platform::start());
+    let mut dispatcher = Dispatcher::started(&platform, &[endpoint.host("e", 7, "up")]);
+    eventually("the watch", || platform.watched_from().len() == 1);
+    let good = dispatcher.config.to_string();
+    dispatcher.configure(&good[..good.len() / 2]);
+    dispatcher.signal("HUP");
+    eventually("the line in the log", || dispatcher.logged("configuration not read"));
+    dispatcher.config["discovery"] = "nowhere".into();
+    dispatcher.configure(&dispatcher.config.to_string());
+    dispatcher.signal("HUP");
+    eventually("the key in the log", || dispatcher.logged("old one stays: discovery"));
+    platform.push(2, &[endpoint.host("e", 8, "up")]);
+    assert_eq!(dispatcher.hand_in("safe", "m1", 8), 202);
+    eventually("the call", || endpoint.ids() == ["m1"]);
+    assert_eq!(platform.watched_from().len(), 1, "the watch went on");
+}
--- a/tests/sockets/stage.rs
+++ b/tests/sockets/stage.rs
@@ -297,6 +297,7 @@
     folder: PathBuf,
     child: Option<Child>,
     at: Option<SocketAddr>,
+    log: Arc<Mutex<Vec<String>>>,
     /// A shell line that runs before the program.
     pub before: String,
 }
@@ -330,7 +331,7 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
             "known": {"seq": 1, "whole": true, "hosts": known}, "settings": settings,
         });
-        Dispatcher { config, folder, child: None, at: None, before: String::new() }
+        Dispatcher { config, folder, child: None, at: None, log: Arc::default(), before: String::new() }
     }
 
     pub fn started(platform: &Platform, known: &[Value]) -> Dispatcher {
@@ -347,10 +348,21 @@
         self.state().join("journal")
     }
 
+    /// Writes the file of the configuration.
+    pub fn configure(&self, text: &str) -> PathBuf {
+        let config = self.folder.join("config.json");
+        fs::write(&config, text).unwrap();
+        config
+    }
+
+    /// Whether a line of the log holds the text.
+    pub fn logged(&self, text: &str) -> bool {
+        self.log.lock().unwrap().iter().any(|line| line.contains(text))
+    }
+
     /// The command that runs it, with its configuration written.
     pub fn command(&self) -> Command {
-        let config = self.folder.join("config.json");
-        fs::write(&config, self.config.to_string()).unwrap();
+        let config = self.configure(&self.config.to_string());
         let mut command = Command::new("sh");
         command
             .arg("-c")
@@ -372,7 +384,8 @@
             at.parse().ok()
         });
         // The log is read on, or the process would stand still once the pipe is full.
-        thread::spawn(move || lines.for_each(drop));
+        let log = self.log.clone();
+        thread::spawn(move || lines.map_while(Result::ok).for_each(|line| log.lock().unwrap().push(line)));
         (self.child, self.at) = (Some(child), Some(at.expect("the process listens")));
     }
 
