--- a/src/bin/fawnspoke/config.rs
+++ b/src/bin/fawnspoke/config.rs
@@ -252,11 +252,12 @@
         })
     }
 
-    /// The keys by which `other` differs, but for the one that is followed while the process runs.
+    /// The keys by which `other` differs and that bind for as long as a process runs: discovery's address is
+    /// followed, and the seed and the list that was known matter to a start alone.
     pub fn differences(&self, other: &Config) -> Vec<String> {
         let mut keys = Vec::new();
         differences("", &self.file, &other.file, &mut keys);
-        keys.retain(|key| key != "discovery");
+        keys.retain(|key| !["discovery", "seed"].contains(&key.as_str()) && !key.starts_with("known."));
         keys
     }
 }
