Clients: connections bounded, one deadline, nothing trusted that hides or never ends

Checked with a trace of all requests, calls and ends: what was taken on had both length headers (hyper drops Content-Length beside Transfer-Encoding, so the body was read as chunked and empty) or a head of 200 KB. Ruled out: wrong lengths, deadlines, classes and ids, all answered before. Ids of open requests were answered 202, which is allowed. To blame: intake.rs HEAD_TIME 60 s and BODY_TIME 5 s, CLIENT_SHARE that only asked to close after an answer, no bound in serve(), no look at Transfer-Encoding, hyper's default buffer; take() that makes a destination up. Now: clients.rs keeps the connections (share of the descriptors and the memory from config.rs, the longest idle one goes when full; 2 s from connecting or from the first byte for head and body; closes linger so that the answer is heard); intake.rs takes 411 for Transfer-Encoding, 400 for doubled headers, bytes behind a request and spans beyond the class's; an id in use with other content and a destination that no list names are refused. The log is limited to 20 lines a second. The count of ticks no longer wraps. Tests: tests/sockets/clients.rs; wire.rs for heads.

--- a/src/bin/fawnspoke/calls.rs
+++ b/src/bin/fawnspoke/calls.rs
@@ -1,7 +1,7 @@
 //! Calls to endpoints, and the connections that they go over.
 
-use crate::Node;
 use crate::journal::Handed;
+use crate::{Node, log};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -147,7 +147,7 @@
     let answer = match request(call) {
         Ok(request) => exchange(node, call.at, request, until, &open).await,
         Err(error) => {
-            println!("call to {}: cannot be written: {error}", call.at);
+            log::line(format_args!("call to {}: cannot be written: {error}", call.at));
             Err(Outcome::Error)
         }
     };
@@ -174,7 +174,7 @@
         StatusCode::GONE => all(Outcome::Moot, true),
         StatusCode::INTERNAL_SERVER_ERROR => all(Outcome::Error, false),
         other => {
-            println!("call to {}: answered {other}", call.at);
+            log::line(format_args!("call to {}: answered {other}", call.at));
             all(Outcome::Error, false)
         }
     };
--- /dev/null
+++ b/src/bin/fawnspoke/clients.rs
@@ -0,0 +1,231 @@
+//! Clients' connections: how many there are, how long each may take, and when one has to go.
+
+use crate::intake;
+use crate::wire::{Head, Unread, Wire};
+use crate::{Input, Node, log};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::io;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::{spawn_local, yield_now};
+use tokio::time::{Instant, Sleep, sleep, timeout};
+
+/// From its connection or its first byte on, a request is there by then, head and body together, or never
+/// will be: its client waits 400 ms for the answer.
+const REQUEST_TIME: Duration = Duration::from_secs(2);
+/// Longest head. It is also what hyper reads ahead of a body.
+pub const HEAD_MOST: usize = 16 * 1024;
+/// After the last answer so much is still read, for so long: closed with bytes unread, a connection is reset
+/// and its client may never hear the answer.
+const LINGER: Duration = Duration::from_millis(300);
+const LINGER_MOST: usize = 1 << 20;
+/// Header lines of a request.
+const HEADERS_MOST: usize = 64;
+
+/// The connections that are open.
+#[derive(Default)]
+pub struct Clients {
+    open: RefCell<BTreeMap<u64, Rc<Client>>>,
+    count: Cell<u64>,
+}
+
+impl Clients {
+    fn add(&self, wire: Wire) -> (u64, Rc<Client>) {
+        let (number, client) = (self.count.get(), Rc::new(Client::new(wire)));
+        self.count.set(number + 1);
+        self.open.borrow_mut().insert(number, client.clone());
+        (number, client)
+    }
+
+    /// Closes the connection that has been idle for the longest.
+    fn make_room(&self) {
+        let open = self.open.borrow();
+        if let Some(client) =
+            open.values().filter(|client| !client.going.get()).min_by_key(|c| c.heard_at.get())
+        {
+            client.going.set(true);
+            client.leave.notify_one();
+        }
+    }
+}
+
+/// One client's connection, as those see it who do not read it.
+pub struct Client {
+    pub wire: Wire,
+    /// When a byte came last, or an answer was ready.
+    heard_at: Cell<Instant>,
+    /// Since when a request is awaited or read. A new connection owes one, a kept one does not.
+    asked_at: Cell<Option<Instant>>,
+    head: RefCell<Head>,
+    /// The message whose 202 is to be written.
+    pub unheard: Cell<Option<u64>>,
+    going: Cell<bool>,
+    leave: Notify,
+}
+
+impl Client {
+    fn new(wire: Wire) -> Client {
+        let now = Instant::now();
+        Client {
+            wire,
+            heard_at: Cell::new(now),
+            asked_at: Cell::new(Some(now)),
+            head: RefCell::default(),
+            unheard: Cell::new(None),
+            going: Cell::new(false),
+            leave: Notify::new(),
+        }
+    }
+
+    /// Whether more has come than the head and a body of this length. Clients send one request at a time:
+    /// such a one is not what its sender took it for, or hides another.
+    pub fn sent_more_than(&self, body: usize) -> bool {
+        self.head.borrow().behind().is_none_or(|behind| behind > body) || self.wire.unread() == Unread::Bytes
+    }
+
+    /// The request has its answer: the next one may take its time to begin.
+    fn answered(&self) {
+        self.heard_at.set(Instant::now());
+        self.asked_at.set(None);
+        self.head.take();
+    }
+}
+
+/// Accepts clients for as long as the process runs.
+pub async fn serve(node: Rc<Node>, listener: TcpListener) {
+    let most = node.config.limits.clients();
+    loop {
+        let accepted = listener.accept().await.and_then(|(stream, _)| Wire::new(stream));
+        if accepted.is_err() || node.clients.open.borrow().len() >= most {
+            node.clients.make_room();
+            // It is closed before the next one is accepted.
+            yield_now().await;
+        }
+        match accepted {
+            Ok(wire) => {
+                // It counts from here on: more may be accepted before its task has run.
+                let (number, client) = node.clients.add(wire);
+                spawn_local(connection(node.clone(), number, client));
+            }
+            Err(error) => {
+                log::line(format_args!("accept: {error}"));
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn connection(node: Rc<Node>, number: u64, client: Rc<Client>) {
+    let line = Line { client: client.clone(), node: node.clone(), limit: Box::pin(sleep(REQUEST_TIME)) };
+    let service = service_fn(|request| {
+        let (node, client) = (node.clone(), client.clone());
+        async move {
+            let answer = intake::answer(&node, &client, request).await;
+            client.answered();
+            answer
+        }
+    });
+    let mut server = http1::Builder::new();
+    server.max_buf_size(HEAD_MOST).max_headers(HEADERS_MOST).header_read_timeout(None);
+    let mut served = pin!(server.serve_connection(TokioIo::new(line), service));
+    tokio::select! {
+        // A client that breaks off is its own affair.
+        _ = served.as_mut() => {
+            tokio::select! {
+                _ = timeout(LINGER, linger(client.wire.clone())) => {}
+                () = client.leave.notified() => {}
+            }
+        }
+        () = client.leave.notified() => {}
+        () = node.stopping.notified() => {
+            served.as_mut().graceful_shutdown();
+            let _ = served.await;
+        }
+    }
+    node.clients.open.borrow_mut().remove(&number);
+    if let Some(number) = client.unheard.take() {
+        intake::withdraw(&node, number);
+    }
+}
+
+/// Ends the writing and reads on until the client has closed.
+async fn linger(mut wire: Wire) -> io::Result<()> {
+    wire.shutdown().await?;
+    let (mut bytes, mut left) = ([0; 4096], LINGER_MOST);
+    loop {
+        let read = wire.read(&mut bytes).await?;
+        if read == 0 || read > left {
+            return Ok(());
+        }
+        left -= read;
+    }
+}
+
+/// What hyper reads and writes. A message counts as taken from the first byte of its 202 on.
+struct Line {
+    client: Rc<Client>,
+    node: Rc<Node>,
+    limit: Pin<Box<Sleep>>,
+}
+
+impl AsyncRead for Line {
+    fn poll_read(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let mut wire = self.client.wire.clone();
+        if let Poll::Ready(read) = Pin::new(&mut wire).poll_read(cx, buf) {
+            let bytes = &buf.filled()[before..];
+            if !bytes.is_empty() {
+                let now = Instant::now();
+                self.client.heard_at.set(now);
+                self.client.asked_at.set(self.client.asked_at.get().or(Some(now)));
+                self.client.head.borrow_mut().follow(bytes);
+            }
+            return Poll::Ready(read);
+        }
+        let Some(asked_at) = self.client.asked_at.get() else { return Poll::Pending };
+        let until = asked_at + REQUEST_TIME;
+        if self.limit.deadline() != until {
+            self.limit.as_mut().reset(until);
+        }
+        ready!(self.limit.as_mut().poll(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+}
+
+impl AsyncWrite for Line {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let client = &self.client;
+        // A client that closed while this process was stalled has handed the message in elsewhere.
+        if client.unheard.get().is_some() && client.wire.unread() == Unread::End {
+            return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
+        }
+        let written = ready!(Pin::new(&mut client.wire.clone()).poll_write(cx, bytes))?;
+        if written > 0
+            && let Some(number) = client.unheard.take()
+        {
+            self.node.unheard.borrow_mut().remove(&number);
+            self.node.send(Input::Taken(number));
+        }
+        Poll::Ready(Ok(written))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.client.wire.clone()).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.client.wire.clone()).poll_shutdown(cx)
+    }
+}
--- a/src/bin/fawnspoke/config.rs
+++ b/src/bin/fawnspoke/config.rs
@@ -1,5 +1,6 @@
 //! The configuration: one JSON file and a few variables, checked once at the start.
 
+use crate::{clients, intake};
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -29,12 +30,39 @@
     pub report_field: Option<&'static str>,
 }
 
+/// The limits of the process, and what follows from them for its parts.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Limits {
+    pub memory_mb: f64,
     pub sockets: usize,
     pub disk_mb: f64,
 }
 
+impl Limits {
+    /// Descriptors of the process itself: standard streams, the runtime's, the listener, the journal and its
+    /// successor, discovery's connections, and what is on its way to being closed.
+    const OWN: usize = 20;
+    /// Share of the memory that clients' requests may take while they are read.
+    const READING: f64 = 0.5;
+
+    /// Connections of clients: half of the descriptors, and no more than can be read at once.
+    pub fn clients(&self) -> usize {
+        let each = (clients::HEAD_MOST + intake::BODY_MOST) as f64;
+        let read_at_once = (self.memory_mb * 1e6 * Limits::READING / each) as usize;
+        (self.sockets.saturating_sub(Limits::OWN) / 2).min(read_at_once).max(1)
+    }
+
+    /// Calls that may be out at once: clients leave room for so many connections.
+    fn calls(&self) -> usize {
+        self.sockets.saturating_sub(Limits::OWN + self.clients()).max(1)
+    }
+
+    /// Idle connections to endpoints: what all calls leave.
+    pub fn idle(&self, calls: usize) -> usize {
+        self.calls().saturating_sub(calls).max(1)
+    }
+}
+
 #[derive(Deserialize)]
 struct Raw {
     name: String,
@@ -195,7 +223,7 @@
         };
         let settings = Settings {
             dispatchers: given.balancers,
-            slots: family.call_slots,
+            slots: family.call_slots.min(raw.limits.calls()),
             room: given.limits.open_cap,
             attempts: u32::try_from(given.limits.send_cap)
                 .map_err(|_| "settings.limits.send_cap: too large")?,
--- a/src/bin/fawnspoke/discovery.rs
+++ b/src/bin/fawnspoke/discovery.rs
@@ -1,8 +1,8 @@
 //! The platform: the list of endpoints comes from it, notices go to it.
 
-use crate::Node;
 use crate::calls::{self, Link};
 use crate::journal::Notice;
+use crate::{Node, log};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Bytes;
 use hyper::{Method, Request, StatusCode};
@@ -89,13 +89,13 @@
             let host = match Host::deserialize(&value) {
                 Ok(host) => host,
                 Err(error) => {
-                    println!("discovery: entry left out: {error}");
+                    log::line(format_args!("discovery: entry left out: {error}"));
                     continue;
                 }
             };
             let kind = kinds.iter().position(|kind| *kind == host.class);
             let Some(kind) = kind else {
-                println!("discovery: entry left out: {} is of no known class", host.host);
+                log::line(format_args!("discovery: entry left out: {} is of no known class", host.host));
                 continue;
             };
             let zone = zones.iter().position(|zone| *zone == host.site).unwrap_or(zones.len()) as u16;
@@ -131,7 +131,7 @@
             let event = node.directory.borrow_mut().enrol(list, &node.config.kinds, &node.config.zones);
             node.tell(event);
         }
-        Err(error) => println!("discovery: line left out: {error}"),
+        Err(error) => log::line(format_args!("discovery: line left out: {error}")),
     }
 }
 
@@ -143,7 +143,7 @@
         let (at, seq) = (*moved.borrow_and_update(), node.directory.borrow().seq);
         tokio::select! {
             heard = follow(&node, at, seq) => {
-                println!("discovery: watch ended: {}", heard.unwrap_or_else(|error| error.to_string()));
+                log::line(format_args!("discovery: watch ended: {}", heard.unwrap_or_else(|error| error.to_string())));
                 node.tell(Event::ListFailed);
             }
             () = node.resubscribe.notified() => {}
@@ -229,12 +229,12 @@
                 continue;
             }
             Ok(StatusCode::BAD_REQUEST) => {
-                println!("notice for {}: the platform cannot read it; left out", owed[0].1);
+                log::line(format_args!("notice for {}: the platform cannot read it; left out", owed[0].1));
                 node.record(node.journal.borrow_mut().over(owed[0].0));
                 continue;
             }
-            Ok(status) => println!("notices: answered {status}"),
-            Err(error) => println!("notices: {error}"),
+            Ok(status) => log::line(format_args!("notices: answered {status}")),
+            Err(error) => log::line(format_args!("notices: {error}")),
         }
         link = None;
         let _ = timeout(backoff, moved.wait_for(|now| *now != at)).await;
--- a/src/bin/fawnspoke/journal.rs
+++ b/src/bin/fawnspoke/journal.rs
@@ -65,6 +65,15 @@
     pub notice: Option<Notice>,
 }
 
+impl Kept {
+    /// Whether this is what is handed in once more; the body is gone once a notice is owed.
+    pub fn is(&self, handed: &Handed) -> bool {
+        let Handed { class, dest, key, body, .. } = &self.handed;
+        (class, dest, key) == (&handed.class, &handed.dest, &handed.key)
+            && (self.notice.is_some() || *body == handed.body)
+    }
+}
+
 #[derive(Serialize, Deserialize)]
 enum Record<'a> {
     Taken {
--- a/src/bin/fawnspoke/main.rs
+++ b/src/bin/fawnspoke/main.rs
@@ -4,12 +4,16 @@
 //! and what they ask for is done. Nothing is decided here.
 
 mod calls;
+mod clients;
 mod config;
 mod discovery;
 mod intake;
 mod journal;
+mod log;
+mod wire;
 
 use calls::{Call, CallEnd, Item, Pool};
+use clients::Clients;
 use config::Config;
 use discovery::Directory;
 use journal::{Journal, Notice, Start, UnixMicros};
@@ -35,8 +39,6 @@
 const EXIT: Seconds = 3.3;
 /// New connections come for up to 0.4 s; no sooner than this the process ends.
 const EXIT_LEAST: Seconds = 0.8;
-/// Share of the descriptors that idle connections to endpoints may take: a quarter.
-const IDLE_SHARE: usize = 4;
 
 /// What the round loop hears of.
 enum Input {
@@ -63,7 +65,7 @@
     discovery: watch::Sender<SocketAddr>,
     /// Taken in the journal, but the 202 is not written yet.
     unheard: RefCell<HashSet<u64>>,
-    clients: Cell<usize>,
+    clients: Clients,
     calls_out: Cell<usize>,
     closing: Cell<bool>,
     /// A notice is owed.
@@ -95,7 +97,7 @@
     /// A record that could not be written is in memory all the same; the next life will know less.
     fn record(&self, written: std::io::Result<()>) {
         if let Err(error) = written {
-            println!("journal: {error}");
+            log::line(format_args!("journal: {error}"));
         }
     }
 
@@ -329,8 +331,8 @@
             _ = interrupt.recv() => { stop = true; None }
         };
         // What happens within a tick is one round.
-        let ticks = (node.started.elapsed().as_nanos() / tick.as_nanos()) as u32 + 1;
-        sleep_until((node.started + tick * ticks).into()).await;
+        let next = (node.started.elapsed().as_nanos() / tick.as_nanos() + 1) * tick.as_nanos();
+        sleep_until((node.started + Duration::from_nanos(next as u64)).into()).await;
         let now = node.now();
         if stop && told_at.is_none() {
             println!("{now:.3} told to stop");
@@ -348,7 +350,7 @@
         act(&node, now, &actions, &mut timer);
         if now >= sweep_at {
             sweep_at = now + if told_at.is_some() { 0.05 } else { 0.5 };
-            node.pool.sweep(calls::keepalive(&node), node.config.limits.sockets / IDLE_SHARE);
+            node.pool.sweep(calls::keepalive(&node), node.config.limits.idle(node.config.settings.slots));
         }
         if let Some(told_at) = told_at {
             let journal = node.journal.borrow();
@@ -367,7 +369,7 @@
         .map_err(|error| format!("GW_STATE: {}: {error}", config.state.display()))?;
     let dispatcher =
         Dispatcher::new(config.settings.clone(), config.seed).map_err(|error| error.to_string())?;
-    let (sender, inbox) = unbounded_channel();
+    let (sender, mut inbox) = unbounded_channel();
     let node = Rc::new(Node {
         started: Instant::now(),
         inbox: sender,
@@ -377,7 +379,7 @@
         pool: Pool::default(),
         discovery: watch::Sender::new(config.discovery),
         unheard: RefCell::default(),
-        clients: Cell::new(0),
+        clients: Clients::default(),
         calls_out: Cell::new(0),
         closing: Cell::new(false),
         notices: Notify::new(),
@@ -387,6 +389,8 @@
     });
     discovery::list(&node, node.config.file["known"].to_string().as_bytes());
     node.resume();
+    // The decisions know the list and what is owed before the first client is heard.
+    std::iter::from_fn(|| inbox.try_recv().ok()).for_each(|input| hear(&node, node.now(), input));
     // Clients come once all that was owed is taken up again; nothing here waits for discovery.
     let listener = TcpListener::bind(node.config.listen)
         .await
@@ -394,7 +398,7 @@
     println!("{} listens at {}", node.config.name, listener.local_addr().map_err(|e| e.to_string())?);
     spawn_local(discovery::watch(node.clone()));
     spawn_local(discovery::notices(node.clone()));
-    spawn_local(intake::serve(node.clone(), listener));
+    spawn_local(clients::serve(node.clone(), listener));
     spawn_local(reload(node.clone(), signals.hangup));
     rounds(node.clone(), inbox, signals.terminate, signals.interrupt).await;
     // Idle clients hear that the connection ends; a request that is being answered is still answered.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -823,6 +823,11 @@
         }
     }
 
+    /// Whether a list has named the destination: what nobody has heard of can only be held for nothing.
+    pub fn knows(&self, destination: DestinationId) -> bool {
+        self.destinations.get(&destination).is_some_and(|destination| destination.kind != usize::MAX)
+    }
+
     /// When a client whose message is handed back should come again: once its destination is open and the
     /// own part of its capacity has served what is held. The caller may cut it.
     pub fn come_back(&self, now: Seconds, destination: DestinationId) -> Seconds {
--- a/tests/sockets/stage.rs
+++ b/tests/sockets/stage.rs
@@ -201,6 +201,11 @@
         "health": health, "share": 50.0, "born_ms": 0})
 }
 
+/// An endpoint that gets nothing: what is for its destination is held.
+pub fn held(dest: u32) -> Value {
+    host("held", "127.0.0.9:9".parse().unwrap(), dest, "single", "draining")
+}
+
 #[derive(Default)]
 struct PlatformState {
     notices: Vec<Value>,
@@ -417,6 +422,11 @@
         Client(BufReader::new(TcpStream::connect(self.at.unwrap()).unwrap()))
     }
 
+    /// Hands in a small message as soon as a list that names its destination has come.
+    pub fn hand_in_once_listed(&self, class: &str, id: &str, dest: u32) {
+        eventually("the list", || self.hand_in(class, id, dest) == 202);
+    }
+
     /// Hands in a small message on a connection of its own; returns the status.
     pub fn hand_in(&self, class: &str, id: &str, dest: u32) -> u16 {
         self.connect().hand_in(class, id, dest, 15_000, b"hello").status()
@@ -456,6 +466,18 @@
         Http::read(&mut self.0).expect("an answer")
     }
 
+    /// Whether the other side ends the connection; what it still says is passed over.
+    pub fn closes(&mut self) -> bool {
+        self.0.get_ref().set_read_timeout(Some(PATIENCE)).unwrap();
+        loop {
+            match self.0.read(&mut [0; 1024]) {
+                Ok(0) => return true,
+                Ok(_) => {}
+                Err(error) => return error.kind() == io::ErrorKind::ConnectionReset,
+            }
+        }
+    }
+
     pub fn hand_in(&mut self, class: &str, id: &str, dest: u32, timeout_ms: u32, body: &[u8]) -> Http {
         self.send(class, id, dest, timeout_ms, body);
         self.answer()
