Spoilt answers and rejected calls have outcomes of their own; a connection is asked before its reuse

Checked: a test with a second answer behind the first (the next unsafe call was taken as delivered), a first line with 200 before noise (given up though delivered). Ruled out: asking the socket for its end once hyper has failed: hyper then shuts the writing side and the peer closes, so the end that was read counts instead. To blame: calls.rs exchange() (Reset for whatever hyper could not read), Pool::reuse (asked hyper alone, by address), rest() (a spoilt body's wait and report were believed; 1 s of a slot for a body that tells nothing), 'other => Error'. Now: wire.rs follows the first line; Outcome::Spoilt may have run and says nothing of health, Outcome::Rejected never ran, goes once more alone and is then given up; AttemptEnd tells whether the connection is kept; heads 16 KiB, an answer 1 s from its first byte; reports must not be negative; the pool is kept by endpoint.

--- a/src/bin/fawnspoke/calls.rs
+++ b/src/bin/fawnspoke/calls.rs
@@ -1,40 +1,136 @@
 //! Calls to endpoints, and the connections that they go over.
 
 use crate::journal::Handed;
+use crate::wire::{Head, Unread, Wire};
 use crate::{Node, log};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{HeaderMap, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use std::cell::RefCell;
-use std::collections::HashMap;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::{AbortHandle, spawn_local};
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 use waydoor::{Allowance, EndpointId, Outcome, Seconds};
 
 /// What is read of an answer: twice the longest body, since a call may hold several messages' ends.
 const ANSWER_MOST: usize = 128 * 1024;
+/// Longest head of an answer, and its lines.
+const HEAD_MOST: usize = 16 * 1024;
+const HEADERS_MOST: usize = 64;
 /// Share of the keep-alive time after which an idle connection is dropped: well before the endpoint does.
 const KEEPALIVE_SHARE: f64 = 0.85;
-/// After its first line an answer is there or will not come.
+/// After its first byte an answer is there or will not come.
 const REST_OF_ANSWER: Duration = Duration::from_secs(1);
 /// What has arrived is read within this time.
 const LATE_READ: Duration = Duration::from_millis(5);
 
+/// What a connection has brought since the last request was put on it.
+#[derive(Default)]
+struct Heard {
+    head: RefCell<Head>,
+    /// When the answer's first byte came; 1xx answers ahead do not count.
+    first_at: Cell<Option<Instant>>,
+    first: Notify,
+    /// The other side has ended the connection. After a head that hyper cannot read it ends it itself, so
+    /// the socket can't be asked any more.
+    ended: Cell<bool>,
+}
+
+impl Heard {
+    fn clear(&self) {
+        self.head.take();
+        self.first_at.set(None);
+    }
+
+    fn follow(&self, bytes: &[u8]) {
+        let mut head = self.head.borrow_mut();
+        head.follow(bytes);
+        let first_at = head.begun().then(|| self.first_at.get().unwrap_or_else(Instant::now));
+        self.first_at.set(first_at);
+        if first_at.is_some() {
+            self.first.notify_one();
+        }
+    }
+
+    /// When an answer that is awaited until then is given up.
+    fn until(&self, until: Instant) -> Instant {
+        self.first_at.get().map_or(until, |at| until.min(at + REST_OF_ANSWER))
+    }
+}
+
+/// What hyper reads and writes.
+struct Line {
+    wire: Wire,
+    heard: Rc<Heard>,
+}
+
+impl AsyncRead for Line {
+    fn poll_read(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.wire).poll_read(cx, buf);
+        let bytes = &buf.filled()[before..];
+        self.heard.follow(bytes);
+        self.heard.ended.set(read.is_ready() && bytes.is_empty());
+        read
+    }
+}
+
+impl AsyncWrite for Line {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.wire).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.wire).poll_write_vectored(cx, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.wire.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.wire).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.wire).poll_shutdown(cx)
+    }
+}
+
 /// A connection. Dropped, it is closed, whatever is still out on it.
 pub struct Link {
     pub sender: SendRequest<Full<Bytes>>,
+    at: SocketAddr,
+    wire: Wire,
+    heard: Rc<Heard>,
     task: AbortHandle,
     idle_since: Instant,
 }
 
+impl Link {
+    /// Whether a request may go on it. A byte that waits belongs to no answer that is owed: the next call's
+    /// answer would be taken from it. A request on a connection that has ended would be lost.
+    pub fn sound(&self) -> bool {
+        !self.sender.is_closed() && self.wire.unread() == Unread::Nothing
+    }
+}
+
 impl Drop for Link {
     fn drop(&mut self) {
         self.task.abort();
@@ -43,45 +139,57 @@
 
 /// Opens a connection.
 pub async fn connect(at: SocketAddr) -> io::Result<Link> {
-    let stream = TcpStream::connect(at).await?;
-    stream.set_nodelay(true)?;
-    let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+    let wire = Wire::new(TcpStream::connect(at).await?)?;
+    let heard = Rc::new(Heard::default());
+    let line = Line { wire: wire.clone(), heard: heard.clone() };
+    let mut builder = Builder::new();
+    builder.max_buf_size(HEAD_MOST).max_headers(HEADERS_MOST);
+    let (sender, connection) = builder.handshake(TokioIo::new(line)).await.map_err(io::Error::other)?;
     let task = spawn_local(async {
         // Its end shows at the sender; there is nothing more to tell.
         let _ = connection.await;
     });
-    Ok(Link { sender, task: task.abort_handle(), idle_since: Instant::now() })
+    Ok(Link { sender, at, wire, heard, task: task.abort_handle(), idle_since: Instant::now() })
 }
 
-/// The idle connections, by address; the one used last is the last.
+/// The idle connections, by endpoint and not by address: that may be another endpoint's by now. The one used
+/// last is the last.
 #[derive(Default)]
 pub struct Pool {
-    idle: RefCell<HashMap<SocketAddr, Vec<Link>>>,
+    idle: RefCell<BTreeMap<EndpointId, Vec<Link>>>,
 }
 
 impl Pool {
-    fn reuse(&self, at: SocketAddr, keepalive: Duration) -> Option<Link> {
+    fn reuse(&self, endpoint: EndpointId, at: SocketAddr, keepalive: Duration) -> Option<Link> {
         let mut idle = self.idle.borrow_mut();
-        let links = idle.get_mut(&at)?;
-        // A request on a connection that the endpoint has closed, or is about to, would be lost.
-        links.retain(|link| !link.sender.is_closed() && link.idle_since.elapsed() < keepalive);
-        links.pop()
+        let links = idle.get_mut(&endpoint)?;
+        loop {
+            let link = links.pop()?;
+            if link.at == at && link.idle_since.elapsed() < keepalive && link.sound() {
+                return Some(link);
+            }
+        }
     }
 
-    fn put_back(&self, at: SocketAddr, mut link: Link) {
+    /// Keeps a connection for later calls; false where it is not sound.
+    fn put_back(&self, endpoint: EndpointId, mut link: Link) -> bool {
+        if !link.sound() {
+            return false;
+        }
         link.idle_since = Instant::now();
-        self.idle.borrow_mut().entry(at).or_default().push(link);
+        self.idle.borrow_mut().entry(endpoint).or_default().push(link);
+        true
     }
 
-    /// Closes the idle connections to an address.
-    pub fn close(&self, at: SocketAddr) {
-        self.idle.borrow_mut().remove(&at);
+    /// Closes the idle connections to an endpoint.
+    pub fn close(&self, endpoint: EndpointId) {
+        self.idle.borrow_mut().remove(&endpoint);
     }
 
     /// Drops connections that have been idle since before `since`, when a call went out that has failed. A
     /// machine that vanished leaves all of them open and silent: each would cost one more call.
-    fn distrust(&self, at: SocketAddr, since: Instant) {
-        if let Some(links) = self.idle.borrow_mut().get_mut(&at) {
+    fn distrust(&self, endpoint: EndpointId, since: Instant) {
+        if let Some(links) = self.idle.borrow_mut().get_mut(&endpoint) {
             links.retain(|link| link.idle_since > since);
         }
     }
@@ -90,7 +198,7 @@
     pub fn sweep(&self, keepalive: Duration, most: usize) {
         let mut idle = self.idle.borrow_mut();
         for links in idle.values_mut() {
-            links.retain(|link| !link.sender.is_closed() && link.idle_since.elapsed() < keepalive);
+            links.retain(|link| link.idle_since.elapsed() < keepalive && link.sound());
         }
         let total: usize = idle.values().map(Vec::len).sum();
         for _ in most..total {
@@ -138,33 +246,45 @@
     pub ends: Vec<End>,
     pub wait: Option<Seconds>,
     pub allowance: Option<Allowance>,
+    /// Its connection is idle now.
+    pub kept: bool,
+}
+
+impl CallEnd {
+    /// The end of a call that brought nothing that can be believed but what happened to it.
+    pub fn bare(ends: Vec<End>) -> CallEnd {
+        CallEnd { ends, wait: None, allowance: None, kept: false }
+    }
 }
 
 /// Makes a call and waits for its end.
 pub async fn call(node: &Node, call: &Call) -> CallEnd {
     let until = Instant::now() + Duration::from_secs_f64(call.timeout.clamp(0.0, 3600.0));
-    let open = || node.directory.borrow().open(call.endpoint, call.dest);
+    let Call { endpoint, at, dest, ref items, .. } = *call;
+    let open = || node.directory.borrow().open(endpoint, at, dest);
     let answer = match request(call) {
-        Ok(request) => exchange(node, call.at, request, until, &open).await,
+        Ok(request) => exchange(node, (endpoint, at), request, until, &open, items.len() > 1).await,
         Err(error) => {
-            log::line(format_args!("call to {}: cannot be written: {error}", call.at));
+            log::line(format_args!("call to {at}: cannot be written: {error}"));
             Err(Outcome::Error)
         }
     };
     let all = |outcome: Outcome, closed: bool| {
         let end = |item: &Item| End { number: item.number, attempt: item.attempt, outcome, closed };
-        call.items.iter().map(end).collect::<Vec<_>>()
+        items.iter().map(end).collect::<Vec<_>>()
     };
     let answer = match answer {
         Ok(answer) => answer,
-        Err(outcome) => return CallEnd { ends: all(outcome, false), wait: None, allowance: None },
+        Err(outcome) => return CallEnd::bare(all(outcome, false)),
+    };
+    let Some(body) = &answer.body else {
+        // A first line with 200 is true of the one message that it answers; of several it tells nothing, and
+        // nothing else that stands in such an answer is believed.
+        let one = answer.status == StatusCode::OK && items.len() == 1;
+        return CallEnd::bare(all(if one { Outcome::Served } else { Outcome::Spoilt }, one));
     };
     let ends = match answer.status {
-        StatusCode::OK if call.items.len() > 1 => match answer.body {
-            Some(body) => many_ends(&call.items, &body),
-            // All may have run; which ones were delivered is not known.
-            None => all(Outcome::Reset, false),
-        },
+        StatusCode::OK if items.len() > 1 => many_ends(items, body),
         StatusCode::OK => all(Outcome::Served, true),
         StatusCode::SERVICE_UNAVAILABLE if answer.headers.get("X-Line-Busy").is_some_and(|v| v == "1") => {
             all(Outcome::Moot, false)
@@ -173,13 +293,17 @@
         StatusCode::GATEWAY_TIMEOUT => all(Outcome::Moot, false),
         StatusCode::GONE => all(Outcome::Moot, true),
         StatusCode::INTERNAL_SERVER_ERROR => all(Outcome::Error, false),
+        status @ (StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE) => {
+            log::line(format_args!("call to {at}: {} messages answered {status}", items.len()));
+            all(Outcome::Rejected, false)
+        }
         other => {
-            log::line(format_args!("call to {}: answered {other}", call.at));
+            log::line(format_args!("call to {at}: answered {other}"));
             all(Outcome::Error, false)
         }
     };
     let allowance = node.config.report_field.and_then(|field| allowance(&answer.headers, field));
-    CallEnd { ends, wait: wait(&answer.headers), allowance }
+    CallEnd { ends, wait: wait(&answer.headers), allowance, kept: answer.kept }
 }
 
 /// Asks an endpoint whether it runs.
@@ -188,9 +312,10 @@
     let until = Instant::now() + Duration::from_secs_f64(node.config.connect_timeout);
     let request = Request::get("/health/live").header("Host", place.dial.to_string()).body(Full::default());
     let Ok(request) = request else { return (Outcome::Moot, None) };
-    let open = || node.directory.borrow().open(endpoint, place.dest);
-    match exchange(node, place.dial, request, until, &open).await {
+    let open = || node.directory.borrow().open(endpoint, place.dial, place.dest);
+    match exchange(node, (endpoint, place.dial), request, until, &open, false).await {
         Err(outcome) => (outcome, None),
+        Ok(answer) if answer.body.is_none() => (Outcome::Spoilt, None),
         Ok(answer) => {
             let told = node.config.report_field.and_then(|field| allowance(&answer.headers, field));
             match answer.status {
@@ -202,19 +327,24 @@
     }
 }
 
+/// An answer of which the first line could be read.
 struct Answer {
     status: StatusCode,
     headers: HeaderMap,
-    /// None where it broke off or is too long.
+    /// None where the answer is spoilt: not whole, too long or not to be read.
     body: Option<Bytes>,
+    /// Its connection is idle now.
+    kept: bool,
 }
 
-/// One request and its answer. An error tells whether the request may have run.
+/// One request and its answer. An error tells whether the request may have run. `told`: the body of an answer
+/// with 200 tells something.
 async fn exchange(
-    node: &Node, at: SocketAddr, mut request: Request<Full<Bytes>>, until: Instant, open: &dyn Fn() -> bool,
+    node: &Node, (endpoint, at): (EndpointId, SocketAddr), mut request: Request<Full<Bytes>>, until: Instant,
+    open: &dyn Fn() -> bool, told: bool,
 ) -> Result<Answer, Outcome> {
     loop {
-        let (mut link, reused) = match node.pool.reuse(at, keepalive(node)) {
+        let (mut link, reused) = match node.pool.reuse(endpoint, at, keepalive(node)) {
             Some(link) => (link, true),
             None => {
                 let limit = Duration::from_secs_f64(node.config.connect_timeout);
@@ -232,46 +362,61 @@
         }
         // Connecting takes time: what is drained or gone by now gets nothing new.
         if !open() {
-            node.pool.put_back(at, link);
+            node.pool.put_back(endpoint, link);
             return Err(Outcome::Moot);
         }
         let sent_at = Instant::now();
+        link.heard.clear();
+        let heard = link.heard.clone();
         let mut sent = pin!(link.sender.try_send_request(request));
-        let answer = match timeout_at(until, sent.as_mut()).await {
-            // After a stall of this process the time is up before anything was read: what came meanwhile is
-            // no time-out.
-            Err(_) => timeout(LATE_READ, sent).await,
-            answer => answer,
+        let answer = loop {
+            tokio::select! {
+                answer = sent.as_mut() => break Ok(answer),
+                // The time of an answer that has begun is short.
+                () = heard.first.notified() => {}
+                // After a stall of this process the time is up before anything was read: what came meanwhile
+                // is no time-out.
+                () = sleep_until(heard.until(until)) => break timeout(LATE_READ, sent).await,
+            }
         };
-        match answer {
-            Ok(Ok(answer)) => return Ok(rest(node, at, link, answer, until).await),
+        let outcome = match answer {
+            Ok(Ok(answer)) => return Ok(rest(node, endpoint, link, answer, told).await),
             Ok(Err(mut error)) => match error.take_message() {
                 // An idle connection that was closed meanwhile: no byte was written, so this is no resend.
-                Some(unsent) if reused => request = unsent,
-                Some(_) => return Err(Outcome::NoConnection),
-                None => {
-                    node.pool.distrust(at, sent_at);
-                    return Err(Outcome::Reset);
+                Some(unsent) if reused => {
+                    request = unsent;
+                    continue;
                 }
+                Some(_) => return Err(Outcome::NoConnection),
+                None => Outcome::Reset,
             },
-            Err(_) => {
-                node.pool.distrust(at, sent_at);
-                return Err(Outcome::TimedOut);
-            }
+            Err(_) => Outcome::TimedOut,
+        };
+        // hyper tells only that no answer could be read; what came of it tells more.
+        let (status, begun) = (heard.head.borrow().status(), heard.first_at.get().is_some());
+        if status == Some(StatusCode::OK) {
+            return Ok(Answer { status: StatusCode::OK, headers: HeaderMap::new(), body: None, kept: false });
         }
+        // A process that dies while it answers leaves half an answer, too, but its connection ends.
+        if begun && !heard.ended.get() {
+            return Err(Outcome::Spoilt);
+        }
+        node.pool.distrust(endpoint, sent_at);
+        return Err(outcome);
     }
 }
 
 /// Reads the rest of an answer; the connection is kept if it is whole.
-async fn rest(node: &Node, at: SocketAddr, link: Link, answer: Response<Incoming>, until: Instant) -> Answer {
+async fn rest(
+    node: &Node, endpoint: EndpointId, link: Link, answer: Response<Incoming>, told: bool,
+) -> Answer {
     let (head, body) = answer.into_parts();
-    let until = until.max(Instant::now() + REST_OF_ANSWER);
-    let body = timeout_at(until, Limited::new(body, ANSWER_MOST).collect()).await;
+    // Where the head tells all, a body that did not come with it is not worth a slot.
+    let limit = if told || head.status != StatusCode::OK { REST_OF_ANSWER } else { LATE_READ };
+    let body = timeout(limit, Limited::new(body, ANSWER_MOST).collect()).await;
     let body = body.ok().and_then(Result::ok).map(|body| body.to_bytes());
-    if body.is_some() && !link.sender.is_closed() {
-        node.pool.put_back(at, link);
-    }
-    Answer { status: head.status, headers: head.headers, body }
+    let kept = body.is_some() && node.pool.put_back(endpoint, link);
+    Answer { status: head.status, headers: head.headers, body, kept }
 }
 
 fn request(call: &Call) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
@@ -330,5 +475,6 @@
 
 fn allowance(headers: &HeaderMap, field: &str) -> Option<Allowance> {
     let report: serde_json::Value = serde_json::from_slice(headers.get("Server-Load")?.as_bytes()).ok()?;
-    Some(Allowance { rate: report.get(field)?.as_f64()? })
+    let rate = report.get(field)?.as_f64().filter(|rate| rate.is_finite() && *rate >= 0.0)?;
+    Some(Allowance { rate })
 }
--- a/src/bin/fawnspoke/discovery.rs
+++ b/src/bin/fawnspoke/discovery.rs
@@ -78,8 +78,9 @@
     }
 
     /// Whether a message for `dest` may go to the endpoint as listed now.
-    pub fn open(&self, endpoint: EndpointId, dest: u32) -> bool {
-        self.places.get(&endpoint).is_some_and(|place| place.ready && place.dest == dest)
+    pub fn open(&self, endpoint: EndpointId, at: SocketAddr, dest: u32) -> bool {
+        let place = self.places.get(&endpoint);
+        place.is_some_and(|place| place.ready && (place.dial, place.dest) == (at, dest))
     }
 
     /// Takes one list; an entry that cannot be read is left out. Returns the event for the decisions.
@@ -260,7 +261,7 @@
     }
     let until = Instant::now() + ANSWER;
     let mut link = match kept.take() {
-        Some((to, link)) if to == at && !link.sender.is_closed() => link,
+        Some((to, link)) if to == at && link.sound() => link,
         _ => timeout_at(until, calls::connect(at)).await??,
     };
     let request = Request::builder()
--- a/src/bin/fawnspoke/main.rs
+++ b/src/bin/fawnspoke/main.rs
@@ -153,8 +153,9 @@
             }
         }
         Input::Ended { endpoint, sent_at, end } => {
-            let (wait, allowance, latency) = (end.wait, end.allowance, now - sent_at);
-            for end in end.ends {
+            let CallEnd { ends, wait, allowance, kept } = end;
+            let latency = now - sent_at;
+            for end in ends {
                 let calls::End { number, attempt, outcome, closed } = end;
                 let id = MessageId(number);
                 dispatcher.handle(
@@ -168,6 +169,7 @@
                         closed,
                         latency,
                         allowance,
+                        kept,
                     }),
                 );
             }
@@ -182,7 +184,10 @@
     {
         let mut journal = node.journal.borrow_mut();
         for end in &end.ends {
-            let never = matches!(end.outcome, Outcome::Full | Outcome::NoConnection | Outcome::Moot);
+            let never = matches!(
+                end.outcome,
+                Outcome::Full | Outcome::NoConnection | Outcome::Moot | Outcome::Rejected
+            );
             node.record(match end.closed {
                 true => journal.over(end.number),
                 false => journal.ended(end.number, !never),
@@ -202,7 +207,7 @@
 }
 
 impl Calls {
-    fn add(&mut self, node: &Node, number: u64, endpoint: EndpointId, timeout: Seconds) {
+    fn add(&mut self, node: &Node, number: u64, endpoint: EndpointId, timeout: Seconds, alone: bool) {
         let mut journal = node.journal.borrow_mut();
         let Some(kept) = journal.get(number) else { return };
         let item = Item { number, attempt: kept.attempts, handed: kept.handed.clone() };
@@ -214,19 +219,22 @@
             node.record(recorded.and(journal.ended(number, false)));
             let ends =
                 vec![calls::End { number, attempt: item.attempt, outcome: Outcome::Moot, closed: false }];
-            let end = CallEnd { ends, wait: None, allowance: None };
+            let end = CallEnd::bare(ends);
             node.send(Input::Ended { endpoint, sent_at: node.now(), end });
             return;
         };
         let batch = node.config.settings.kinds.get(place.kind).map_or(1, |kind| kind.batch);
-        if let Some(call) = self.open.get(&endpoint).and_then(|at| self.calls.get_mut(*at))
+        if !alone
+            && let Some(call) = self.open.get(&endpoint).and_then(|at| self.calls.get_mut(*at))
             && call.items.len() < batch
         {
             call.items.push(item);
             call.timeout = call.timeout.min(timeout);
             return;
         }
-        self.open.insert(endpoint, self.calls.len());
+        if !alone {
+            self.open.insert(endpoint, self.calls.len());
+        }
         self.calls.push(Call { endpoint, at: place.dial, dest: place.dest, items: vec![item], timeout });
     }
 }
@@ -236,7 +244,9 @@
     let mut sends = Calls::default();
     for action in actions {
         match action {
-            Action::Send { id, endpoint, timeout } => sends.add(node, id.0, *endpoint, *timeout),
+            Action::Send { id, endpoint, timeout, alone } => {
+                sends.add(node, id.0, *endpoint, *timeout, *alone);
+            }
             Action::Refuse(id) => {
                 let dest = node.journal.borrow().get(id.0).map(|kept| DestinationId(kept.handed.dest));
                 let retry_in_ms = dest.map_or(0.0, |dest| node.come_back(dest) * 1000.0).ceil() as u64;
@@ -253,9 +263,7 @@
                 });
             }
             Action::CloseIdle(endpoint) => {
-                if let Some(place) = node.directory.borrow().place(*endpoint) {
-                    node.pool.close(place.dial);
-                }
+                node.pool.close(*endpoint);
             }
             Action::Subscribe => node.resubscribe.notify_one(),
             Action::Note(text) => println!("{now:.3} {text}"),
--- a/src/bin/fawnspoke/wire.rs
+++ b/src/bin/fawnspoke/wire.rs
@@ -142,6 +142,11 @@
         StatusCode::from_bytes(code).ok().filter(|_| matches!(after, [] | [b' ', ..]))
     }
 
+    /// Whether anything of it has come.
+    pub fn begun(&self) -> bool {
+        self.line > 0 || self.lines > 0
+    }
+
     /// How many bytes came behind the head; none while it has not ended.
     pub fn behind(&self) -> Option<usize> {
         self.ended.then_some(self.behind)
--- a/src/bin/waydoor-drill/host.rs
+++ b/src/bin/waydoor-drill/host.rs
@@ -125,7 +125,18 @@
                 let latency = reader.f64()?;
                 let allowance = report(reader, limit)?;
                 let wait = (outcome == Outcome::Full && note > 0).then(|| f64::from(note) / 1000.0);
-                Event::Ended(AttemptEnd { id, endpoint, attempt, outcome, wait, closed, latency, allowance })
+                let kept = outcome.answered();
+                Event::Ended(AttemptEnd {
+                    id,
+                    endpoint,
+                    attempt,
+                    outcome,
+                    wait,
+                    closed,
+                    latency,
+                    allowance,
+                    kept,
+                })
             }
             20 => {
                 // A begun stream: this kind of service has none.
@@ -222,7 +233,7 @@
 
 fn write(writer: &mut Writer, i: u32, action: &Action) {
     match action {
-        Action::Send { id, endpoint, timeout } => {
+        Action::Send { id, endpoint, timeout, .. } => {
             let body = writer.record(10, i);
             body.put_u64(id.0);
             put_endpoint(body, endpoint.0);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -235,7 +235,8 @@
                     self.chance(now, rule, rng);
                 }
             }
-            Outcome::Cancelled | Outcome::Moot => {}
+            // An answer that came shows a process that lives, not one that serves.
+            Outcome::Cancelled | Outcome::Moot | Outcome::Spoilt | Outcome::Rejected => {}
         }
     }
 
@@ -358,7 +359,16 @@
                 self.endpoints.entry(*id).and_modify(|e| e.lane.chance(now, rule, &mut self.rng));
             }
         }
-        let parcel = Parcel { message, taken: now, attempts: 0, out: None, may_have_run: None, over: false };
+        let parcel = Parcel {
+            message,
+            taken: now,
+            attempts: 0,
+            out: None,
+            may_have_run: None,
+            over: false,
+            alone: false,
+            unusable: false,
+        };
         self.parcels.insert(message.id, parcel);
         self.hold(&message);
     }
@@ -367,8 +377,12 @@
         let Some(parcel) = self.parcels.get_mut(&end.id) else { return };
         let Some(flight) = parcel.out.filter(|_| parcel.attempts == end.attempt + 1) else { return };
         parcel.out = None;
-        let sent_at = self.calls.get(&flight.call).map_or(now, |call| call.sent_at);
-        if !matches!(end.outcome, Outcome::Full | Outcome::NoConnection | Outcome::Moot) {
+        let (sent_at, messages) =
+            self.calls.get(&flight.call).map_or((now, 1), |call| (call.sent_at, call.messages));
+        if end.outcome == Outcome::Rejected {
+            // One bad message turns away its whole call: guards the others. Harm: a call each.
+            (parcel.alone, parcel.unusable) = (true, messages == 1);
+        } else if !matches!(end.outcome, Outcome::Full | Outcome::NoConnection | Outcome::Moot) {
             let zone = self.endpoints.get(&flight.endpoint).map_or(0, |e| e.zone);
             parcel.may_have_run.get_or_insert((sent_at, zone));
         }
@@ -400,7 +414,7 @@
         if end.outcome == Outcome::Served && self.stalled_at != now {
             self.usual_latency += SAMPLE * (end.latency - self.usual_latency) * 0.5;
         }
-        if self.judge_connection(now, flight.endpoint, end.outcome, idle) {
+        if self.judge_connection(now, flight.endpoint, end.outcome, idle, end.kept) {
             self.observe(now, flight.endpoint, end.outcome, end.latency, end.wait, end.allowance, false);
         }
         self.forget(flight.endpoint);
@@ -410,7 +424,9 @@
     /// fill a small table of connections. So one is kept as long as idle ones of its kind prove good, and if
     /// the own demand makes a use in that time likely. False where a failure tells of the connection and not
     /// of the place. Harm: more new connections; an outage costs one more call.
-    fn judge_connection(&mut self, now: Seconds, id: EndpointId, outcome: Outcome, idle: Seconds) -> bool {
+    fn judge_connection(
+        &mut self, now: Seconds, id: EndpointId, outcome: Outcome, idle: Seconds, kept: bool,
+    ) -> bool {
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return true };
         let Some(destination) = self.destinations.get(&endpoint.destination) else { return true };
         let most = self.settings.keepalive.unwrap_or(f64::INFINITY);
@@ -427,7 +443,7 @@
         let keep = if crowd { known.min(IDLE_MOST) / 2.0 } else { known };
         let keep = if stale { keep.min(idle / 2.0) } else { keep };
         *hold = (keep, now, drops);
-        if matches!(outcome, Outcome::Served | Outcome::Full | Outcome::Error) {
+        if kept {
             let own = destination.demand.now(now, DEMAND_TIME) - 1.0 / DEMAND_TIME;
             let even = destination.lane.even * destination.lane.capacity.unwrap_or(SMALL_CAPACITY);
             let shares = (destination.batch * destination.endpoints.len().max(1)) as f64;
@@ -584,7 +600,8 @@
             let Some(destination) = self.destinations.get(&parcel.message.destination) else { continue };
             let batch = destination.batch;
             let joined = open_calls.iter().find(|(endpoint, call)| {
-                destination.endpoints.contains(endpoint)
+                !parcel.alone
+                    && destination.endpoints.contains(endpoint)
                     && self.calls.get(call).is_some_and(|c| c.pending < batch)
                     && self.fits(parcel, **endpoint)
             });
@@ -597,8 +614,9 @@
                 match self.place(now, parcel) {
                     Ok((endpoint, trial)) => {
                         let risky = self.settings.classes[parcel.message.class].effect == Effect::Unsafe;
+                        let alone = parcel.alone;
                         let call = self.open_call(now, endpoint, risky, actions);
-                        open_calls.extend((batch > 1 && !trial).then_some((endpoint, call)));
+                        open_calls.extend((batch > 1 && !trial && !alone).then_some((endpoint, call)));
                         (endpoint, call)
                     }
                     Err((until, probe)) => {
@@ -650,9 +668,9 @@
         let left = (parcel.message.deadline - ANSWER_MARGIN - now).max(0.001);
         (parcel.attempts, parcel.out) = (parcel.attempts + 1, Some(Flight { endpoint, call }));
         if let Some(call) = self.calls.get_mut(&call) {
-            call.pending += 1;
+            (call.messages, call.pending) = (call.messages + 1, call.pending + 1);
         }
-        actions.push(Action::Send { id, endpoint, timeout: timeout.min(left) });
+        actions.push(Action::Send { id, endpoint, timeout: timeout.min(left), alone: parcel.alone });
     }
 
     fn open_call(
@@ -675,7 +693,7 @@
         }
         self.silent_at = self.silent_at.min(now + at);
         self.counter += 1;
-        self.calls.insert(self.counter, Call { endpoint, sent_at: now, pending: 0, idle });
+        self.calls.insert(self.counter, Call { endpoint, sent_at: now, messages: 0, pending: 0, idle });
         self.counter
     }
 
@@ -815,7 +833,7 @@
                 last = last.min(first + window - KEY_MARGIN);
             }
             let lost = effect == Effect::Unsafe && parcel.may_have_run.is_some();
-            if now >= last || lost || parcel.attempts >= self.settings.attempts {
+            if now >= last || lost || parcel.unusable || parcel.attempts >= self.settings.attempts {
                 self.end(id, actions);
             } else {
                 self.answer_at = self.answer_at.min(last);
@@ -844,6 +862,8 @@
     fn end(&mut self, id: MessageId, actions: &mut Vec<Action>) {
         let Some(parcel) = self.parcels.get_mut(&id) else { return };
         let harmless = match self.settings.classes[parcel.message.class].effect {
+            // It would fare no better another time.
+            _ if parcel.unusable => false,
             Effect::Safe => true,
             Effect::Keyed { by_zone, .. } => parcel.may_have_run.is_none() || !by_zone,
             Effect::Unsafe => parcel.may_have_run.is_none(),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -231,6 +231,17 @@
     Cancelled,
     /// Never sent.
     Moot,
+    /// An answer came and cannot be read: it may have run, and the endpoint lives.
+    Spoilt,
+    /// The call cannot be used as it is: it never ran, and the endpoint lives.
+    Rejected,
+}
+
+impl Outcome {
+    /// Whether a whole answer came, after which a connection is idle as a rule.
+    pub fn answered(self) -> bool {
+        matches!(self, Outcome::Served | Outcome::Full | Outcome::Error | Outcome::Rejected)
+    }
 }
 
 /// What an endpoint tells of its limit.
@@ -287,6 +298,8 @@
     pub latency: Seconds,
     /// What the endpoint tells of its limit.
     pub allowance: Option<Allowance>,
+    /// The call's connection is idle now and may be used again.
+    pub kept: bool,
 }
 
 /// What a dispatcher learns.
@@ -343,6 +356,8 @@
         endpoint: EndpointId,
         /// Give the attempt up after this long.
         timeout: Seconds,
+        /// It shares its call with no other message.
+        alone: bool,
     },
     /// End it undelivered; coming again is harmless.
     Refuse(MessageId),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -59,6 +59,7 @@
 //!         closed: true,
 //!         latency: 0.3,
 //!         allowance: None,
+//!         kept: true,
 //!     }),
 //! );
 //! dispatcher.decide(0.3, &mut actions);
--- a/src/state.rs
+++ b/src/state.rs
@@ -112,12 +112,17 @@
     /// First attempt that may have run, and its zone.
     pub(crate) may_have_run: Option<(Seconds, u16)>,
     pub(crate) over: bool,
+    /// Rejected in a call with others: one of them cannot be used.
+    pub(crate) alone: bool,
+    /// Rejected by itself: no other attempt would fare better.
+    pub(crate) unusable: bool,
 }
 
 #[derive(Clone, Debug)]
 pub(crate) struct Call {
     pub(crate) endpoint: EndpointId,
     pub(crate) sent_at: Seconds,
+    pub(crate) messages: usize,
     pub(crate) pending: usize,
     /// How long its connection had been idle; 0 for a new one.
     pub(crate) idle: Seconds,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -85,7 +85,7 @@
         self.actions
             .iter()
             .filter_map(|action| match action {
-                Action::Send { id, endpoint, timeout } => {
+                Action::Send { id, endpoint, timeout, .. } => {
                     Some(Sent { id: id.0, endpoint: endpoint.0, timeout: *timeout })
                 }
                 _ => None,
@@ -110,6 +110,7 @@
             closed: outcome == Outcome::Served,
             latency,
             allowance: None,
+            kept: outcome.answered(),
         }));
     }
 
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -56,7 +56,9 @@
                 let closed = outcome == Outcome::Served;
                 let (attempt, _) = (*attempt, *attempt += 1);
                 let (wait, allowance) = (None, None);
-                let end = AttemptEnd { id, endpoint, attempt, outcome, wait, closed, latency, allowance };
+                let kept = outcome.answered();
+                let end =
+                    AttemptEnd { id, endpoint, attempt, outcome, wait, closed, latency, allowance, kept };
                 out.push((now + latency, from, Event::Ended(end)));
                 calls.push(Call { at: now, from, outcome });
             }
--- a/tests/robust.rs
+++ b/tests/robust.rs
@@ -151,7 +151,7 @@
     fn round(&mut self, now: f64, actions: &[Action]) {
         for action in actions {
             match action {
-                Action::Send { id, endpoint, timeout } => {
+                Action::Send { id, endpoint, timeout, .. } => {
                     let front = self.messages.get(&id.0).and_then(|m| m.key).map(|key| {
                         let turn = self.order[&key].iter().find(|o| {
                             let m = &self.messages[o];
@@ -345,6 +345,7 @@
         closed,
         latency: now - at,
         allowance: None,
+        kept: outcome.answered(),
     };
     to.handle(now, Event::Ended(event));
     event
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -207,6 +207,7 @@
         closed: true,
         latency: 0.2,
         allowance: None,
+        kept: true,
     }));
     let later = stage.until(ended + 6.0);
     assert_eq!(later.len(), 1);
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,5 +1,6 @@
 //! The dispatcher as a process, on loopback sockets. Each test waits on conditions, never on a tight time.
 
+mod answers;
 mod clients;
 mod reload;
 mod stage;
--- a/tests/sockets/stage.rs
+++ b/tests/sockets/stage.rs
@@ -78,6 +78,10 @@
     Late(Duration, u16),
     /// An answer after which the connection is closed without a word of it.
     AnswerAndClose(u16),
+    /// Bytes as they are; the connection stays open for more calls.
+    Raw(Vec<u8>),
+    /// The first bytes, then the second ones over and over until the other side has had enough.
+    Endless(Vec<u8>, Vec<u8>),
     /// Breaks the connection.
     Break,
     /// Never answers; reads on until the other side closes.
@@ -168,6 +172,13 @@
                     answer(status, "", "")?;
                 }
                 Reply::AnswerAndClose(status) => return answer(status, "", ""),
+                Reply::Raw(bytes) => stream.write_all(&bytes)?,
+                Reply::Endless(first, more) => {
+                    stream.write_all(&first)?;
+                    while stream.write_all(&more).is_ok() {}
+                    state.lock().unwrap().given_up += 1;
+                    return Ok(());
+                }
                 Reply::Break => return Ok(()),
                 Reply::Hang => {
                     while reader.read(&mut [0; 1024]).is_ok_and(|n| n > 0) {}
