Places of their own file; what has left the list leaves nothing behind

Seen in the code: Directory kept 'removed' entries until a whole list came, which a watch never sends; idle connections were pooled by address, so a newcomer's address offered those of the one before; a host with another block kept its old destination in the decisions; a newcomer at a listed address left the old entry open, and a message for it would come to the wrong block. Now: directory.rs forgets what is removed, moved or displaced (of two at one address the one that is up holds it), tells the decisions, and the connections are closed, also those that become idle later. When clients are too many, one with an unread request is passed over.

--- a/src/bin/fawnspoke/calls.rs
+++ b/src/bin/fawnspoke/calls.rs
@@ -362,7 +362,6 @@
         }
         // Connecting takes time: what is drained or gone by now gets nothing new.
         if !open() {
-            node.pool.put_back(endpoint, link);
             return Err(Outcome::Moot);
         }
         let sent_at = Instant::now();
@@ -415,7 +414,9 @@
     let limit = if told || head.status != StatusCode::OK { REST_OF_ANSWER } else { LATE_READ };
     let body = timeout(limit, Limited::new(body, ANSWER_MOST).collect()).await;
     let body = body.ok().and_then(Result::ok).map(|body| body.to_bytes());
-    let kept = body.is_some() && node.pool.put_back(endpoint, link);
+    // What has left the list meanwhile gets nothing more.
+    let listed = node.directory.borrow().ready_at(endpoint) == Some(link.at);
+    let kept = body.is_some() && listed && node.pool.put_back(endpoint, link);
     Answer { status: head.status, headers: head.headers, body, kept }
 }
 
--- a/src/bin/fawnspoke/clients.rs
+++ b/src/bin/fawnspoke/clients.rs
@@ -50,11 +50,17 @@
     /// Closes the connection that has been idle for the longest.
     fn make_room(&self) {
         let open = self.open.borrow();
-        if let Some(client) =
-            open.values().filter(|client| !client.going.get()).min_by_key(|c| c.heard_at.get())
-        {
-            client.going.set(true);
-            client.leave.notify_one();
+        for _ in 0..open.len() {
+            let staying = open.values().filter(|client| !client.going.get());
+            let Some(oldest) = staying.min_by_key(|client| client.heard_at.get()) else { return };
+            // A request that nobody has read yet would be lost with it.
+            if oldest.wire.unread() == Unread::Bytes {
+                oldest.heard_at.set(Instant::now());
+                continue;
+            }
+            oldest.going.set(true);
+            oldest.leave.notify_one();
+            return;
         }
     }
 }
--- /dev/null
+++ b/src/bin/fawnspoke/directory.rs
@@ -0,0 +1,217 @@
+//! The endpoints as listed now: who they are, where, and what may go there.
+
+use crate::log;
+use serde::Deserialize;
+use serde_json::Value;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use waydoor::{DestinationId, EndpointId, Entry, Event, Listed};
+
+/// Where an endpoint is and what may go there.
+#[derive(Clone, Copy, Debug)]
+pub struct Place {
+    pub dial: SocketAddr,
+    pub dest: u32,
+    /// Its destination's kind, an index of the settings' kinds.
+    pub kind: usize,
+    pub zone: u16,
+    pub ready: bool,
+}
+
+/// The endpoints that are listed and not gone. Names come ever new: nothing is kept of one that has left.
+#[derive(Default)]
+pub struct Directory {
+    hosts: HashMap<String, EndpointId>,
+    places: BTreeMap<EndpointId, Place>,
+    seq: u64,
+    named: u64,
+}
+
+/// A list in discovery's form.
+#[derive(Deserialize)]
+pub struct List {
+    seq: u64,
+    whole: bool,
+    hosts: Vec<Value>,
+}
+
+#[derive(Deserialize)]
+struct Host {
+    host: String,
+    dial: SocketAddr,
+    site: String,
+    class: String,
+    block: u32,
+    health: Health,
+    share: f64,
+}
+
+#[derive(Clone, Copy, Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum Health {
+    Up,
+    Draining,
+    Removed,
+}
+
+impl Directory {
+    pub fn place(&self, endpoint: EndpointId) -> Option<Place> {
+        self.places.get(&endpoint).copied()
+    }
+
+    /// Whether a message for `dest` may go to the endpoint at this address as listed now.
+    pub fn open(&self, endpoint: EndpointId, at: SocketAddr, dest: u32) -> bool {
+        self.ready_at(endpoint) == Some(at) && self.places.get(&endpoint).is_some_and(|p| p.dest == dest)
+    }
+
+    /// Where the endpoint is, if it may get anything.
+    pub fn ready_at(&self, endpoint: EndpointId) -> Option<SocketAddr> {
+        self.places.get(&endpoint).filter(|place| place.ready).map(|place| place.dial)
+    }
+
+    /// The version of the list.
+    pub fn seq(&self) -> u64 {
+        self.seq
+    }
+
+    /// Takes one list; an entry that cannot be read is left out. Returns the event for the decisions, and the
+    /// endpoints to which connections are of no more use.
+    pub fn enrol(&mut self, list: List, kinds: &[String], zones: &[String]) -> (Event, Vec<EndpointId>) {
+        let mut entries = Vec::new();
+        let mut named = Vec::new();
+        let before = self.places.clone();
+        for value in list.hosts {
+            let host = match Host::deserialize(&value) {
+                Ok(host) => host,
+                Err(error) => {
+                    log::line(format_args!("discovery: entry left out: {error}"));
+                    continue;
+                }
+            };
+            let Some(kind) = kinds.iter().position(|kind| *kind == host.class) else {
+                log::line(format_args!("discovery: entry left out: {} is of no known class", host.host));
+                continue;
+            };
+            let zone = zones.iter().position(|zone| *zone == host.site).unwrap_or(zones.len()) as u16;
+            let ready = host.health == Health::Up;
+            let place = Place { dial: host.dial, dest: host.block, kind, zone, ready };
+            let rate = host.share;
+            // One that serves another destination now is another endpoint.
+            let old = self.hosts.get(&host.host).copied();
+            let moved = old.filter(|old| self.places.get(old).is_some_and(|place| place.dest != host.block));
+            entries.extend(moved.and_then(|old| self.leave(old)));
+            // Of two at one address the one that is up holds it: the other has made place, though no list
+            // has said so yet. What was sent there for it would come to the wrong one.
+            let held = self.places.iter().find(|(id, p)| p.dial == place.dial && old != Some(**id));
+            let held = held.map(|(id, place)| (*id, place.ready));
+            let gone = host.health == Health::Removed || (!ready && held.is_some_and(|(_, ready)| ready));
+            if let Some((other, _)) = held.filter(|_| !gone) {
+                entries.extend(self.leave(other));
+            }
+            let endpoint = *self.hosts.entry(host.host).or_insert_with(|| {
+                self.named += 1;
+                EndpointId(self.named)
+            });
+            self.places.insert(endpoint, place);
+            named.push(endpoint);
+            if gone {
+                entries.extend(self.leave(endpoint));
+            } else {
+                let listed = if ready { Listed::Ready } else { Listed::Draining };
+                entries.push(entry(endpoint, place, rate, listed));
+            }
+        }
+        if list.whole {
+            // What it does not name is gone.
+            let unnamed: Vec<_> = self.places.keys().filter(|id| !named.contains(id)).copied().collect();
+            for endpoint in unnamed {
+                self.leave(endpoint);
+            }
+        }
+        self.seq = list.seq;
+        let left = before.iter().filter(|(id, place)| self.ready_at(**id) != Some(place.dial));
+        let left = left.map(|(id, _)| *id).collect();
+        let event = if list.whole { Event::ListWhole(entries) } else { Event::ListChanged(entries) };
+        (event, left)
+    }
+
+    /// Forgets an endpoint; the entry tells the decisions.
+    fn leave(&mut self, endpoint: EndpointId) -> Option<Entry> {
+        self.hosts.retain(|_, id| *id != endpoint);
+        let place = self.places.remove(&endpoint)?;
+        Some(entry(endpoint, place, f64::NAN, Listed::Gone))
+    }
+}
+
+fn entry(endpoint: EndpointId, place: Place, rate: f64, listed: Listed) -> Entry {
+    let Place { dest, kind, zone, .. } = place;
+    Entry { endpoint, destination: DestinationId(dest), kind, zone, rate, listed }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Name, port, block and health.
+    type Line<'a> = (&'a str, u16, u32, &'a str);
+
+    fn directory(lists: &[(bool, &[Line])]) -> (Directory, Vec<Event>) {
+        let mut directory = Directory::default();
+        let events = lists.iter().enumerate().map(|(i, (whole, hosts))| {
+            let hosts = hosts.iter().map(|(host, port, block, health)| {
+                serde_json::json!({"host": host, "dial": format!("127.0.0.1:{port}"), "site": "a",
+                    "class": "k", "block": block, "health": health, "share": 1.0})
+            });
+            let list = List { seq: i as u64, whole: *whole, hosts: hosts.collect() };
+            directory.enrol(list, &["k".into()], &["a".into()]).0
+        });
+        let events = events.collect();
+        (directory, events)
+    }
+
+    fn ready(directory: &Directory) -> Vec<(u16, u32)> {
+        directory.places.values().filter(|p| p.ready).map(|p| (p.dial.port(), p.dest)).collect()
+    }
+
+    #[test]
+    fn a_newcomer_takes_the_address_over() {
+        let one = ("one", 1, 7, "up");
+        for later in [
+            &[("two", 1, 8, "up")][..],
+            &[("two", 1, 8, "up"), ("one", 1, 7, "draining")],
+            &[("one", 1, 7, "removed"), ("two", 1, 8, "up")],
+            &[("two", 1, 8, "up"), ("one", 1, 7, "removed")],
+        ] {
+            for whole in [false, true] {
+                let (directory, _) = directory(&[(true, &[one]), (whole, later)]);
+                assert_eq!(ready(&directory), [(1, 8)], "{later:?}");
+                assert_eq!(directory.hosts.len(), 1);
+            }
+        }
+    }
+
+    #[test]
+    fn a_host_that_serves_another_destination_is_another_endpoint() {
+        let (directory, events) =
+            directory(&[(true, &[("one", 1, 7, "up")]), (false, &[("one", 1, 8, "up")])]);
+        assert_eq!(ready(&directory), [(1, 8)]);
+        let Event::ListChanged(entries) = &events[1] else { panic!("{events:?}") };
+        let told: Vec<_> = entries.iter().map(|e| (e.endpoint.0, e.destination.0, e.listed)).collect();
+        assert_eq!(told, [(1, 7, Listed::Gone), (2, 8, Listed::Ready)]);
+    }
+
+    #[test]
+    fn names_that_are_ever_new_leave_nothing_behind() {
+        let names: Vec<String> = (0..200).map(|i| format!("host-{i}")).collect();
+        let hosts: Vec<[Line; 1]> =
+            names.iter().enumerate().map(|(i, name)| [(&**name, i as u16 % 10, 7, "up")]).collect();
+        let lists: Vec<(bool, &[_])> = hosts.iter().map(|host| (false, &host[..])).collect();
+        let (mut directory, _) = directory(&lists);
+        assert_eq!((directory.hosts.len(), directory.places.len()), (10, 10));
+        let gone = serde_json::json!({"host": "host-199", "dial": "127.0.0.1:9", "site": "a", "class": "k",
+            "block": 7, "health": "removed", "share": 1.0});
+        let list = List { seq: 300, whole: false, hosts: vec![gone] };
+        let (_, left) = directory.enrol(list, &["k".into()], &["a".into()]);
+        assert_eq!((directory.hosts.len(), directory.places.len(), left.len()), (9, 9, 1));
+    }
+}
--- a/src/bin/fawnspoke/discovery.rs
+++ b/src/bin/fawnspoke/discovery.rs
@@ -6,14 +6,11 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Bytes;
 use hyper::{Method, Request, StatusCode};
-use serde::Deserialize;
-use serde_json::Value;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout, timeout_at};
-use waydoor::{DestinationId, EndpointId, Entry, Event, Listed};
+use waydoor::Event;
 
 /// A watch that is silent for two heartbeats and more is broken, though its connection may look well.
 const SILENCE: Duration = Duration::from_millis(4500);
@@ -26,110 +23,14 @@
 /// Notices in one request.
 const NOTICES: usize = 64;
 
-/// Where an endpoint is and what may go there.
-#[derive(Clone, Copy, Debug)]
-pub struct Place {
-    pub dial: SocketAddr,
-    pub dest: u32,
-    /// Its destination's kind, an index of the settings' kinds.
-    pub kind: usize,
-    pub zone: u16,
-    pub ready: bool,
-}
-
-/// The endpoints as listed now.
-#[derive(Default)]
-pub struct Directory {
-    hosts: HashMap<String, EndpointId>,
-    places: BTreeMap<EndpointId, Place>,
-    seq: u64,
-    named: u64,
-}
-
-#[derive(Deserialize)]
-struct List {
-    seq: u64,
-    whole: bool,
-    hosts: Vec<Value>,
-}
-
-#[derive(Deserialize)]
-struct Host {
-    host: String,
-    dial: SocketAddr,
-    site: String,
-    class: String,
-    block: u32,
-    health: Health,
-    share: f64,
-}
-
-#[derive(Clone, Copy, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum Health {
-    Up,
-    Draining,
-    Removed,
-}
-
-impl Directory {
-    pub fn place(&self, endpoint: EndpointId) -> Option<Place> {
-        self.places.get(&endpoint).copied()
-    }
-
-    /// Whether a message for `dest` may go to the endpoint as listed now.
-    pub fn open(&self, endpoint: EndpointId, at: SocketAddr, dest: u32) -> bool {
-        let place = self.places.get(&endpoint);
-        place.is_some_and(|place| place.ready && (place.dial, place.dest) == (at, dest))
-    }
-
-    /// Takes one list; an entry that cannot be read is left out. Returns the event for the decisions.
-    fn enrol(&mut self, list: List, kinds: &[String], zones: &[String]) -> Event {
-        let mut entries = Vec::new();
-        for value in list.hosts {
-            let host = match Host::deserialize(&value) {
-                Ok(host) => host,
-                Err(error) => {
-                    log::line(format_args!("discovery: entry left out: {error}"));
-                    continue;
-                }
-            };
-            let kind = kinds.iter().position(|kind| *kind == host.class);
-            let Some(kind) = kind else {
-                log::line(format_args!("discovery: entry left out: {} is of no known class", host.host));
-                continue;
-            };
-            let zone = zones.iter().position(|zone| *zone == host.site).unwrap_or(zones.len()) as u16;
-            let endpoint = *self.hosts.entry(host.host).or_insert_with(|| {
-                self.named += 1;
-                EndpointId(self.named)
-            });
-            let listed = match host.health {
-                Health::Up => Listed::Ready,
-                Health::Draining => Listed::Draining,
-                Health::Removed => Listed::Gone,
-            };
-            let ready = listed == Listed::Ready;
-            self.places.insert(endpoint, Place { dial: host.dial, dest: host.block, kind, zone, ready });
-            let destination = DestinationId(host.block);
-            entries.push(Entry { endpoint, destination, kind, zone, rate: host.share, listed });
-        }
-        if list.whole {
-            // What is gone for good is forgotten, or names would pile up.
-            let named: BTreeSet<EndpointId> = entries.iter().map(|entry| entry.endpoint).collect();
-            self.places.retain(|endpoint, _| named.contains(endpoint));
-            self.hosts.retain(|_, endpoint| self.places.contains_key(endpoint));
-        }
-        self.seq = list.seq;
-        if list.whole { Event::ListWhole(entries) } else { Event::ListChanged(entries) }
-    }
-}
-
 /// Takes a list in discovery's form.
 pub fn list(node: &Node, value: &[u8]) {
     match serde_json::from_slice(value) {
         Ok(list) => {
-            let event = node.directory.borrow_mut().enrol(list, &node.config.kinds, &node.config.zones);
+            let (event, left) =
+                node.directory.borrow_mut().enrol(list, &node.config.kinds, &node.config.zones);
+            // Nothing goes there any more, and somebody else may come to the address.
+            left.into_iter().for_each(|endpoint| node.pool.close(endpoint));
             node.tell(event);
         }
         Err(error) => log::line(format_args!("discovery: line left out: {error}")),
@@ -141,7 +42,7 @@
     let mut moved = node.discovery.subscribe();
     let mut backoff = BACKOFF;
     loop {
-        let (at, seq) = (*moved.borrow_and_update(), node.directory.borrow().seq);
+        let (at, seq) = (*moved.borrow_and_update(), node.directory.borrow().seq());
         tokio::select! {
             heard = follow(&node, at, seq) => {
                 log::line(format_args!("discovery: watch ended: {}", heard.unwrap_or_else(|error| error.to_string())));
@@ -155,7 +56,7 @@
             }
         }
         // A watch that brought something was a good one.
-        let news = node.directory.borrow().seq != seq;
+        let news = node.directory.borrow().seq() != seq;
         backoff = if news { BACKOFF } else { (backoff * 2).min(BACKOFF_MOST) };
         // A new address is tried at once.
         let _ = timeout(backoff, moved.wait_for(|now| *now != at)).await;
--- a/src/bin/fawnspoke/main.rs
+++ b/src/bin/fawnspoke/main.rs
@@ -6,6 +6,7 @@
 mod calls;
 mod clients;
 mod config;
+mod directory;
 mod discovery;
 mod intake;
 mod journal;
@@ -15,7 +16,7 @@
 use calls::{Call, CallEnd, Item, Pool};
 use clients::Clients;
 use config::Config;
-use discovery::Directory;
+use directory::Directory;
 use journal::{Journal, Notice, Start, UnixMicros};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -391,3 +391,44 @@
     }
     assert!(served as f64 > 0.7 * taken as f64, "{served} of {taken}");
 }
+
+#[test]
+fn spoilt_answers_count_for_repeats_and_not_for_health() {
+    let mut stage = Stage::new(settings());
+    stage.take(1, 2, 1);
+    assert_eq!(stage.round().len(), 1);
+    stage.end(1, 1, 0, Outcome::Spoilt, 0.1);
+    stage.round();
+    assert!(stage.failed(1), "an unsafe message may have run");
+    // As many failures would have shut the place long ago.
+    for attempt in 0..5 {
+        if attempt == 0 {
+            stage.take(2, 0, 1);
+        }
+        assert_eq!(stage.round().len(), 1, "attempt {attempt} goes at once");
+        stage.end(2, 1, attempt, Outcome::Spoilt, 0.1);
+    }
+}
+
+#[test]
+fn a_rejected_call_is_taken_apart() {
+    let mut settings = settings();
+    settings.kinds[0].batch = 5;
+    let mut stage = Stage::new(settings);
+    for id in 1..=3 {
+        stage.take(id, 2, 1);
+    }
+    assert_eq!(stage.round().len(), 3);
+    for id in 1..=3 {
+        stage.end(id, 1, 0, Outcome::Rejected, 0.01);
+    }
+    // None of them ran: each goes once more, in a call of its own.
+    let again = stage.round();
+    assert_eq!(again.len(), 3);
+    assert!(stage.actions.iter().all(|a| !matches!(a, Action::Send { alone: false, .. })));
+    stage.end(1, 1, 1, Outcome::Served, 0.1);
+    stage.end(2, 1, 1, Outcome::Rejected, 0.01);
+    stage.end(3, 1, 1, Outcome::Served, 0.1);
+    assert!(stage.round().is_empty());
+    assert!(stage.failed(2), "it would fare no better another time");
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,6 +1,7 @@
 //! The dispatcher as a process, on loopback sockets. Each test waits on conditions, never on a tight time.
 
 mod answers;
+mod churn;
 mod clients;
 mod reload;
 mod stage;
--- a/tests/sockets/reload.rs
+++ b/tests/sockets/reload.rs
@@ -29,9 +29,10 @@
     eventually("the watch at the new address", || new.watched_from().len() == 1);
     assert!(new.watched_from()[0].contains("index=1 "), "it goes on from the version that is known");
     assert!(dispatcher.logged("restart for settings.limits.open_cap"));
-    new.push(2, &[endpoint.host("e2", 8, "up")]);
+    let later = Endpoint::start(|_, _| Reply::status(200));
+    new.push(2, &[later.host("later", 8, "up")]);
     dispatcher.hand_in_once_listed("safe", "by-new-list", 8);
-    eventually("the call by the new list", || endpoint.ids().contains(&"by-new-list".to_string()));
+    eventually("the call by the new list", || later.ids() == ["by-new-list"]);
     eventually("all that was taken", || (0..10).all(|i| endpoint.ids().contains(&format!("m{i}"))));
 }
 
--- a/tests/sockets/stage.rs
+++ b/tests/sockets/stage.rs
@@ -113,6 +113,8 @@
 struct EndpointState {
     seen: Vec<Seen>,
     connections: usize,
+    /// Connections that have ended.
+    ended: usize,
     /// Connections that the other side closed while a call was out on them.
     given_up: usize,
 }
@@ -138,7 +140,10 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (state, script) = (state.clone(), script.clone());
-                thread::spawn(move || drop(Endpoint::serve(stream, &state, &*script)));
+                thread::spawn(move || {
+                    let _ = Endpoint::serve(stream, &state, &*script);
+                    state.lock().unwrap().ended += 1;
+                });
             }
         });
         endpoint
@@ -197,6 +202,12 @@
         self.seen().iter().map(|seen| seen.id().to_string()).collect()
     }
 
+    /// Connections that are open.
+    pub fn open(&self) -> usize {
+        let state = self.state.lock().unwrap();
+        state.connections - state.ended
+    }
+
     pub fn given_up(&self) -> usize {
         self.state.lock().unwrap().given_up
     }
