A place without a limit gets no more at once than it has taken

Checked with a trace of calls and ends: from the first refusal on, exactly 46 calls (three quarters of the slots) went there in one round every 2 s, 40 of them refused, 5 served; before it the same place served 100 a second. Ruled out: the room and the disk (no refusal at the door), silent connections (their time-outs are 1 in 50 and look the same before and after), the destination itself (from the other dispatcher it served 90 a second meanwhile). To blame: choice.rs learn(): the pace is cut only where a limit is counted; where there is none nothing bounded what leaves in one round after a pause, and each burst's refusals grow the pause to its most. Now: what is still out when a call is refused is what the place takes at once; the bound grows like the pace. Test: rules.rs a_place_without_a_limit_gets_no_more_at_once_than_it_took.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -198,6 +198,11 @@
                 };
             }
             Outcome::Full => {
+                // What is out still once one has been refused is what a place without a limit takes at once.
+                // Guards against sending it all that is held, and having most of it refused, over and over.
+                if self.uncounted {
+                    self.at_once = Some((self.out.max(1) as f64, now));
+                }
                 if self.fulls == 0 || now - self.pause_until > FORGET {
                     (self.fulls, self.full_since) = (0, now);
                 }
@@ -258,6 +263,10 @@
         if rate.is_finite() {
             open_at = open_at.max(self.due - (burst - 1.0) / rate);
         }
+        let grown = |(calls, at): (f64, Seconds)| calls * (1.0 + PACE_GROWTH).powf(now - at);
+        if self.at_once.is_some_and(|found| self.out as f64 >= grown(found)) {
+            open_at = f64::INFINITY;
+        }
         let trial = matches!(self.health, Health::Suspect | Health::Shut);
         if trial {
             open_at = open_at.max(if self.out < TRIALS_OUT { self.trial_at } else { f64::INFINITY });
--- a/src/state.rs
+++ b/src/state.rs
@@ -49,6 +49,8 @@
     pub(crate) fails: u32,
     pub(crate) fulls: u32,
     pub(crate) full_since: Seconds,
+    /// Calls that the place takes at once, found when it refused some, and when that was.
+    pub(crate) at_once: Option<(f64, Seconds)>,
     pub(crate) wait_until: Seconds,
     pub(crate) pause_until: Seconds,
     pub(crate) due: Seconds,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -432,3 +432,38 @@
     assert!(stage.round().is_empty());
     assert!(stage.failed(2), "it would fare no better another time");
 }
+
+#[test]
+fn a_place_without_a_limit_gets_no_more_at_once_than_it_took() {
+    let mut stage = Stage::new(Settings { slots: 100, ..settings() });
+    let uncounted = Some(Allowance { rate: 0.0 });
+    let end = |stage: &mut Stage, sent: &Sent, attempt, outcome, latency| {
+        stage.event(Event::Ended(AttemptEnd {
+            id: MessageId(sent.id),
+            endpoint: EndpointId(sent.endpoint),
+            attempt,
+            outcome,
+            wait: None,
+            closed: outcome == Outcome::Served,
+            latency,
+            allowance: uncounted,
+            kept: true,
+        }));
+    };
+    stage.take(1, 0, 1);
+    let first = stage.round();
+    end(&mut stage, &first[0], 0, Outcome::Served, 0.1);
+    for id in 2..42 {
+        stage.take(id, 0, 1);
+    }
+    let burst = stage.round();
+    assert_eq!(burst.len(), 40, "nothing is known of its room");
+    // It takes five and refuses the others; all refusals come in one round.
+    stage.now += 0.02;
+    burst[5..].iter().for_each(|sent| end(&mut stage, sent, 0, Outcome::Full, 0.02));
+    stage.round();
+    stage.now += 0.08;
+    burst[..5].iter().for_each(|sent| end(&mut stage, sent, 0, Outcome::Served, 0.1));
+    let again = stage.until(stage.now + 3.0);
+    assert!((5..10).contains(&again.len()), "{} at once", again.len());
+}
