A closed idle connection tells nothing of its place; a write that fails never ran

One dispatcher had a destination shut for 8 s because each trial went on an idle connection. To blame: choice.rs observe(): a reset counted against the place whatever it went over; calls.rs took a failed write for a call that may have run, and dropped all idle connections after any failure. Now: AttemptEnd tells whether the connection was reused, a reset of such a one is left out of health; a failed write is NoConnection; after a reset the connections that were idle for longer go, after a time-out all. The bound on calls at once falls by a fifth at most for each refusal. Tests: rules.rs closed_idle_connections_are_no_outage, calls.rs a_write_that_fails_is_known.

--- a/src/bin/fawnspoke/calls.rs
+++ b/src/bin/fawnspoke/calls.rs
@@ -46,12 +46,15 @@
     /// The other side has ended the connection. After a head that hyper cannot read it ends it itself, so
     /// the socket can't be asked any more.
     ended: Cell<bool>,
+    /// A write has failed.
+    unwritten: Cell<bool>,
 }
 
 impl Heard {
     fn clear(&self) {
         self.head.take();
         self.first_at.set(None);
+        self.unwritten.set(false);
     }
 
     fn follow(&self, bytes: &[u8]) {
@@ -89,15 +92,26 @@
     }
 }
 
+impl Line {
+    fn note(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if matches!(written, Poll::Ready(Err(_))) {
+            self.heard.unwritten.set(true);
+        }
+        written
+    }
+}
+
 impl AsyncWrite for Line {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.wire).poll_write(cx, bytes)
+        let written = Pin::new(&mut self.wire).poll_write(cx, bytes);
+        self.note(written)
     }
 
     fn poll_write_vectored(
         mut self: Pin<&mut Self>, cx: &mut Context<'_>, parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.wire).poll_write_vectored(cx, parts)
+        let written = Pin::new(&mut self.wire).poll_write_vectored(cx, parts);
+        self.note(written)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -186,8 +200,8 @@
         self.idle.borrow_mut().remove(&endpoint);
     }
 
-    /// Drops connections that have been idle since before `since`, when a call went out that has failed. A
-    /// machine that vanished leaves all of them open and silent: each would cost one more call.
+    /// Drops connections that have been idle since `since` or before, after a call that has failed: each of
+    /// them would cost one more.
     fn distrust(&self, endpoint: EndpointId, since: Instant) {
         if let Some(links) = self.idle.borrow_mut().get_mut(&endpoint) {
             links.retain(|link| link.idle_since > since);
@@ -246,14 +260,16 @@
     pub ends: Vec<End>,
     pub wait: Option<Seconds>,
     pub allowance: Option<Allowance>,
+    /// Its connection had been idle.
+    pub reused: bool,
     /// Its connection is idle now.
     pub kept: bool,
 }
 
 impl CallEnd {
     /// The end of a call that brought nothing that can be believed but what happened to it.
-    pub fn bare(ends: Vec<End>) -> CallEnd {
-        CallEnd { ends, wait: None, allowance: None, kept: false }
+    pub fn bare(ends: Vec<End>, reused: bool) -> CallEnd {
+        CallEnd { ends, wait: None, allowance: None, reused, kept: false }
     }
 }
 
@@ -262,8 +278,11 @@
     let until = Instant::now() + Duration::from_secs_f64(call.timeout.clamp(0.0, 3600.0));
     let Call { endpoint, at, dest, ref items, .. } = *call;
     let open = || node.directory.borrow().open(endpoint, at, dest);
+    let mut reused = false;
     let answer = match request(call) {
-        Ok(request) => exchange(node, (endpoint, at), request, until, &open, items.len() > 1).await,
+        Ok(request) => {
+            exchange(node, (endpoint, at), request, until, &open, items.len() > 1, &mut reused).await
+        }
         Err(error) => {
             log::line(format_args!("call to {at}: cannot be written: {error}"));
             Err(Outcome::Error)
@@ -275,13 +294,13 @@
     };
     let answer = match answer {
         Ok(answer) => answer,
-        Err(outcome) => return CallEnd::bare(all(outcome, false)),
+        Err(outcome) => return CallEnd::bare(all(outcome, false), reused),
     };
     let Some(body) = &answer.body else {
         // A first line with 200 is true of the one message that it answers; of several it tells nothing, and
         // nothing else that stands in such an answer is believed.
         let one = answer.status == StatusCode::OK && items.len() == 1;
-        return CallEnd::bare(all(if one { Outcome::Served } else { Outcome::Spoilt }, one));
+        return CallEnd::bare(all(if one { Outcome::Served } else { Outcome::Spoilt }, one), reused);
     };
     let ends = match answer.status {
         StatusCode::OK if items.len() > 1 => many_ends(items, body),
@@ -303,7 +322,7 @@
         }
     };
     let allowance = node.config.report_field.and_then(|field| allowance(&answer.headers, field));
-    CallEnd { ends, wait: wait(&answer.headers), allowance, kept: answer.kept }
+    CallEnd { ends, wait: wait(&answer.headers), allowance, reused, kept: answer.kept }
 }
 
 /// Asks an endpoint whether it runs.
@@ -313,7 +332,7 @@
     let request = Request::get("/health/live").header("Host", place.dial.to_string()).body(Full::default());
     let Ok(request) = request else { return (Outcome::Moot, None) };
     let open = || node.directory.borrow().open(endpoint, place.dial, place.dest);
-    match exchange(node, (endpoint, place.dial), request, until, &open, false).await {
+    match exchange(node, (endpoint, place.dial), request, until, &open, false, &mut false).await {
         Err(outcome) => (outcome, None),
         Ok(answer) if answer.body.is_none() => (Outcome::Spoilt, None),
         Ok(answer) => {
@@ -341,10 +360,11 @@
 /// with 200 tells something.
 async fn exchange(
     node: &Node, (endpoint, at): (EndpointId, SocketAddr), mut request: Request<Full<Bytes>>, until: Instant,
-    open: &dyn Fn() -> bool, told: bool,
+    open: &dyn Fn() -> bool, told: bool, reused: &mut bool,
 ) -> Result<Answer, Outcome> {
     loop {
-        let (mut link, reused) = match node.pool.reuse(endpoint, at, keepalive(node)) {
+        let mut link;
+        (link, *reused) = match node.pool.reuse(endpoint, at, keepalive(node)) {
             Some(link) => (link, true),
             None => {
                 let limit = Duration::from_secs_f64(node.config.connect_timeout);
@@ -357,7 +377,7 @@
         };
         match timeout_at(until, link.sender.ready()).await {
             Ok(Ok(())) => {}
-            _ if reused => continue,
+            _ if *reused => continue,
             _ => return Err(Outcome::NoConnection),
         }
         // Connecting takes time: what is drained or gone by now gets nothing new.
@@ -382,11 +402,13 @@
             Ok(Ok(answer)) => return Ok(rest(node, endpoint, link, answer, told).await),
             Ok(Err(mut error)) => match error.take_message() {
                 // An idle connection that was closed meanwhile: no byte was written, so this is no resend.
-                Some(unsent) if reused => {
+                Some(unsent) if *reused => {
                     request = unsent;
                     continue;
                 }
                 Some(_) => return Err(Outcome::NoConnection),
+                // It broke before the last byte was written: an endpoint begins a call only then.
+                None if heard.unwritten.get() => Outcome::NoConnection,
                 None => Outcome::Reset,
             },
             Err(_) => Outcome::TimedOut,
@@ -400,7 +422,10 @@
         if begun && !heard.ended.get() {
             return Err(Outcome::Spoilt);
         }
-        node.pool.distrust(endpoint, sent_at);
+        // A machine that vanished leaves all connections open and silent; one that closes those that are idle
+        // closes the older ones first.
+        let since = if outcome == Outcome::TimedOut { sent_at } else { link.idle_since };
+        node.pool.distrust(endpoint, since);
         return Err(outcome);
     }
 }
@@ -479,3 +504,34 @@
     let rate = report.get(field)?.as_f64().filter(|rate| rate.is_finite() && *rate >= 0.0)?;
     Some(Allowance { rate })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use socket2::SockRef;
+    use tokio::io::AsyncWriteExt;
+    use tokio::net::TcpListener;
+
+    #[tokio::test]
+    async fn a_write_that_fails_is_known() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        let wire = Wire::new(stream).unwrap();
+        let heard = Rc::new(Heard::default());
+        let mut line = Line { wire: wire.clone(), heard: heard.clone() };
+        let (peer, _) = listener.accept().await.unwrap();
+        line.write_all(b"first").await.unwrap();
+        assert!(!heard.unwritten.get());
+        // Closed so, the peer resets the connection.
+        SockRef::from(&peer).set_linger(Some(Duration::ZERO)).unwrap();
+        drop(peer);
+        while wire.unread() != Unread::End {
+            tokio::task::yield_now().await;
+        }
+        // The first write after it may only bring the fault that is kept at the socket.
+        line.write_all(b"second").await.unwrap_err();
+        assert!(heard.unwritten.get());
+        heard.clear();
+        assert!(!heard.unwritten.get());
+    }
+}
--- a/src/bin/fawnspoke/main.rs
+++ b/src/bin/fawnspoke/main.rs
@@ -154,7 +154,7 @@
             }
         }
         Input::Ended { endpoint, sent_at, end } => {
-            let CallEnd { ends, wait, allowance, kept } = end;
+            let CallEnd { ends, wait, allowance, reused, kept } = end;
             let latency = now - sent_at;
             for end in ends {
                 let calls::End { number, attempt, outcome, closed } = end;
@@ -170,6 +170,7 @@
                         closed,
                         latency,
                         allowance,
+                        reused,
                         kept,
                     }),
                 );
@@ -220,7 +221,7 @@
             node.record(recorded.and(journal.ended(number, false)));
             let ends =
                 vec![calls::End { number, attempt: item.attempt, outcome: Outcome::Moot, closed: false }];
-            let end = CallEnd::bare(ends);
+            let end = CallEnd::bare(ends, false);
             node.send(Input::Ended { endpoint, sent_at: node.now(), end });
             return;
         };
--- a/src/bin/waydoor-drill/host.rs
+++ b/src/bin/waydoor-drill/host.rs
@@ -135,6 +135,8 @@
                     closed,
                     latency,
                     allowance,
+                    // The wire does not tell.
+                    reused: false,
                     kept,
                 })
             }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -201,7 +201,8 @@
                 // What is out still once one has been refused is what a place without a limit takes at once.
                 // Guards against sending it all that is held, and having most of it refused, over and over.
                 if self.uncounted {
-                    self.at_once = Some((self.out.max(1) as f64, now));
+                    let least = self.at_once(now).map_or(1.0, |calls| calls * PACE_CUT);
+                    self.at_once = Some(((self.out as f64).max(least), now));
                 }
                 if self.fulls == 0 || now - self.pause_until > FORGET {
                     (self.fulls, self.full_since) = (0, now);
@@ -249,6 +250,10 @@
         self.pace.map_or(f64::INFINITY, |(rate, at)| rate * (1.0 + PACE_GROWTH).powf(now - at))
     }
 
+    fn at_once(&self, now: Seconds) -> Option<f64> {
+        self.at_once.map(|(calls, at)| calls * (1.0 + PACE_GROWTH).powf(now - at))
+    }
+
     /// The rate that is allowed now, and how many calls at once. While shut, the trials' own interval binds.
     fn allowed(&self, now: Seconds, rule: &ReturnRule) -> (f64, f64) {
         match self.health {
@@ -263,8 +268,7 @@
         if rate.is_finite() {
             open_at = open_at.max(self.due - (burst - 1.0) / rate);
         }
-        let grown = |(calls, at): (f64, Seconds)| calls * (1.0 + PACE_GROWTH).powf(now - at);
-        if self.at_once.is_some_and(|found| self.out as f64 >= grown(found)) {
+        if self.at_once(now).is_some_and(|calls| self.out as f64 >= calls) {
             open_at = f64::INFINITY;
         }
         let trial = matches!(self.health, Health::Suspect | Health::Shut);
@@ -423,7 +427,10 @@
         if end.outcome == Outcome::Served && self.stalled_at != now {
             self.usual_latency += SAMPLE * (end.latency - self.usual_latency) * 0.5;
         }
-        if self.judge_connection(now, flight.endpoint, end.outcome, idle, end.kept) {
+        // An endpoint may close what is idle whenever it likes; the next call goes on a new connection and
+        // tells of the place. Guards against taking closed connections for an outage.
+        let closed_idle = end.reused && end.outcome == Outcome::Reset;
+        if self.judge_connection(now, flight.endpoint, end.outcome, idle, end.kept) && !closed_idle {
             self.observe(now, flight.endpoint, end.outcome, end.latency, end.wait, end.allowance, false);
         }
         self.forget(flight.endpoint);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -298,6 +298,8 @@
     pub latency: Seconds,
     /// What the endpoint tells of its limit.
     pub allowance: Option<Allowance>,
+    /// The call went over a connection that had been idle.
+    pub reused: bool,
     /// The call's connection is idle now and may be used again.
     pub kept: bool,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -59,6 +59,7 @@
 //!         closed: true,
 //!         latency: 0.3,
 //!         allowance: None,
+//!         reused: false,
 //!         kept: true,
 //!     }),
 //! );
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -110,6 +110,7 @@
             closed: outcome == Outcome::Served,
             latency,
             allowance: None,
+            reused: false,
             kept: outcome.answered(),
         }));
     }
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -57,8 +57,18 @@
                 let (attempt, _) = (*attempt, *attempt += 1);
                 let (wait, allowance) = (None, None);
                 let kept = outcome.answered();
-                let end =
-                    AttemptEnd { id, endpoint, attempt, outcome, wait, closed, latency, allowance, kept };
+                let end = AttemptEnd {
+                    id,
+                    endpoint,
+                    attempt,
+                    outcome,
+                    wait,
+                    closed,
+                    latency,
+                    allowance,
+                    reused: false,
+                    kept,
+                };
                 out.push((now + latency, from, Event::Ended(end)));
                 calls.push(Call { at: now, from, outcome });
             }
--- a/tests/robust.rs
+++ b/tests/robust.rs
@@ -345,6 +345,7 @@
         closed,
         latency: now - at,
         allowance: None,
+        reused: false,
         kept: outcome.answered(),
     };
     to.handle(now, Event::Ended(event));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -207,6 +207,7 @@
         closed: true,
         latency: 0.2,
         allowance: None,
+        reused: false,
         kept: true,
     }));
     let later = stage.until(ended + 6.0);
@@ -447,6 +448,7 @@
             closed: outcome == Outcome::Served,
             latency,
             allowance: uncounted,
+            reused: false,
             kept: true,
         }));
     };
@@ -467,3 +469,30 @@
     let again = stage.until(stage.now + 3.0);
     assert!((5..10).contains(&again.len()), "{} at once", again.len());
 }
+
+#[test]
+fn closed_idle_connections_are_no_outage() {
+    let mut stage = Stage::new(settings());
+    stage.serve(1, 1);
+    stage.take(2, 0, 1);
+    let reset = |stage: &mut Stage, attempt, reused| {
+        stage.now += 0.1;
+        assert_eq!(stage.round().len(), 1, "attempt {attempt} goes at once");
+        stage.event(Event::Ended(AttemptEnd {
+            id: MessageId(2),
+            endpoint: EndpointId(1),
+            attempt,
+            outcome: Outcome::Reset,
+            wait: None,
+            closed: false,
+            latency: 0.001,
+            allowance: None,
+            reused,
+            kept: false,
+        }));
+    };
+    (0..3).for_each(|attempt| reset(&mut stage, attempt, true));
+    // On new connections they tell of the place.
+    (3..5).for_each(|attempt| reset(&mut stage, attempt, false));
+    assert!(stage.round().is_empty());
+}
