A workspace of packages by concern; one binary with subcommands

Bare with GW_CONFIG the binary is the dispatcher as before and parses no arguments; 'serve' is the same by name; 'check FILE' reads a configuration. A wrong configuration now ends with exit code 2.

--- /dev/null
+++ b/crates/fawnspoke/src/main.rs
@@ -0,0 +1,113 @@
+//! The program: reads its arguments and hands over to the part that is asked for.
+
+use clap::{Args, Parser, Subcommand};
+use fawnspoke_lab::command;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// A delivery service for messages to other firms' systems.
+///
+/// Without a subcommand, and with GW_CONFIG set, it is the dispatcher.
+#[derive(Parser)]
+#[command(name = "fawnspoke", version, arg_required_else_help = true)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run the dispatcher that GW_CONFIG and GW_STATE describe
+    Serve,
+    /// Read a dispatcher's configuration and say what is wrong with it
+    Check {
+        /// The configuration, in JSON
+        file: PathBuf,
+    },
+    /// Play the embedded scenario: two dispatchers, partners in trouble, one kill; some 15 s
+    Demo {
+        #[command(flatten)]
+        play: Play,
+    },
+    /// Stand-ins, faults and the auditor
+    #[command(subcommand)]
+    Lab(Lab),
+}
+
+#[derive(Subcommand)]
+enum Lab {
+    /// Play a scenario and judge it
+    Run {
+        /// The scenario, in TOML
+        scenario: PathBuf,
+        #[command(flatten)]
+        play: Play,
+    },
+    /// Print the script of arrivals and faults that a scenario and its seed give
+    Script {
+        /// The scenario, in TOML
+        scenario: PathBuf,
+        /// In place of the scenario's own
+        #[arg(long)]
+        seed: Option<u64>,
+    },
+    /// Judge a record that an earlier run kept
+    Audit {
+        /// The record, one JSON object a line
+        record: PathBuf,
+    },
+    /// Run a dispatcher that breaks rules on purpose, in place of `serve`
+    #[command(hide = true)]
+    Naive,
+}
+
+#[derive(Args)]
+struct Play {
+    /// In place of the scenario's own
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Play so many seeds, one after the other, counted up from the first
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=1000))]
+    seeds: u64,
+    /// Run the dispatchers as a naive one that has this fault: forgets, early, resends, doubles or impatient
+    #[arg(long, value_name = "FAULT")]
+    broken: Option<String>,
+    /// Keep the record of all that the stand-ins saw in this file
+    #[arg(long)]
+    record: Option<PathBuf>,
+    /// Keep the dispatchers' logs in this folder
+    #[arg(long)]
+    logs: Option<PathBuf>,
+}
+
+impl From<Play> for command::Play {
+    fn from(play: Play) -> command::Play {
+        let Play { seed, seeds, broken, record, logs } = play;
+        command::Play { seed, seeds, broken, record, logs }
+    }
+}
+
+fn main() -> ExitCode {
+    // As the platform starts it: nothing else is looked at.
+    if std::env::args_os().len() == 1 && std::env::var_os("GW_CONFIG").is_some() {
+        return fawnspoke_node::serve();
+    }
+    match Cli::parse().command {
+        Command::Serve => fawnspoke_node::serve(),
+        Command::Check { file } => match fawnspoke_node::check(&file) {
+            Ok(text) => {
+                println!("{text}");
+                ExitCode::SUCCESS
+            }
+            Err(error) => {
+                eprintln!("fawnspoke: {error}");
+                ExitCode::from(2)
+            }
+        },
+        Command::Demo { play } => command::demo(&play.into()),
+        Command::Lab(Lab::Run { scenario, play }) => command::run(&scenario, &play.into()),
+        Command::Lab(Lab::Script { scenario, seed }) => command::script(&scenario, seed),
+        Command::Lab(Lab::Audit { record }) => command::audit(&record),
+        Command::Lab(Lab::Naive) => command::naive(),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,3 @@
+//! Stand-ins for all that a dispatcher meets, faults on demand, and an auditor.
+
+pub mod command;
--- a/src/bin/fawnspoke/config.rs
+++ b/crates/node/src/config.rs
@@ -4,7 +4,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use waydoor::{Class, Decay, Effect, Kind, Listing, ReturnRule, Settings};
 
 /// All that this dispatcher is told.
@@ -192,6 +192,12 @@
         Config::read(&text, state.into())
     }
 
+    /// Reads a configuration that is not to be run: it has no folder.
+    pub fn from_file(file: &Path) -> Result<Config, String> {
+        let text = std::fs::read(file).map_err(|error| error.to_string())?;
+        Config::read(&text, PathBuf::new())
+    }
+
     fn read(text: &[u8], state: PathBuf) -> Result<Config, String> {
         let mut reader = serde_json::Deserializer::from_slice(text);
         let raw: Raw = serde_path_to_error::deserialize(&mut reader)
--- a/src/bin/fawnspoke/main.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
+use std::path::Path;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -417,13 +418,22 @@
     Ok(())
 }
 
-fn main() -> ExitCode {
-    let started = Config::from_environment().and_then(|config| {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.map_err(|error| format!("runtime: {error}"))?;
-        LocalSet::new().block_on(&runtime, run(config))
-    });
-    match started {
+/// Runs the dispatcher that `GW_CONFIG` and `GW_STATE` describe until it is told to stop. A configuration that
+/// is wrong ends the start with one line that names the key, and exit code 2; a start that fails for another
+/// cause (an address in use, a folder that can't be written) with exit code 1.
+pub fn serve() -> ExitCode {
+    let config = match Config::from_environment() {
+        Ok(config) => config,
+        Err(error) => {
+            eprintln!("fawnspoke: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let ran = runtime
+        .map_err(|error| format!("runtime: {error}"))
+        .and_then(|runtime| LocalSet::new().block_on(&runtime, run(config)));
+    match ran {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("fawnspoke: {error}");
@@ -431,3 +441,20 @@
         }
     }
 }
+
+/// Reads a configuration without starting anything.
+///
+/// # Errors
+/// One line that names the file, the key and what is wrong with it.
+pub fn check(file: &Path) -> Result<String, String> {
+    let config = Config::from_file(file).map_err(|error| format!("{}: {error}", file.display()))?;
+    Ok(format!(
+        "{}: {}: {} classes, {} kinds of destination, {} slots, room for {} messages",
+        file.display(),
+        config.name,
+        config.classes.len(),
+        config.kinds.len(),
+        config.settings.slots,
+        config.settings.room
+    ))
+}
