--- a/crates/fawnspoke/src/main.rs
+++ b/crates/fawnspoke/src/main.rs
@@ -58,7 +58,10 @@
     },
     /// Run a dispatcher that breaks rules on purpose, in place of `serve`
     #[command(hide = true)]
-    Naive,
+    Naive {
+        /// What it does wrong
+        fault: String,
+    },
 }
 
 #[derive(Args)]
@@ -69,7 +72,7 @@
     /// Play so many seeds, one after the other, counted up from the first
     #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=1000))]
     seeds: u64,
-    /// Run the dispatchers as a naive one that has this fault: forgets, early, resends, doubles or impatient
+    /// Run naive dispatchers with this fault: forgets, early, resends, doubles, impatient, stubborn or honest
     #[arg(long, value_name = "FAULT")]
     broken: Option<String>,
     /// Keep the record of all that the stand-ins saw in this file
@@ -108,6 +111,6 @@
         Command::Lab(Lab::Run { scenario, play }) => command::run(&scenario, &play.into()),
         Command::Lab(Lab::Script { scenario, seed }) => command::script(&scenario, seed),
         Command::Lab(Lab::Audit { record }) => command::audit(&record),
-        Command::Lab(Lab::Naive) => command::naive(),
+        Command::Lab(Lab::Naive { fault }) => command::naive(&fault),
     }
 }
--- a/crates/lab/src/command.rs
+++ b/crates/lab/src/command.rs
@@ -1,8 +1,18 @@
 //! The lab's subcommands.
 
+use crate::auditor::{Verdict, audit as judge};
+use crate::process::Program;
+use crate::record;
+use crate::run::{self, Options};
+use crate::scenario::Scenario;
+use crate::script::Script;
+use crate::{naive, table};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+/// The scenario of `demo`.
+pub const DEMO: &str = include_str!("../scenarios/demo.toml");
+
 /// How a scenario is to be played.
 #[derive(Clone, Debug)]
 pub struct Play {
@@ -18,23 +28,147 @@
     pub logs: Option<PathBuf>,
 }
 
-/// x
-pub fn demo(_: &Play) -> ExitCode {
-    ExitCode::FAILURE
+/// Wrong input: one line, exit code 2.
+fn wrong(text: impl std::fmt::Display) -> ExitCode {
+    eprintln!("fawnspoke: {text}");
+    ExitCode::from(2)
 }
-/// x
-pub fn run(_: &Path, _: &Play) -> ExitCode {
-    ExitCode::FAILURE
+
+/// Exit code 0 where no rule was broken, 1 where one was.
+fn code(clean: bool) -> ExitCode {
+    if clean { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
-/// x
-pub fn script(_: &Path, _: Option<u64>) -> ExitCode {
-    ExitCode::FAILURE
+
+fn runtime() -> std::io::Result<tokio::runtime::Runtime> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build()
 }
-/// x
-pub fn audit(_: &Path) -> ExitCode {
-    ExitCode::FAILURE
+
+/// Plays the embedded scenario.
+pub fn demo(play: &Play) -> ExitCode {
+    match Scenario::parse("demo.toml", DEMO) {
+        Ok(scenario) => played(&scenario, play),
+        Err(error) => wrong(error),
+    }
 }
-/// x
-pub fn naive() -> ExitCode {
-    ExitCode::FAILURE
+
+/// Plays a scenario of the user's own.
+pub fn run(scenario: &Path, play: &Play) -> ExitCode {
+    match Scenario::read(scenario) {
+        Ok(scenario) => played(&scenario, play),
+        Err(error) => wrong(error),
+    }
+}
+
+/// Prints a scenario's script.
+pub fn script(scenario: &Path, seed: Option<u64>) -> ExitCode {
+    match Scenario::read(scenario) {
+        Ok(scenario) => {
+            let script = Script::draw(&scenario, seed.unwrap_or(scenario.seed));
+            print!("{}", script.text(&scenario));
+            println!("digest {:016x}", script.digest(&scenario));
+            ExitCode::SUCCESS
+        }
+        Err(error) => wrong(error),
+    }
+}
+
+/// Judges a record that was kept.
+pub fn audit(path: &Path) -> ExitCode {
+    match record::load(path) {
+        Ok(entries) => {
+            let verdict = judge(&entries);
+            print!("{}{}", table::classes(&verdict), table::verdict(&verdict));
+            code(verdict.clean())
+        }
+        Err(error) => wrong(error),
+    }
+}
+
+/// Runs the naive dispatcher with a fault.
+pub fn naive(fault: &str) -> ExitCode {
+    let Ok(fault) = fault.parse::<naive::Fault>() else { return wrong(naive::Fault::EXPECTED) };
+    match runtime().and_then(|runtime| runtime.block_on(naive::serve(fault))) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("naive dispatcher: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn program(broken: Option<&str>) -> Result<Program, String> {
+    let path = std::env::current_exe().map_err(|error| format!("this program's own path: {error}"))?;
+    let arguments = match broken {
+        None => vec!["serve".into()],
+        Some(fault) => {
+            fault.parse::<naive::Fault>().map_err(|()| format!("--broken: {}", naive::Fault::EXPECTED))?;
+            vec!["lab".into(), "naive".into(), fault.into()]
+        }
+    };
+    Ok(Program { path, arguments })
+}
+
+fn played(scenario: &Scenario, play: &Play) -> ExitCode {
+    let program = match program(play.broken.as_deref()) {
+        Ok(program) => program,
+        Err(error) => return wrong(error),
+    };
+    let first = play.seed.unwrap_or(scenario.seed);
+    let mut broken = Vec::new();
+    for seed in first..first.saturating_add(play.seeds) {
+        match one(scenario, seed, play, &program) {
+            Ok(verdict) if verdict.clean() => {}
+            Ok(_) => broken.push(seed),
+            Err(error) => {
+                eprintln!("fawnspoke: {error}");
+                return ExitCode::FAILURE;
+            }
+        }
+    }
+    if play.seeds > 1 {
+        println!("{} of {} seeds clean; broken: {broken:?}", play.seeds - broken.len() as u64, play.seeds);
+    }
+    code(broken.is_empty())
+}
+
+fn one(scenario: &Scenario, seed: u64, play: &Play, program: &Program) -> std::io::Result<Verdict> {
+    let script = Script::draw(scenario, seed);
+    println!(
+        "{}: seed {seed}, {} messages in {} s to {} partners, {} dispatchers, {} faults, script {:016x}",
+        scenario.name,
+        script.arrivals.len(),
+        scenario.length_s,
+        scenario.partners.len(),
+        scenario.dispatchers.count,
+        script.turns.len(),
+        script.digest(scenario)
+    );
+    let parent = play.logs.clone().unwrap_or_else(std::env::temp_dir);
+    let folder = run::fresh_folder(&parent)?;
+    let options = Options { program: program.clone(), folder: folder.clone(), progress: play.seeds == 1 };
+    // Two threads: signals and children are waited for beside what the stand-ins do.
+    let outcome = runtime()?.block_on(run::play(scenario, &script, &options));
+    if play.logs.is_none() {
+        // What is left of it is only in the way.
+        let _ = std::fs::remove_dir_all(&folder);
+    } else {
+        println!("logs: {}", folder.display());
+    }
+    let outcome = outcome?;
+    if let Some(path) = &play.record {
+        record::save(path, &outcome.entries)?;
+    }
+    let verdict = judge(&outcome.entries);
+    print!("{}", table::classes(&verdict));
+    let memory: Vec<String> =
+        outcome.resident_kb.iter().map(|kb| format!("{:.1}", *kb as f64 / 1024.0)).collect();
+    println!("resident memory of the dispatchers at most: {} MB", memory.join(", "));
+    if outcome.never > 0 {
+        println!("{} messages found no dispatcher that would listen", outcome.never);
+    }
+    if !outcome.fallen.is_empty() {
+        println!("fell over: {}", outcome.fallen.join(", "));
+    }
+    print!("{}", table::verdict(&verdict));
+    Ok(verdict)
 }
--- /dev/null
+++ b/crates/lab/src/endpoint.rs
@@ -0,0 +1,515 @@
+//! A stand-in for one endpoint of a partner: reads calls, asks its script what to do, and keeps the record.
+//!
+//! An endpoint listens at one address for each dispatcher, so that it knows who calls. What it decides to do it
+//! does whether or not the dispatcher still listens: a call that was given up runs on.
+
+use crate::http::{self, Http, Wire};
+use crate::record::{End, Fate, Item, Recorder, What, digest};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+
+/// A call that has come whole.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Its number, unique in the run.
+    pub number: u64,
+    /// The dispatcher that makes it.
+    pub dispatcher: usize,
+    /// The connection it came on, counted from 0 at each endpoint.
+    pub connection: usize,
+    /// The request.
+    pub request: Http,
+    /// What it holds; none for a probe.
+    pub items: Vec<Item>,
+    /// Whether it is a probe.
+    pub probe: bool,
+}
+
+/// What an endpoint writes.
+#[derive(Clone, Debug)]
+pub enum How {
+    /// A whole answer: its status, header lines with their ends, its body.
+    Answer(u16, String, Vec<u8>),
+    /// The same, and the connection is closed without a word of it.
+    AnswerAndClose(u16),
+    /// Bytes as they are, and how the call counts as ended; the connection stays open.
+    Raw(Vec<u8>, End),
+    /// The first bytes, then the second ones over and over until the other side has had enough.
+    Endless(Vec<u8>, Vec<u8>),
+    /// So many bytes of an answer with that status, then a reset.
+    Cut(u16, usize),
+    /// Closes without a word.
+    Break,
+    /// Resets the connection.
+    Reset,
+    /// Never answers; reads on until the other side closes.
+    Hang,
+}
+
+/// What an endpoint does with a call.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// How long it works before it writes.
+    pub after: Duration,
+    /// What it writes then.
+    pub how: How,
+    /// What each message is told, where the call holds several and the answer is 200.
+    pub fates: Vec<Fate>,
+    /// The wait that the answer tells.
+    pub wait: Option<Duration>,
+    /// Which of its messages are worked on.
+    pub runs: Vec<bool>,
+}
+
+impl Reply {
+    /// Written at once.
+    pub fn now(how: How) -> Reply {
+        Reply { after: Duration::ZERO, how, fates: Vec::new(), wait: None, runs: Vec::new() }
+    }
+
+    /// A bare status, at once.
+    pub fn status(status: u16) -> Reply {
+        Reply::now(How::Answer(status, String::new(), Vec::new()))
+    }
+
+    /// The same reply after a while.
+    pub fn late(self, after: Duration) -> Reply {
+        Reply { after, ..self }
+    }
+}
+
+/// Decides what an endpoint does.
+pub trait Script: Send + Sync + 'static {
+    /// A call has come whole.
+    fn begin(&self, call: &Call) -> Reply;
+    /// Its work is done, whatever becomes of its answer.
+    fn worked(&self, _call: &Call, _reply: &Reply) {}
+    /// Its answer is written, or its connection has ended.
+    fn over(&self, _call: &Call, _reply: &Reply) {}
+}
+
+impl<F: Fn(&Call) -> Reply + Send + Sync + 'static> Script for F {
+    fn begin(&self, call: &Call) -> Reply {
+        self(call)
+    }
+}
+
+/// How an endpoint's sockets behave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Door {
+    /// As usual.
+    Open,
+    /// Open connections are reset, new ones refused: the process is gone.
+    Refusing,
+    /// Nothing is read and nothing answered: the machine is gone, and says nothing of it. What is open is reset
+    /// once it is back.
+    Silent,
+}
+
+/// Counters that tests look at.
+#[derive(Default)]
+pub struct Counters {
+    /// Connections that were accepted.
+    pub connections: AtomicUsize,
+    /// Connections that have ended.
+    pub ended: AtomicUsize,
+    /// Calls that the other side gave up.
+    pub given_up: AtomicUsize,
+}
+
+/// Traits of an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Traits {
+    /// It closes a connection that has been idle for so long.
+    pub idle: Option<Duration>,
+    /// It holds so many connections; calls on more are turned away with 503.
+    pub connections: usize,
+}
+
+impl Default for Traits {
+    fn default() -> Traits {
+        Traits { idle: None, connections: usize::MAX }
+    }
+}
+
+struct Shared {
+    name: String,
+    dest: u32,
+    traits: Traits,
+    script: Box<dyn Script>,
+    recorder: Recorder,
+    numbers: Arc<AtomicU64>,
+    door: watch::Sender<Door>,
+    counters: Counters,
+}
+
+/// A running endpoint. It ends when it is dropped.
+pub struct Endpoint {
+    shared: Arc<Shared>,
+    at: BTreeMap<usize, SocketAddr>,
+    listening: Mutex<Vec<JoinHandle<()>>>,
+}
+
+/// A listener at an address. Std's socket options allow one that was used just now.
+async fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+    // The port of a listener that has just ended may be held for a moment.
+    for _ in 0..100 {
+        match TcpListener::bind(at).await {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse && at.port() != 0 => {
+                sleep(Duration::from_millis(20)).await;
+            }
+            bound => return bound,
+        }
+    }
+    TcpListener::bind(at).await
+}
+
+impl Endpoint {
+    /// Starts an endpoint that listens at each of the addresses (port 0: any) for the dispatcher of that place.
+    /// `numbers` counts the calls of a run.
+    ///
+    /// # Errors
+    /// Those of listening.
+    pub async fn start(
+        name: &str, dest: u32, at: &[SocketAddr], traits: Traits, script: impl Script, recorder: Recorder,
+        numbers: Arc<AtomicU64>,
+    ) -> io::Result<Endpoint> {
+        let shared = Arc::new(Shared {
+            name: name.into(),
+            dest,
+            traits,
+            script: Box::new(script),
+            recorder,
+            numbers,
+            door: watch::Sender::new(Door::Open),
+            counters: Counters::default(),
+        });
+        let mut endpoint = Endpoint { shared, at: BTreeMap::new(), listening: Mutex::default() };
+        for (dispatcher, at) in at.iter().enumerate() {
+            let listener = listen(*at).await?;
+            endpoint.at.insert(dispatcher, listener.local_addr()?);
+            endpoint.accept(dispatcher, listener);
+        }
+        Ok(endpoint)
+    }
+
+    fn accept(&self, dispatcher: usize, listener: TcpListener) {
+        let shared = self.shared.clone();
+        let task = tokio::spawn(async move {
+            loop {
+                // Also while nothing is read: what came up then is reset once the machine is back.
+                let Ok((stream, _)) = listener.accept().await else {
+                    sleep(Duration::from_millis(5)).await;
+                    continue;
+                };
+                let connection = shared.counters.connections.fetch_add(1, Ordering::SeqCst);
+                let shared = shared.clone();
+                tokio::spawn(async move {
+                    connected(&shared, dispatcher, connection, stream).await;
+                    shared.counters.ended.fetch_add(1, Ordering::SeqCst);
+                });
+            }
+        });
+        self.listening.lock().unwrap_or_else(PoisonError::into_inner).push(task);
+    }
+
+    /// Where it listens for a dispatcher.
+    pub fn at(&self, dispatcher: usize) -> Option<SocketAddr> {
+        self.at.get(&dispatcher).copied()
+    }
+
+    /// Its name.
+    pub fn name(&self) -> &str {
+        &self.shared.name
+    }
+
+    /// Its counters.
+    pub fn counters(&self) -> &Counters {
+        &self.shared.counters
+    }
+
+    /// Changes how its sockets behave.
+    ///
+    /// # Errors
+    /// Those of listening anew.
+    pub async fn set_door(&self, door: Door) -> io::Result<()> {
+        let was = self.shared.door.send_replace(door);
+        if was == door {
+            return Ok(());
+        }
+        if door == Door::Refusing {
+            self.stop_listening();
+        }
+        if was == Door::Refusing {
+            for (dispatcher, at) in &self.at {
+                self.accept(*dispatcher, listen(*at).await?);
+            }
+        }
+        Ok(())
+    }
+
+    fn stop_listening(&self) {
+        let tasks = std::mem::take(&mut *self.listening.lock().unwrap_or_else(PoisonError::into_inner));
+        tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+impl Drop for Endpoint {
+    fn drop(&mut self) {
+        self.stop_listening();
+        self.shared.door.send_replace(Door::Refusing);
+    }
+}
+
+async fn connected(shared: &Arc<Shared>, dispatcher: usize, connection: usize, stream: TcpStream) {
+    let mut door = shared.door.subscribe();
+    door.mark_unchanged();
+    let mut wire = Wire::new(stream);
+    loop {
+        if *door.borrow() != Door::Open {
+            break;
+        }
+        let later = door.clone();
+        let served = tokio::select! {
+            biased;
+            _ = door.changed() => continue,
+            served = one(shared, dispatcher, connection, &mut wire, later) => served,
+        };
+        match served {
+            Next::Another => {}
+            Next::Reset => return wire.reset(),
+            Next::Close => return,
+        }
+    }
+    // A machine that is gone leaves its connections open until it is back.
+    let _ = door.wait_for(|door| *door != Door::Silent).await;
+    wire.reset();
+}
+
+enum Next {
+    Another,
+    Reset,
+    Close,
+}
+
+/// What is told once, however the call ends.
+struct Ending<'a> {
+    shared: &'a Shared,
+    call: &'a Call,
+    reply: &'a Reply,
+    told: bool,
+}
+
+impl Ending<'_> {
+    fn tell(&mut self, how: End) {
+        if std::mem::replace(&mut self.told, true) {
+            return;
+        }
+        self.shared.script.over(self.call, self.reply);
+        if !self.call.probe {
+            let wait = self.reply.wait.map(|wait| wait.as_micros() as u64);
+            let (wait, fates) = match how {
+                End::Answered(_) => (wait, self.reply.fates.clone()),
+                _ => (None, Vec::new()),
+            };
+            self.shared.recorder.add(What::Ended { call: self.call.number, how, fates, wait });
+        }
+    }
+}
+
+impl Drop for Ending<'_> {
+    fn drop(&mut self) {
+        // The endpoint itself went down under it.
+        self.tell(End::Broken);
+    }
+}
+
+/// One call on a connection.
+async fn one(
+    shared: &Arc<Shared>, dispatcher: usize, connection: usize, wire: &mut Wire,
+    mut door: watch::Receiver<Door>,
+) -> Next {
+    let request = match shared.traits.idle {
+        Some(idle) => match timeout(idle, wire.request()).await {
+            Ok(request) => request,
+            Err(_) => return Next::Close,
+        },
+        None => wire.request().await,
+    };
+    let Ok(Some(request)) = request else { return Next::Close };
+    let probe = request.first.starts_with("GET ");
+    let items = if probe { Some(Vec::new()) } else { items(&request) };
+    let Some(items) = items else {
+        let written = wire.write(&http::answer(400, "", b"")).await;
+        return if written.is_ok() { Next::Another } else { Next::Close };
+    };
+    let first = shared.recorder.at(request.begun);
+    let number = shared.numbers.fetch_add(1, Ordering::SeqCst);
+    let call = Call { number, dispatcher, connection, request, items, probe };
+    if !probe {
+        shared.recorder.add(What::Call {
+            call: number,
+            endpoint: shared.name.clone(),
+            dest: shared.dest,
+            dispatcher,
+            first,
+            items: call.items.clone(),
+        });
+    }
+    let counters = &shared.counters;
+    let open = counters.connections.load(Ordering::SeqCst) - counters.ended.load(Ordering::SeqCst);
+    let reply =
+        if open > shared.traits.connections { Reply::status(503) } else { shared.script.begin(&call) };
+    if probe {
+        let well = matches!(reply.how, How::Answer(200, ..));
+        let (endpoint, dest) = (shared.name.clone(), shared.dest);
+        shared.recorder.add(What::Probe { endpoint, dest, dispatcher, well });
+    }
+    let mut ending = Ending { shared, call: &call, reply: &reply, told: false };
+    let work = Work {
+        shared: shared.clone(),
+        call: Some((call.clone(), reply.clone())),
+        started: std::time::Instant::now(),
+    };
+    if !reply.after.is_zero() {
+        tokio::select! {
+            biased;
+            () = wire.closed() => {
+                ending.tell(End::Closed);
+                shared.counters.given_up.fetch_add(1, Ordering::SeqCst);
+                // It runs on though nobody listens.
+                work.run_on(&mut door);
+                return Next::Close;
+            }
+            () = sleep(reply.after) => {}
+        }
+    }
+    work.done();
+    let (how, next) = write(shared, wire, &reply.how).await;
+    ending.tell(how);
+    next
+}
+
+/// Work that is done or runs on; a process that goes down takes it along.
+struct Work {
+    shared: Arc<Shared>,
+    call: Option<(Call, Reply)>,
+    started: std::time::Instant,
+}
+
+impl Work {
+    fn done(mut self) {
+        if let Some((call, reply)) = self.call.take() {
+            self.shared.script.worked(&call, &reply);
+        }
+    }
+
+    fn run_on(self, door: &mut watch::Receiver<Door>) {
+        let Some(left) =
+            self.call.as_ref().map(|(_, reply)| reply.after.saturating_sub(self.started.elapsed()))
+        else {
+            return;
+        };
+        let mut door = door.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = sleep(left) => self.done(),
+                _ = door.wait_for(|door| *door == Door::Refusing) => {}
+            }
+        });
+    }
+}
+
+async fn write(shared: &Shared, wire: &mut Wire, how: &How) -> (End, Next) {
+    let after = |written: io::Result<()>, end: End, next: Next| match written {
+        Ok(()) => (end, next),
+        Err(_) => (End::Closed, Next::Close),
+    };
+    match how {
+        How::Answer(status, headers, body) => {
+            let written = wire.write(&http::answer(*status, headers, body)).await;
+            after(written, End::Answered(*status), Next::Another)
+        }
+        How::AnswerAndClose(status) => {
+            after(wire.write(&http::answer(*status, "", b"")).await, End::Answered(*status), Next::Close)
+        }
+        How::Raw(bytes, end) => after(wire.write(bytes).await, *end, Next::Another),
+        How::Endless(start, more) => {
+            let end = match status(start) {
+                Some(status) => End::Cut(status),
+                None => End::Broken,
+            };
+            let mut written = wire.write(start).await;
+            while written.is_ok() {
+                written = wire.write(more).await;
+                // So that others get their turn.
+                tokio::task::yield_now().await;
+            }
+            shared.counters.given_up.fetch_add(1, Ordering::SeqCst);
+            (end, Next::Close)
+        }
+        How::Cut(status, at) => {
+            let whole = http::answer(*status, "", b"the rest of it never comes\n");
+            let line = whole.iter().position(|byte| *byte == b'\n').unwrap_or(0);
+            let end = if *at > line { End::Cut(*status) } else { End::Broken };
+            let piece = &whole[..(*at).min(whole.len() - 1)];
+            let written = wire.write(piece).await;
+            // A reset takes along what the other side has not read yet.
+            sleep(Duration::from_millis(5)).await;
+            after(written, end, Next::Reset)
+        }
+        How::Break => (End::Broken, Next::Close),
+        How::Reset => (End::Broken, Next::Reset),
+        How::Hang => {
+            wire.drain().await;
+            shared.counters.given_up.fetch_add(1, Ordering::SeqCst);
+            (End::Closed, Next::Close)
+        }
+    }
+}
+
+/// The status of a whole first line.
+fn status(bytes: &[u8]) -> Option<u16> {
+    let line = bytes.split(|byte| *byte == b'\r').next()?;
+    let line = std::str::from_utf8(line).ok()?.strip_prefix("HTTP/1.1 ")?;
+    line.get(..3)?.parse().ok()
+}
+
+/// The messages of a call; none where it can't be read.
+fn items(request: &Http) -> Option<Vec<Item>> {
+    let ("POST", path) = request.target() else { return None };
+    match path {
+        "/receive" => {
+            let id = request.header("request-id")?.to_string();
+            let key = request.header("idempotency-key").map(Into::into);
+            Some(vec![Item { id, key, body: digest(&request.body) }])
+        }
+        "/receive-many" => {
+            let (mut rest, mut items) = (&request.body[..], Vec::<Item>::new());
+            while !rest.is_empty() {
+                let end = rest.windows(2).position(|pair| pair == b"\r\n")?;
+                let line = std::str::from_utf8(&rest[..end]).ok()?;
+                let mut words = line.split(' ');
+                let (id, key, length) = (words.next()?, words.next()?, words.next()?.parse::<usize>().ok()?);
+                rest = &rest[end + 2..];
+                let body = rest.get(..length)?;
+                rest = rest.get(length..)?.strip_prefix(b"\r\n")?;
+                if items.iter().any(|item| item.id == id) {
+                    return None;
+                }
+                let key = Some(key).filter(|key| *key != "-").map(Into::into);
+                items.push(Item { id: id.into(), key, body: digest(body) });
+            }
+            Some(items).filter(|items| !items.is_empty())
+        }
+        _ => None,
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,8 +1,23 @@
 //! Stand-ins for all that a dispatcher meets, faults on demand, and an auditor of the six rules.
 //!
-//! - [`record`]: what the stand-ins of a run saw.
-//! - [`auditor`]: judges a record; shares no code with the dispatcher.
+//! - [`scenario`] and [`script`]: what a run is made of, and what its seed makes of it.
+//! - [`http`], [`endpoint`], [`partner`], [`platform`], [`clients`]: the stand-ins.
+//! - [`process`]: dispatchers as processes. [`run`] plays a script.
+//! - [`record`]: what the stand-ins of a run saw. [`auditor`] judges it; it shares no code with the dispatcher.
+//! - [`naive`]: a dispatcher that breaks rules on purpose.
 
 pub mod auditor;
+pub mod clients;
 pub mod command;
+pub mod endpoint;
+pub mod http;
+pub mod ledger;
+pub mod naive;
+pub mod partner;
+pub mod platform;
+pub mod process;
 pub mod record;
+pub mod run;
+pub mod scenario;
+pub mod script;
+pub mod table;
--- /dev/null
+++ b/crates/lab/src/platform.rs
@@ -0,0 +1,382 @@
+//! A stand-in for the platform: the list of endpoints, watches of it, and the place where notices go.
+//!
+//! Each dispatcher has an agent of its own, at an address of its own, as in service. Notices are answered also
+//! while discovery is down.
+
+use crate::http::{self, Http, Wire};
+use crate::record::{Listed, Outcome, Recorder, What};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+/// A watch gets an empty line in this time.
+const HEARTBEAT: Duration = Duration::from_secs(2);
+/// An old address closes its connections so long after it was moved.
+const MOVED: Duration = Duration::from_millis(1500);
+
+/// An endpoint in the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Host {
+    /// Its id.
+    pub name: String,
+    /// Its address, by dispatcher.
+    pub dial: Vec<SocketAddr>,
+    /// Its zone.
+    pub site: String,
+    /// Its destination's kind.
+    pub class: String,
+    /// Its destination.
+    pub block: u32,
+    /// Its state.
+    pub state: Listed,
+    /// Calls a second that its destination takes from all dispatchers.
+    pub share: f64,
+}
+
+impl Host {
+    fn line(&self, dispatcher: usize) -> Value {
+        let health = match self.state {
+            Listed::Up => "up",
+            Listed::Draining => "draining",
+            Listed::Removed => "removed",
+        };
+        json!({"host": self.name, "dial": self.dial.get(dispatcher), "site": self.site, "class": self.class,
+            "block": self.block, "health": health, "share": self.share, "born_ms": 0})
+    }
+}
+
+/// A notice, as it came.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct Notice {
+    /// The message.
+    pub message: String,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// When its client may come again, in milliseconds.
+    pub retry_in_ms: Option<u64>,
+}
+
+/// How the platform behaves.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Mood {
+    /// It accepts and answers nothing but notices; watches stay open and silent.
+    pub silent: bool,
+    /// A change reaches watches so much later.
+    pub late: Duration,
+    /// The next lines are cut in half, and their watch is ended.
+    pub torn: bool,
+    /// What a notice is answered.
+    pub notice_status: u16,
+}
+
+impl Default for Mood {
+    fn default() -> Mood {
+        Mood { silent: false, late: Duration::ZERO, torn: false, notice_status: 204 }
+    }
+}
+
+struct Change {
+    seq: u64,
+    at: Instant,
+    host: Host,
+}
+
+#[derive(Default)]
+struct List {
+    seq: u64,
+    hosts: BTreeMap<String, Host>,
+    changes: Vec<Change>,
+    notices: Vec<(usize, Notice)>,
+    /// The versions that watches asked for, by dispatcher.
+    watched: Vec<(usize, String)>,
+    /// What each dispatcher has been told in full.
+    known: BTreeMap<usize, (u64, BTreeMap<String, Host>)>,
+}
+
+struct Shared {
+    list: Mutex<List>,
+    mood: watch::Sender<Mood>,
+    changed: watch::Sender<u64>,
+    recorder: Recorder,
+    /// Notices that a client is to hear of.
+    heard: mpsc::UnboundedSender<Notice>,
+}
+
+/// A running platform. It ends when it is dropped.
+pub struct Platform {
+    shared: Arc<Shared>,
+    agents: Mutex<BTreeMap<usize, (SocketAddr, JoinHandle<()>, watch::Sender<bool>)>>,
+}
+
+impl Shared {
+    fn list(&self) -> MutexGuard<'_, List> {
+        self.list.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Platform {
+    /// A platform with this list; what it hears of notices goes to the receiver as well.
+    pub fn new(hosts: Vec<Host>, recorder: Recorder) -> (Platform, mpsc::UnboundedReceiver<Notice>) {
+        let (heard, hearing) = mpsc::unbounded_channel();
+        let hosts = hosts.into_iter().map(|host| (host.name.clone(), host)).collect();
+        let list = List { seq: 1, hosts, ..List::default() };
+        let shared = Shared {
+            list: Mutex::new(list),
+            mood: watch::Sender::new(Mood::default()),
+            changed: watch::Sender::new(1),
+            recorder,
+            heard,
+        };
+        (Platform { shared: Arc::new(shared), agents: Mutex::default() }, hearing)
+    }
+
+    /// Starts a dispatcher's agent at an address (port 0: any), or moves it there: the old address takes no new
+    /// connection, and closes what is open after 1.5 s.
+    ///
+    /// # Errors
+    /// Those of listening.
+    pub async fn agent(&self, dispatcher: usize, at: SocketAddr) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind(at).await?;
+        let at = listener.local_addr()?;
+        let (closing, closed) = watch::channel(false);
+        let shared = self.shared.clone();
+        let task = tokio::spawn(async move {
+            loop {
+                let Ok((stream, _)) = listener.accept().await else {
+                    sleep(Duration::from_millis(5)).await;
+                    continue;
+                };
+                let (shared, mut closed) = (shared.clone(), closed.clone());
+                tokio::spawn(async move {
+                    tokio::select! {
+                        // Its end is the other side's, or in the record.
+                        _ = serve(&shared, dispatcher, stream) => {}
+                        _ = closed.wait_for(|closed| *closed) => {}
+                    }
+                });
+            }
+        });
+        let mut agents = self.agents.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((_, old, closing)) = agents.insert(dispatcher, (at, task, closing)) {
+            old.abort();
+            tokio::spawn(async move {
+                sleep(MOVED).await;
+                closing.send_replace(true);
+            });
+        }
+        Ok(at)
+    }
+
+    /// Where a dispatcher's agent is.
+    pub fn at(&self, dispatcher: usize) -> Option<SocketAddr> {
+        let agents = self.agents.lock().unwrap_or_else(PoisonError::into_inner);
+        agents.get(&dispatcher).map(|(at, ..)| *at)
+    }
+
+    /// Changes the mood.
+    pub fn set(&self, change: impl FnOnce(&mut Mood)) {
+        let was = self.shared.mood.borrow().silent;
+        self.shared.mood.send_modify(change);
+        let now = self.shared.mood.borrow().silent;
+        if was != now {
+            self.shared.recorder.add(What::Silent { on: now });
+        }
+    }
+
+    /// Changes an endpoint's entry, or adds it.
+    pub fn list(&self, host: Host) {
+        let mut list = self.shared.list();
+        list.seq += 1;
+        let seq = list.seq;
+        self.shared.recorder.add(What::Changed { endpoint: host.name.clone(), state: host.state });
+        match host.state {
+            Listed::Removed => drop(list.hosts.remove(&host.name)),
+            _ => drop(list.hosts.insert(host.name.clone(), host.clone())),
+        }
+        list.changes.push(Change { seq, at: Instant::now(), host });
+        drop(list);
+        self.shared.changed.send_replace(seq);
+    }
+
+    /// An endpoint's entry.
+    pub fn host(&self, name: &str) -> Option<Host> {
+        self.shared.list().hosts.get(name).cloned()
+    }
+
+    /// The whole list, as it stands.
+    pub fn whole(&self, dispatcher: usize) -> Value {
+        let list = self.shared.list();
+        let hosts: Vec<_> = list.hosts.values().map(|host| host.line(dispatcher)).collect();
+        json!({"seq": list.seq, "whole": true, "hosts": hosts})
+    }
+
+    /// The list as a dispatcher has it: as it stood when it was asked for first, with what it was told since.
+    pub fn known(&self, dispatcher: usize) -> Value {
+        let mut list = self.shared.list();
+        let List { known, hosts, seq, .. } = &mut *list;
+        let (seq, hosts) = known.entry(dispatcher).or_insert_with(|| (*seq, hosts.clone()));
+        let hosts: Vec<_> = hosts.values().map(|host| host.line(dispatcher)).collect();
+        json!({"seq": seq, "whole": true, "hosts": hosts})
+    }
+
+    /// The notices so far, and from whom.
+    pub fn notices(&self) -> Vec<(usize, Notice)> {
+        self.shared.list().notices.clone()
+    }
+
+    /// The versions from which watches were asked for.
+    pub fn watched(&self) -> Vec<(usize, String)> {
+        self.shared.list().watched.clone()
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        let agents = std::mem::take(&mut *self.agents.lock().unwrap_or_else(PoisonError::into_inner));
+        for (_, task, closing) in agents.into_values() {
+            task.abort();
+            closing.send_replace(true);
+        }
+    }
+}
+
+async fn serve(shared: &Shared, dispatcher: usize, stream: TcpStream) -> io::Result<()> {
+    let mut wire = Wire::new(stream);
+    while let Some(request) = wire.request().await? {
+        match request.target() {
+            ("POST", "/status") => notices(shared, dispatcher, &mut wire, &request).await?,
+            ("GET", path) if path.starts_with("/registry/instances") => {
+                if shared.mood.borrow().silent {
+                    let mut mood = shared.mood.subscribe();
+                    let _ = mood.wait_for(|mood| !mood.silent).await;
+                    // Nobody waits that long.
+                    return Ok(());
+                }
+                if path.contains("stream=1") {
+                    return follow(shared, dispatcher, &mut wire, path).await;
+                }
+                let body = whole(shared, dispatcher).to_string();
+                wire.write(&http::answer(200, "", body.as_bytes())).await?;
+            }
+            _ => wire.write(&http::answer(404, "", b"")).await?,
+        }
+    }
+    Ok(())
+}
+
+fn whole(shared: &Shared, dispatcher: usize) -> Value {
+    let list = shared.list();
+    let hosts: Vec<_> = list.hosts.values().map(|host| host.line(dispatcher)).collect();
+    json!({"seq": list.seq, "whole": true, "hosts": hosts})
+}
+
+async fn notices(shared: &Shared, dispatcher: usize, wire: &mut Wire, request: &Http) -> io::Result<()> {
+    let text = request.text();
+    let read: Result<Vec<Notice>, _> =
+        text.lines().filter(|line| !line.trim().is_empty()).map(serde_json::from_str).collect();
+    let status = match &read {
+        Ok(notices) if !notices.is_empty() => shared.mood.borrow().notice_status,
+        _ => 400,
+    };
+    // On record before the answer: a dispatcher that dies meanwhile has told it all the same.
+    for notice in read.into_iter().flatten() {
+        let Notice { message: id, outcome, retry_in_ms: retry_ms } = notice.clone();
+        shared.recorder.add(What::Notice { dispatcher, id, outcome, retry_ms, status });
+        shared.list().notices.push((dispatcher, notice.clone()));
+        if status == 204 {
+            // Where nobody listens nobody wants to know.
+            let _ = shared.heard.send(notice);
+        }
+    }
+    wire.write(&http::answer(status, "", b"")).await
+}
+
+/// A watch: what changed after the version that it asks for, then each change.
+async fn follow(shared: &Shared, dispatcher: usize, wire: &mut Wire, path: &str) -> io::Result<()> {
+    let index = path.split(['?', '&']).find_map(|pair| pair.strip_prefix("index=")).unwrap_or("0");
+    shared.list().watched.push((dispatcher, index.into()));
+    let mut seen: u64 = index.parse().unwrap_or(0);
+    let (mut changed, mut mood) = (shared.changed.subscribe(), shared.mood.subscribe());
+    wire.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
+    let mut first = true;
+    loop {
+        let _ = changed.borrow_and_update();
+        let late = mood.borrow_and_update().late;
+        let (line, hosts, seq, due) = {
+            let list = shared.list();
+            let now = Instant::now();
+            let after = || list.changes.iter().filter(|change| change.seq > seen);
+            if first && (seen > list.seq || seen == 0) {
+                let hosts: Vec<Host> = list.hosts.values().cloned().collect();
+                let lines: Vec<_> = hosts.iter().map(|host| host.line(dispatcher)).collect();
+                let line = json!({"seq": list.seq, "whole": true, "hosts": lines});
+                (Some((line, true)), hosts, list.seq, None)
+            } else {
+                let ripe: Vec<_> = after().take_while(|change| change.at + late <= now).collect();
+                let due = after().nth(ripe.len()).map(|change| change.at + late);
+                match ripe.last() {
+                    Some(last) => {
+                        let lines: Vec<_> = ripe.iter().map(|change| change.host.line(dispatcher)).collect();
+                        let line = json!({"seq": last.seq, "whole": false, "hosts": lines});
+                        let hosts = ripe.iter().map(|change| change.host.clone()).collect();
+                        (Some((line, false)), hosts, last.seq, due)
+                    }
+                    None => (None, Vec::new(), seen, due),
+                }
+            }
+        };
+        let silent = mood.borrow().silent;
+        if let Some((line, all)) = line.filter(|_| !silent) {
+            let text = format!("{line}\n");
+            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+            if mood.borrow().torn {
+                // Half a line, and the end.
+                wire.write(&chunk.as_bytes()[..chunk.len() / 2]).await?;
+                return Ok(());
+            }
+            wire.write(chunk.as_bytes()).await?;
+            seen = seq;
+            let mut list = shared.list();
+            let List { known, hosts: present, .. } = &mut *list;
+            let known = known.entry(dispatcher).or_insert_with(|| (seq, present.clone()));
+            known.0 = seq;
+            if all {
+                known.1.clear();
+            }
+            for host in hosts {
+                shared.recorder.add(What::Told {
+                    dispatcher,
+                    endpoint: host.name.clone(),
+                    state: host.state,
+                });
+                match host.state {
+                    Listed::Removed => drop(known.1.remove(&host.name)),
+                    _ => drop(known.1.insert(host.name.clone(), host)),
+                }
+            }
+            drop(list);
+            first = false;
+            continue;
+        }
+        first &= silent;
+        let due = due.unwrap_or_else(|| Instant::now() + HEARTBEAT).min(Instant::now() + HEARTBEAT);
+        tokio::select! {
+            _ = changed.changed() => {}
+            _ = mood.changed() => {}
+            () = sleep_until(due) => {
+                if !mood.borrow().silent {
+                    timeout(HEARTBEAT, wire.write(b"1\r\n\n\r\n")).await??;
+                }
+            }
+            () = wire.closed() => return Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/run.rs
@@ -0,0 +1,593 @@
+//! Plays a scenario: starts all stand-ins and the dispatchers, carries out the script, and gives the record.
+
+use crate::clients::Crowd;
+use crate::endpoint::{Door as Sockets, Endpoint, Traits};
+use crate::ledger::Ledger;
+use crate::partner::{Door, Partner, Trouble};
+use crate::platform::{Host, Platform};
+use crate::process::{Process, Program};
+use crate::record::{self, Effect, End, Entry, Listed, Micros, Recorder, Rules, Sig, What};
+use crate::scenario::{Kind, Limit, Scenario};
+use crate::script::{Script, Turn, whom};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+/// Entries of a record at most: a run of the largest scenario stays under it.
+const ENTRIES_MOST: usize = 8_000_000;
+/// After SIGTERM a process is killed no sooner than this (protocol page, "Figures").
+const KILL_AFTER: Duration = Duration::from_millis(3700);
+/// New connections go on coming for so long after SIGTERM.
+const FRONT_AFTER_TERM: Duration = Duration::from_millis(300);
+/// What is due by the rules is waited for, and so much more.
+const SETTLE: Duration = Duration::from_secs(4);
+
+/// How a run is to be played.
+pub struct Options {
+    /// What is run as a dispatcher.
+    pub program: Program,
+    /// Where folders and logs of the dispatchers are kept.
+    pub folder: PathBuf,
+    /// Progress on standard error, once a second.
+    pub progress: bool,
+}
+
+/// What came of a run.
+pub struct Outcome {
+    /// The record.
+    pub entries: Vec<Entry>,
+    /// Highest resident memory of each dispatcher, in KB.
+    pub resident_kb: Vec<u64>,
+    /// Messages that found no dispatcher that would listen.
+    pub never: usize,
+    /// Partners that were pushed over while they were cold.
+    pub fallen: Vec<String>,
+}
+
+/// Addresses of one run: a network of its own in 127.0.0.0/8, so that two runs at once do not meet.
+struct Network {
+    base: [u8; 3],
+    /// Holds the network for as long as the run lasts.
+    _held: TcpListener,
+}
+
+impl Network {
+    async fn draw() -> io::Result<Network> {
+        let mut rng = fastrand::Rng::new();
+        for _ in 0..100 {
+            let base = [127, rng.u8(1..=254), rng.u8(..)];
+            let at = SocketAddr::from((Ipv4Addr::new(base[0], base[1], base[2], 254), 40404));
+            if let Ok(held) = TcpListener::bind(at).await {
+                return Ok(Network { base, _held: held });
+            }
+        }
+        Err(io::Error::new(io::ErrorKind::AddrInUse, "no free network in 127.0.0.0/8"))
+    }
+
+    fn at(&self, host: u8, port: u16) -> SocketAddr {
+        (Ipv4Addr::new(self.base[0], self.base[1], self.base[2], host), port).into()
+    }
+}
+
+/// All that is on stage.
+struct Stage {
+    scenario: Scenario,
+    recorder: Recorder,
+    platform: Platform,
+    partners: Vec<Arc<Partner>>,
+    /// By partner; an endpoint that was replaced makes place for the new one.
+    endpoints: Mutex<Vec<Vec<Arc<Endpoint>>>>,
+    processes: Vec<Process>,
+    configs: Vec<Value>,
+    crowd: Arc<Crowd>,
+    network: Network,
+    numbers: Arc<AtomicU64>,
+    renamed: AtomicU64,
+    rng: Mutex<fastrand::Rng>,
+    /// Highest resident memory, by dispatcher.
+    peaks: Peaks,
+}
+
+fn micros(seconds: f64) -> Micros {
+    (seconds * 1e6) as Micros
+}
+
+fn kind_name(batch: usize) -> String {
+    format!("batch-{batch}")
+}
+
+/// The figures by which a scenario's record is judged.
+pub fn rules(scenario: &Scenario) -> Rules {
+    let class = |class: &crate::scenario::Class| record::Class {
+        name: class.name.clone(),
+        effect: class.effect,
+        window: micros(class.window_s),
+        aim: micros(class.aim_s),
+        ordered: false,
+    };
+    let place = |(i, partner): (usize, &crate::scenario::Partner)| record::Place {
+        dest: i as u32 + 1,
+        capacity: partner.capacity,
+    };
+    Rules {
+        classes: scenario.classes.iter().map(class).collect(),
+        places: scenario.partners.iter().enumerate().map(place).collect(),
+        cold: micros(scenario.returning.cold_s),
+        cold_share: scenario.returning.cold_share,
+        multiple: scenario.returning.multiple,
+        fall: micros(scenario.returning.fall_s),
+        ..Rules::default()
+    }
+}
+
+/// The configuration of a dispatcher, but for what its own start adds.
+fn configuration(scenario: &Scenario, index: usize, listen: SocketAddr) -> Value {
+    let grades: Vec<_> = scenario
+        .classes
+        .iter()
+        .map(|class| {
+            let effect = match class.effect {
+                Effect::Safe => "read_like",
+                Effect::Keyed => "idempotency_key",
+                Effect::Unsafe => "non_idempotent",
+            };
+            json!({"name": class.name, "deadline": class.deadline_s, "effect": effect, "gain": class.worth,
+                "goal_time": class.aim_s, "group": "all", "late_share": class.late_share,
+                "repeat_window": class.window_s, "stream": false})
+        })
+        .collect();
+    let mut batches: Vec<usize> = scenario.partners.iter().map(|partner| partner.batch).collect();
+    batches.sort_unstable();
+    batches.dedup();
+    let d = &scenario.dispatchers;
+    let returning = &scenario.returning;
+    let settings = json!({
+        "balancers": d.count, "discovery": "automatic", "tick": d.tick_ms / 1000.0, "weights": "nominal",
+        "zone": 0, "zones": ["lab"], "kinds": batches.iter().map(|batch| kind_name(*batch)).collect::<Vec<_>>(),
+        "family_info": {"call_slots": d.slots, "kind_apart": vec![false; batches.len()], "kind_batch": batches,
+            "loses_worth": "by_half"},
+        "grades": grades,
+        "limits": {"connect_timeout": 1.5, "keepalive": shortest_idle(scenario), "max_retry_after": 3.0,
+            "open_cap": d.room, "probes": true, "send_cap": d.attempts},
+        "report": {"fields": ["x0", "x1"], "source": "inline"},
+        "safety": {"cold": returning.cold_s, "cold_share": returning.cold_share, "fall": returning.fall_s,
+            "must_ask_in": 10.0, "tip_multiple": returning.multiple},
+    });
+    json!({
+        "name": format!("n{index}"), "listen": listen.to_string(), "seed": "0",
+        "limits": {"cores": 1.0, "memory_mb": d.memory_mb, "sockets": d.sockets, "disk_mb": d.disk_mb},
+        "settings": settings,
+    })
+}
+
+fn shortest_idle(scenario: &Scenario) -> f64 {
+    scenario.partners.iter().map(|partner| partner.idle_s).fold(f64::INFINITY, f64::min)
+}
+
+/// Plays a scenario by its script.
+///
+/// # Errors
+/// What kept it from being set up; what goes wrong later is in the record.
+pub async fn play(scenario: &Scenario, script: &Script, options: &Options) -> io::Result<Outcome> {
+    let recorder = Recorder::new(ENTRIES_MOST);
+    recorder.add(What::Rules(rules(scenario)));
+    let stage = set_up(scenario, script, options, recorder.clone()).await?;
+    let stage = Arc::new(stage);
+    for index in 0..stage.processes.len() {
+        stage.configure(index)?;
+    }
+    for (index, process) in stage.processes.iter().enumerate() {
+        process.start(stage.agent(index)?).await?;
+    }
+    let began = recorder.now();
+    let arriving = tokio::spawn(stage.crowd.clone().arrive(script.arrivals.clone(), began));
+    let watching = tokio::spawn(watch(stage.clone(), options.progress, began));
+    let mut turning = Vec::new();
+    for turn in script.turns.clone() {
+        let stage = stage.clone();
+        turning.push(tokio::spawn(async move {
+            tokio::time::sleep_until(stage.recorder.instant(began + turn.at).into()).await;
+            if let Err(error) = stage.turn(&turn).await {
+                // It shows in the record: the process did not come back, or the endpoint stayed away.
+                eprintln!("{:?} of {}: {error}", turn.kind, whom(&stage.scenario, &turn));
+            }
+        }));
+    }
+    let _ = arriving.await;
+    for turn in turning {
+        let _ = turn.await;
+    }
+    let longest = scenario.classes.iter().map(|class| class.deadline_s).fold(0.0, f64::max);
+    let until = recorder.now() + micros(longest) + SETTLE.as_micros() as Micros;
+    let mut progress = Progress::default();
+    loop {
+        sleep(Duration::from_millis(100)).await;
+        recorder.with(|entries| progress.follow(entries));
+        if (stage.crowd.active() == 0 && progress.open.is_empty()) || recorder.now() > until {
+            break;
+        }
+    }
+    recorder.add(What::Done);
+    watching.abort();
+    let entries = recorder.entries();
+    if recorder.full() {
+        return Err(io::Error::other("the record is full: the scenario is too large to be judged"));
+    }
+    let resident_kb = {
+        let peaks = stage.peaks.lock().unwrap_or_else(PoisonError::into_inner);
+        (0..stage.processes.len()).map(|i| peaks.get(&i).copied().unwrap_or(0)).collect()
+    };
+    for process in &stage.processes {
+        process.signal(Sig::Kill);
+    }
+    for process in &stage.processes {
+        process.ended(Duration::from_secs(10)).await;
+    }
+    let fallen = stage.partners.iter().zip(&scenario.partners).filter(|(partner, _)| partner.fallen());
+    let fallen = fallen.map(|(_, spec)| spec.name.clone()).collect();
+    Ok(Outcome { entries, resident_kb, never: stage.crowd.never(), fallen })
+}
+
+async fn set_up(
+    scenario: &Scenario, script: &Script, options: &Options, recorder: Recorder,
+) -> io::Result<Stage> {
+    let network = Network::draw().await?;
+    let count = scenario.dispatchers.count;
+    let (ledger, numbers) = (Arc::new(Ledger::default()), Arc::new(AtomicU64::new(1)));
+    let (mut partners, mut endpoints, mut hosts) = (Vec::new(), Vec::new(), Vec::new());
+    for (i, spec) in scenario.partners.iter().enumerate() {
+        let dest = i as u32 + 1;
+        let partner = Arc::new(Partner::new(
+            spec.clone(),
+            scenario.returning.clone(),
+            dest,
+            scenario.dispatchers.attempts,
+            script.seed,
+            ledger.clone(),
+            recorder.clone(),
+        ));
+        let mut own = Vec::new();
+        for n in 0..spec.endpoints {
+            // An address for each partner; its endpoints differ by port.
+            let at = vec![network.at(20 + (i % 200) as u8, 0); count];
+            let name = format!("{}-{n}", spec.name);
+            let traits =
+                Traits { idle: Some(Duration::from_secs_f64(spec.idle_s)), connections: spec.connections };
+            let door = Door(partner.clone(), n);
+            let endpoint =
+                Endpoint::start(&name, dest, &at, traits, door, recorder.clone(), numbers.clone()).await?;
+            hosts.push(host(scenario, i, &endpoint, count));
+            own.push(Arc::new(endpoint));
+        }
+        partners.push(partner);
+        endpoints.push(own);
+    }
+    let (platform, notices) = Platform::new(hosts, recorder.clone());
+    let (mut processes, mut configs, mut listens) = (Vec::new(), Vec::new(), Vec::new());
+    for index in 0..count {
+        let host = 1 + index as u8;
+        platform.agent(index, network.at(host, 0)).await?;
+        // A port that was free just now, in a network that nobody else draws from.
+        let listen = TcpListener::bind(network.at(host, 0)).await?.local_addr()?;
+        let log = options.folder.join(format!("n{index}.log"));
+        let program = options.program.clone();
+        processes.push(Process::new(index, program, listen, &options.folder, log, recorder.clone())?);
+        configs.push(configuration(scenario, index, listen));
+        listens.push(listen);
+    }
+    let crowd = Crowd::new(scenario.clone(), recorder.clone(), ledger, listens);
+    tokio::spawn(crowd.clone().hear(notices));
+    Ok(Stage {
+        scenario: scenario.clone(),
+        recorder,
+        platform,
+        partners,
+        endpoints: Mutex::new(endpoints),
+        processes,
+        configs,
+        crowd,
+        network,
+        numbers,
+        renamed: AtomicU64::new(0),
+        rng: Mutex::new(fastrand::Rng::with_seed(script.seed)),
+        peaks: Mutex::default(),
+    })
+}
+
+fn host(scenario: &Scenario, partner: usize, endpoint: &Endpoint, count: usize) -> Host {
+    let spec = &scenario.partners[partner];
+    let share = if spec.limit == Limit::None { spec.capacity } else { spec.limit_per_s.min(spec.capacity) };
+    Host {
+        name: endpoint.name().into(),
+        dial: (0..count).filter_map(|dispatcher| endpoint.at(dispatcher)).collect(),
+        site: "lab".into(),
+        class: kind_name(spec.batch),
+        block: partner as u32 + 1,
+        state: Listed::Up,
+        share,
+    }
+}
+
+impl Stage {
+    fn agent(&self, index: usize) -> io::Result<SocketAddr> {
+        self.platform.at(index).ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+
+    /// Writes a dispatcher's configuration as the platform would now.
+    fn configure(&self, index: usize) -> io::Result<()> {
+        let mut config = self.configs[index].clone();
+        config["discovery"] = self.agent(index)?.to_string().into();
+        config["known"] = self.platform.known(index);
+        let seed = self.rng.lock().unwrap_or_else(PoisonError::into_inner).u64(..);
+        config["seed"] = format!("{seed:016x}").into();
+        self.processes[index].configure(&config)
+    }
+
+    fn endpoints(&self, partner: usize) -> Vec<Arc<Endpoint>> {
+        self.endpoints.lock().unwrap_or_else(PoisonError::into_inner)[partner].clone()
+    }
+
+    async fn doors(&self, partner: usize, door: Sockets) -> io::Result<()> {
+        for endpoint in self.endpoints(partner) {
+            endpoint.set_door(door).await?;
+        }
+        Ok(())
+    }
+
+    async fn restart(&self, index: usize) -> io::Result<()> {
+        let process = &self.processes[index];
+        process.ended(Duration::from_secs(10)).await;
+        sleep(Duration::from_millis(self.scenario.dispatchers.restart_ms)).await;
+        self.configure(index)?;
+        process.start(self.agent(index)?).await?;
+        self.crowd.believe(index, true);
+        Ok(())
+    }
+
+    async fn outage(&self, turn: &Turn, trouble: Trouble, door: Sockets) -> io::Result<()> {
+        let partner = &self.partners[turn.whom];
+        let refusing = door == Sockets::Refusing;
+        self.recorder.add(What::Out { dest: partner.dest(), refusing });
+        partner.set(trouble);
+        self.doors(turn.whom, door).await?;
+        sleep(Duration::from_micros(turn.span)).await;
+        partner.come_back();
+        self.doors(turn.whom, Sockets::Open).await
+    }
+
+    async fn turn(&self, turn: &Turn) -> io::Result<()> {
+        let span = Duration::from_micros(turn.span);
+        match turn.kind {
+            Kind::Kill => {
+                let process = &self.processes[turn.whom];
+                process.signal(Sig::Kill);
+                let [least, most] = self.scenario.clients.notice_ms;
+                let notice = self.rng.lock().unwrap_or_else(PoisonError::into_inner).u64(least..=most);
+                tokio::join!(self.restart(turn.whom), async {
+                    sleep(Duration::from_millis(notice)).await;
+                    // Back before anybody noticed.
+                    if process.id().is_none() {
+                        self.crowd.believe(turn.whom, false);
+                    }
+                })
+                .0
+            }
+            Kind::Term => {
+                let process = &self.processes[turn.whom];
+                process.signal(Sig::Term);
+                sleep(FRONT_AFTER_TERM).await;
+                self.crowd.believe(turn.whom, false);
+                if !process.ended(KILL_AFTER - FRONT_AFTER_TERM).await {
+                    process.signal(Sig::Kill);
+                }
+                self.restart(turn.whom).await
+            }
+            Kind::Stop => {
+                self.processes[turn.whom].signal(Sig::Stop);
+                sleep(span).await;
+                self.processes[turn.whom].signal(Sig::Cont);
+                Ok(())
+            }
+            Kind::Reload => {
+                let host = 1 + turn.whom as u8;
+                self.platform.agent(turn.whom, self.network.at(host, 0)).await?;
+                self.configure(turn.whom)?;
+                self.processes[turn.whom].signal(Sig::Hup);
+                Ok(())
+            }
+            Kind::Down => self.outage(turn, Trouble::None, Sockets::Refusing).await,
+            Kind::Silent => self.outage(turn, Trouble::None, Sockets::Silent).await,
+            Kind::Hang => self.outage(turn, Trouble::Hang, Sockets::Open).await,
+            Kind::Shut => self.outage(turn, Trouble::Shut, Sockets::Open).await,
+            Kind::Errors => self.outage(turn, Trouble::Errors, Sockets::Open).await,
+            Kind::Slow | Kind::Cuts | Kind::Spoilt => {
+                let partner = &self.partners[turn.whom];
+                partner.set(match turn.kind {
+                    Kind::Slow => Trouble::Slow(turn.factor),
+                    Kind::Cuts => Trouble::Cuts,
+                    _ => Trouble::Spoilt,
+                });
+                sleep(span).await;
+                partner.set(Trouble::None);
+                Ok(())
+            }
+            Kind::Drain => {
+                let Some(endpoint) = self.endpoints(turn.whom).get(turn.endpoint).cloned() else {
+                    return Ok(());
+                };
+                let Some(mut host) = self.platform.host(endpoint.name()) else { return Ok(()) };
+                host.state = Listed::Draining;
+                self.platform.list(host.clone());
+                sleep(span).await;
+                host.state = Listed::Removed;
+                self.platform.list(host);
+                // Gone from the list, it still stands for the rule's grace; then a new one comes.
+                sleep(Duration::from_millis(1500)).await;
+                self.newcomer(turn, endpoint).await
+            }
+            Kind::Replace => {
+                let Some(endpoint) = self.endpoints(turn.whom).get(turn.endpoint).cloned() else {
+                    return Ok(());
+                };
+                let Some(host) = self.platform.host(endpoint.name()) else { return Ok(()) };
+                self.platform.list(Host { state: Listed::Removed, ..host });
+                self.newcomer(turn, endpoint).await
+            }
+            Kind::PlatformSilent => {
+                self.platform.set(|mood| mood.silent = true);
+                sleep(span).await;
+                self.platform.set(|mood| mood.silent = false);
+                Ok(())
+            }
+            Kind::PlatformTorn => {
+                self.platform.set(|mood| mood.torn = true);
+                sleep(span).await;
+                self.platform.set(|mood| mood.torn = false);
+                Ok(())
+            }
+            Kind::PlatformLate => {
+                self.platform.set(|mood| mood.late = Duration::from_secs_f64(turn.factor));
+                sleep(span).await;
+                self.platform.set(|mood| mood.late = Duration::ZERO);
+                Ok(())
+            }
+        }
+    }
+
+    /// A new endpoint under a new name, at the address of one that is gone.
+    async fn newcomer(&self, turn: &Turn, old: Arc<Endpoint>) -> io::Result<()> {
+        old.set_door(Sockets::Refusing).await?;
+        let spec = &self.scenario.partners[turn.whom];
+        let count = self.scenario.dispatchers.count;
+        let at: Vec<_> = (0..count).filter_map(|dispatcher| old.at(dispatcher)).collect();
+        let number = self.renamed.fetch_add(1, Ordering::SeqCst);
+        let name = format!("{}-{}-new{number}", spec.name, turn.endpoint);
+        let partner = &self.partners[turn.whom];
+        let traits =
+            Traits { idle: Some(Duration::from_secs_f64(spec.idle_s)), connections: spec.connections };
+        let door = Door(partner.clone(), turn.endpoint);
+        let (recorder, numbers) = (self.recorder.clone(), self.numbers.clone());
+        let endpoint = Endpoint::start(&name, partner.dest(), &at, traits, door, recorder, numbers).await?;
+        self.platform.list(host(&self.scenario, turn.whom, &endpoint, count));
+        let mut endpoints = self.endpoints.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(place) = endpoints[turn.whom].get_mut(turn.endpoint) {
+            *place = Arc::new(endpoint);
+        }
+        Ok(())
+    }
+}
+
+/// Follows a record as it grows: what is under way, for the end of the run and for who watches it.
+#[derive(Default)]
+struct Progress {
+    seen: usize,
+    /// Taken on and not yet over.
+    open: HashMap<String, ()>,
+    calls: HashMap<u64, Vec<String>>,
+    /// Over before the client had read that they were taken.
+    early: HashMap<String, ()>,
+    taken: u64,
+    delivered: u64,
+    noticed: u64,
+    refused: u64,
+}
+
+impl Progress {
+    fn follow(&mut self, entries: &[Entry]) {
+        for entry in &entries[self.seen.min(entries.len())..] {
+            match &entry.what {
+                What::Answered { id, status: 200 | 202 } => {
+                    self.taken += 1;
+                    if self.early.remove(id).is_none() {
+                        self.open.insert(id.clone(), ());
+                    }
+                }
+                What::Answered { status: 429 | 503, .. } => self.refused += 1,
+                What::Call { call, items, .. } => {
+                    self.calls.insert(*call, items.iter().map(|item| item.id.clone()).collect());
+                }
+                What::Ended { call, how, fates, .. } => {
+                    let ids = self.calls.remove(call).unwrap_or_default();
+                    for (i, id) in ids.iter().enumerate() {
+                        let alone = ids.len() == 1;
+                        let over = match (how, fates.get(i)) {
+                            (End::Answered(200) | End::Cut(200), _) if alone => true,
+                            (End::Answered(200), Some(fate)) => {
+                                matches!(fate, record::Fate::Delivered | record::Fate::Over)
+                            }
+                            (End::Answered(410), _) => true,
+                            _ => false,
+                        };
+                        if over {
+                            self.delivered += 1;
+                            self.close(id);
+                        }
+                    }
+                }
+                What::Notice { id, status: 204, .. } => {
+                    self.noticed += 1;
+                    self.close(id);
+                }
+                _ => {}
+            }
+        }
+        self.seen = entries.len();
+    }
+
+    fn close(&mut self, id: &str) {
+        if self.open.remove(id).is_none() {
+            self.early.insert(id.into(), ());
+        }
+    }
+}
+
+/// Tells how the run goes, and keeps the dispatchers' highest memory.
+async fn watch(stage: Arc<Stage>, progress: bool, began: Micros) {
+    let mut state = Progress::default();
+    let mut turns = 0;
+    loop {
+        sleep(Duration::from_millis(250)).await;
+        for (i, process) in stage.processes.iter().enumerate() {
+            if let Some(kb) = process.resident_kb() {
+                let mut peaks = stage.peaks.lock().unwrap_or_else(PoisonError::into_inner);
+                let peak = peaks.entry(i).or_default();
+                *peak = kb.max(*peak);
+            }
+        }
+        turns += 1;
+        if progress && turns % 4 == 0 {
+            stage.recorder.with(|entries| state.follow(entries));
+            let seconds = (stage.recorder.now() - began) as f64 / 1e6;
+            let up = stage.processes.iter().filter(|process| process.id().is_some()).count();
+            eprintln!(
+                "{seconds:5.1} s  {up} of {} dispatchers up  taken {}  delivered {}  notices {}  refused {}  held {}",
+                stage.processes.len(),
+                state.taken,
+                state.delivered,
+                state.noticed,
+                state.refused,
+                state.open.len()
+            );
+        }
+    }
+}
+
+/// A folder for one run below `parent`, made anew.
+///
+/// # Errors
+/// Those of the file system.
+pub fn fresh_folder(parent: &Path) -> io::Result<PathBuf> {
+    let mut rng = fastrand::Rng::new();
+    let folder = parent.join(format!("fawnspoke-lab-{}-{:08x}", std::process::id(), rng.u32(..)));
+    std::fs::create_dir_all(&folder)?;
+    Ok(folder)
+}
+
+type Peaks = Mutex<BTreeMap<usize, u64>>;
--- /dev/null
+++ b/crates/lab/src/scenario.rs
@@ -0,0 +1,640 @@
+//! Scenarios: what a run is made of, read from TOML and checked before anything starts.
+
+use crate::record::Effect;
+use serde::Deserialize;
+use std::path::Path;
+
+/// Longest run, in seconds: loops are bounded in time.
+const LENGTH_MOST: f64 = 600.0;
+/// Most messages of a run, by its rate and length.
+const MESSAGES_MOST: f64 = 500_000.0;
+
+/// A run.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// Its name.
+    #[serde(default = "unnamed")]
+    pub name: String,
+    /// All that is drawn follows from it.
+    #[serde(default = "one")]
+    pub seed: u64,
+    /// Messages come for so long, in seconds.
+    pub length_s: f64,
+    /// The dispatchers.
+    pub dispatchers: Dispatchers,
+    /// Those who hand messages in.
+    pub clients: Clients,
+    /// Classes of messages.
+    #[serde(rename = "class")]
+    pub classes: Vec<Class>,
+    /// Partners: each is one destination, numbered from 1.
+    #[serde(rename = "partner")]
+    pub partners: Vec<Partner>,
+    /// What goes wrong, and when.
+    #[serde(default, rename = "fault")]
+    pub faults: Vec<Fault>,
+    /// What goes wrong by chance.
+    #[serde(default)]
+    pub random: Random,
+    /// The figures of returning destinations.
+    #[serde(default)]
+    pub returning: Returning,
+}
+
+fn unnamed() -> String {
+    "unnamed".into()
+}
+
+fn one() -> u64 {
+    1
+}
+
+/// The dispatchers.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Dispatchers {
+    /// How many.
+    pub count: usize,
+    /// Calls that each may have out at once.
+    #[serde(default = "slots")]
+    pub slots: usize,
+    /// Messages that each may hold.
+    #[serde(default = "room")]
+    pub room: usize,
+    /// Attempts for one message.
+    #[serde(default = "attempts")]
+    pub attempts: u32,
+    /// Length of a round, in milliseconds.
+    #[serde(default = "tick_ms")]
+    pub tick_ms: f64,
+    /// Memory that each is told it may use, in MB.
+    #[serde(default = "memory_mb")]
+    pub memory_mb: f64,
+    /// Descriptors that each may hold.
+    #[serde(default = "sockets")]
+    pub sockets: usize,
+    /// Budget of each one's folder, in MB.
+    #[serde(default = "disk_mb")]
+    pub disk_mb: f64,
+    /// A dispatcher that was killed starts again after so long, in milliseconds.
+    #[serde(default = "restart_ms")]
+    pub restart_ms: u64,
+}
+
+fn slots() -> usize {
+    48
+}
+fn room() -> usize {
+    600
+}
+fn attempts() -> u32 {
+    12
+}
+fn tick_ms() -> f64 {
+    5.0
+}
+fn memory_mb() -> f64 {
+    64.0
+}
+fn sockets() -> usize {
+    512
+}
+fn disk_mb() -> f64 {
+    3.0
+}
+fn restart_ms() -> u64 {
+    600
+}
+
+/// Those who hand messages in.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Clients {
+    /// Messages a second, all clients together; they come by chance and wait for nothing.
+    pub rate: f64,
+    /// A client waits so long for the answer, in milliseconds.
+    #[serde(default = "patience_ms")]
+    pub patience_ms: u64,
+    /// The chance that a message that was turned away is handed in again.
+    #[serde(default = "retries")]
+    pub retries: f64,
+    /// It does so after a time between these, in milliseconds, or when it was told to come.
+    #[serde(default = "backoff_ms")]
+    pub backoff_ms: [u64; 2],
+    /// The front sends on to a dead dispatcher for a time between these, in milliseconds.
+    #[serde(default = "notice_ms")]
+    pub notice_ms: [u64; 2],
+    /// Most connections to one dispatcher.
+    #[serde(default = "connections")]
+    pub connections: usize,
+}
+
+fn patience_ms() -> u64 {
+    400
+}
+fn retries() -> f64 {
+    0.8
+}
+fn backoff_ms() -> [u64; 2] {
+    [310, 980]
+}
+fn notice_ms() -> [u64; 2] {
+    [300, 1500]
+}
+fn connections() -> usize {
+    120
+}
+
+/// A class of messages.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// What a repeat does.
+    pub effect: Effect,
+    /// Its part of the messages, against the others'.
+    pub share: f64,
+    /// Wanted within so many seconds.
+    pub aim_s: f64,
+    /// Given up after so many seconds.
+    pub deadline_s: f64,
+    /// For keyed classes: a key is remembered for so many seconds.
+    #[serde(default)]
+    pub window_s: f64,
+    /// Worth of one.
+    #[serde(default = "worth")]
+    pub worth: f64,
+    /// Share of the worth that is left at the deadline.
+    #[serde(default = "late_share")]
+    pub late_share: f64,
+    /// Bytes of a body, least and most.
+    #[serde(default = "body")]
+    pub body: [usize; 2],
+}
+
+fn worth() -> f64 {
+    1.0
+}
+fn late_share() -> f64 {
+    0.3
+}
+fn body() -> [usize; 2] {
+    [100, 400]
+}
+
+/// How a partner limits its calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Limit {
+    /// By its capacity alone.
+    #[default]
+    None,
+    /// So many a second, with a burst of as many as come in a quarter second.
+    Rate,
+    /// So many in each span of time.
+    Window,
+}
+
+/// A partner.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Partner {
+    /// Its name.
+    pub name: String,
+    /// Its endpoints.
+    #[serde(default = "endpoints")]
+    pub endpoints: usize,
+    /// Its part of the messages, against the others'.
+    pub share: f64,
+    /// Calls a second that it serves once warm, all endpoints together.
+    pub capacity: f64,
+    /// Time that a call takes, least and most, in milliseconds.
+    pub service_ms: [f64; 2],
+    /// Calls wait for their turn for so long at most, in milliseconds; then they are turned away.
+    #[serde(default = "queue_ms")]
+    pub queue_ms: f64,
+    /// How it limits calls.
+    #[serde(default)]
+    pub limit: Limit,
+    /// The limit, in calls a second.
+    #[serde(default)]
+    pub limit_per_s: f64,
+    /// The span in which a window limit counts, in seconds.
+    #[serde(default = "window_s")]
+    pub window_s: f64,
+    /// What is above the limit is told how long to wait.
+    #[serde(default)]
+    pub tells_wait: bool,
+    /// Messages in a call at most.
+    #[serde(default = "batch")]
+    pub batch: usize,
+    /// Connections that an endpoint holds.
+    #[serde(default = "partner_connections")]
+    pub connections: usize,
+    /// It closes connections that have been idle for so many seconds.
+    #[serde(default = "idle_s")]
+    pub idle_s: f64,
+    /// Share of the calls that end in an error, half of them after they have run.
+    #[serde(default)]
+    pub errors: f64,
+    /// Share of the calls whose connection is reset once they have run.
+    #[serde(default)]
+    pub resets: f64,
+    /// Share of the answers that are cut at a byte drawn by chance.
+    #[serde(default)]
+    pub cuts: f64,
+    /// Share of the answers that can't be read.
+    #[serde(default)]
+    pub spoilt: f64,
+}
+
+fn endpoints() -> usize {
+    2
+}
+fn queue_ms() -> f64 {
+    400.0
+}
+fn window_s() -> f64 {
+    1.0
+}
+fn batch() -> usize {
+    1
+}
+fn partner_connections() -> usize {
+    64
+}
+fn idle_s() -> f64 {
+    15.0
+}
+
+/// What may go wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// SIGKILL to a dispatcher, which starts again.
+    Kill,
+    /// SIGTERM, SIGKILL 3.7 s later if it still runs, and a start.
+    Term,
+    /// SIGSTOP, and SIGCONT once its time is over.
+    Stop,
+    /// A new configuration with discovery at another address, and SIGHUP.
+    Reload,
+    /// A partner refuses connections, and comes back cold.
+    Down,
+    /// A partner is silent, and comes back cold.
+    Silent,
+    /// A partner takes calls and never answers, and comes back cold.
+    Hang,
+    /// A partner turns all away, and comes back cold.
+    Shut,
+    /// A partner fails most calls, and comes back cold.
+    Errors,
+    /// A partner takes `factor` times as long.
+    Slow,
+    /// A partner's answers are cut, each at a byte drawn by chance.
+    Cuts,
+    /// A partner's answers can't be read.
+    Spoilt,
+    /// An endpoint drains, and is gone when its time is over.
+    Drain,
+    /// An endpoint is gone; a new one under a new name comes at its address.
+    Replace,
+    /// The platform tells nothing.
+    PlatformSilent,
+    /// What the platform tells comes torn.
+    PlatformTorn,
+    /// What the platform tells comes `factor` seconds later.
+    PlatformLate,
+}
+
+impl Kind {
+    /// Whether it befalls a dispatcher.
+    pub fn dispatcher(self) -> bool {
+        matches!(self, Kind::Kill | Kind::Term | Kind::Stop | Kind::Reload)
+    }
+
+    /// Whether it befalls the platform.
+    pub fn platform(self) -> bool {
+        matches!(self, Kind::PlatformSilent | Kind::PlatformTorn | Kind::PlatformLate)
+    }
+
+    /// Whether it ends by itself and takes no time of its own.
+    fn instant(self) -> bool {
+        matches!(self, Kind::Kill | Kind::Term | Kind::Reload | Kind::Replace)
+    }
+}
+
+/// One thing that goes wrong.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    /// When, in seconds.
+    pub at_s: f64,
+    /// What.
+    pub kind: Kind,
+    /// For how long, in seconds.
+    #[serde(default)]
+    pub for_s: f64,
+    /// Which dispatcher, from 0.
+    pub dispatcher: Option<usize>,
+    /// Which partner, by name.
+    pub partner: Option<String>,
+    /// Which of its endpoints, from 0.
+    #[serde(default)]
+    pub endpoint: usize,
+    /// How much slower, or how many seconds late.
+    pub factor: Option<f64>,
+}
+
+/// What goes wrong by chance: how often each, at times and with those that the seed draws.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Random {
+    /// Kills of dispatchers.
+    pub kills: usize,
+    /// Planned restarts.
+    pub terms: usize,
+    /// Dispatchers that stand still for a while.
+    pub stops: usize,
+    /// New configurations.
+    pub reloads: usize,
+    /// Outages of partners, of any kind.
+    pub outages: usize,
+    /// Partners that slow down.
+    pub slows: usize,
+    /// Partners whose answers are cut or spoilt for a while.
+    pub spoils: usize,
+    /// Endpoints that drain or are replaced.
+    pub churns: usize,
+    /// Spells in which the platform is silent, torn or late.
+    pub platform: usize,
+}
+
+/// The figures of returning destinations.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Returning {
+    /// Seconds until it is warm.
+    pub cold_s: f64,
+    /// Share of its capacity that it starts with.
+    pub cold_share: f64,
+    /// Sent more than this multiple of its present capacity ...
+    pub multiple: f64,
+    /// ... for so many seconds, it falls over.
+    pub fall_s: f64,
+}
+
+impl Default for Returning {
+    fn default() -> Returning {
+        Returning { cold_s: 9.6, cold_share: 0.19, multiple: 2.0, fall_s: 3.0 }
+    }
+}
+
+impl Scenario {
+    /// Reads and checks a scenario; `name` stands in what is told of faults.
+    ///
+    /// # Errors
+    /// One line: the file, the line where one can be named, what is wrong and what is expected.
+    pub fn parse(name: &str, text: &str) -> Result<Scenario, String> {
+        let line_of = |at: usize| text[..at.min(text.len())].lines().count().max(1);
+        let scenario: Scenario = toml::from_str(text).map_err(|error| {
+            let line = error.span().map_or(1, |span| line_of(span.start + 1));
+            format!("{name}:{line}: {}", error.message().replace('\n', "; "))
+        })?;
+        scenario.check().map_err(|(section, index, key, problem)| {
+            let line = place(text, section, index, key);
+            format!("{name}:{line}: {key}: {problem}")
+        })?;
+        Ok(scenario)
+    }
+
+    /// Reads a scenario's file.
+    ///
+    /// # Errors
+    /// As [`Scenario::parse`]; and the file where it can't be read.
+    pub fn read(path: &Path) -> Result<Scenario, String> {
+        let text = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+        Scenario::parse(&path.display().to_string(), &text)
+    }
+
+    /// The section, which of its kind, the key and what is wrong.
+    fn check(&self) -> Result<(), (&'static str, usize, &'static str, String)> {
+        let above = |x: f64| x.is_finite() && x > 0.0;
+        let share = |x: f64| (0.0..=1.0).contains(&x);
+        let expect = |holds: bool, section, index, key, problem: &str| match holds {
+            true => Ok(()),
+            false => Err((section, index, key, problem.to_string())),
+        };
+        const ABOVE: &str = "must be a number above 0";
+        const SHARE: &str = "must lie between 0 and 1";
+        let length = self.length_s;
+        expect(
+            above(length) && length <= LENGTH_MOST,
+            "",
+            0,
+            "length_s",
+            "must lie above 0 and be 600 at most",
+        )?;
+        let d = &self.dispatchers;
+        for (key, n, most) in [
+            ("count", d.count, 64),
+            ("slots", d.slots, 10_000),
+            ("room", d.room, 1_000_000),
+            ("attempts", d.attempts as usize, 1000),
+            ("sockets", d.sockets, 100_000),
+        ] {
+            expect(
+                (1..=most).contains(&n),
+                "dispatchers",
+                0,
+                key,
+                &format!("must lie between 1 and {most}"),
+            )?;
+        }
+        for (key, x) in [("tick_ms", d.tick_ms), ("memory_mb", d.memory_mb), ("disk_mb", d.disk_mb)] {
+            expect(above(x), "dispatchers", 0, key, ABOVE)?;
+        }
+        let c = &self.clients;
+        expect(above(c.rate), "clients", 0, "rate", ABOVE)?;
+        let messages = c.rate * length;
+        expect(
+            messages <= MESSAGES_MOST,
+            "clients",
+            0,
+            "rate",
+            "more than 500,000 messages in the run's length",
+        )?;
+        expect(share(c.retries), "clients", 0, "retries", SHARE)?;
+        expect(c.patience_ms > 0, "clients", 0, "patience_ms", ABOVE)?;
+        expect(c.connections > 0, "clients", 0, "connections", ABOVE)?;
+        for (key, span) in [("backoff_ms", c.backoff_ms), ("notice_ms", c.notice_ms)] {
+            expect(span[0] <= span[1], "clients", 0, key, "the least must not be above the most")?;
+        }
+        expect(!self.classes.is_empty(), "", 0, "class", "at least one [[class]] expected")?;
+        for (i, class) in self.classes.iter().enumerate() {
+            for (key, x) in [("share", class.share), ("aim_s", class.aim_s), ("deadline_s", class.deadline_s)]
+            {
+                expect(above(x), "class", i, key, ABOVE)?;
+            }
+            let keyed = class.effect == Effect::Keyed;
+            expect(
+                !keyed || above(class.window_s),
+                "class",
+                i,
+                "window_s",
+                "a keyed class needs one above 0",
+            )?;
+            expect(share(class.late_share), "class", i, "late_share", SHARE)?;
+            expect(class.worth.is_finite() && class.worth >= 0.0, "class", i, "worth", "must be 0 or more")?;
+            let body = class.body[0] <= class.body[1] && class.body[1] <= 64 * 1024;
+            expect(body, "class", i, "body", "least and most expected, 65536 at most")?;
+            let twin = self.classes[..i].iter().any(|other| other.name == class.name);
+            expect(!twin, "class", i, "name", "another class has this name")?;
+            let word =
+                !class.name.is_empty() && class.name.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-');
+            expect(word, "class", i, "name", "letters, digits and '-' expected")?;
+        }
+        expect(!self.partners.is_empty(), "", 0, "partner", "at least one [[partner]] expected")?;
+        for (i, partner) in self.partners.iter().enumerate() {
+            let p = partner;
+            let twin = self.partners[..i].iter().any(|other| other.name == p.name);
+            expect(!twin, "partner", i, "name", "another partner has this name")?;
+            for (key, x) in
+                [("share", p.share), ("capacity", p.capacity), ("idle_s", p.idle_s), ("window_s", p.window_s)]
+            {
+                expect(above(x), "partner", i, key, ABOVE)?;
+            }
+            expect((1..=64).contains(&p.endpoints), "partner", i, "endpoints", "must lie between 1 and 64")?;
+            expect((1..=100).contains(&p.batch), "partner", i, "batch", "must lie between 1 and 100")?;
+            expect(p.connections > 0, "partner", i, "connections", ABOVE)?;
+            expect(
+                p.queue_ms.is_finite() && p.queue_ms >= 0.0,
+                "partner",
+                i,
+                "queue_ms",
+                "must be 0 or more",
+            )?;
+            let service =
+                above(p.service_ms[0]) && p.service_ms[0] <= p.service_ms[1] && p.service_ms[1] <= 60_000.0;
+            expect(
+                service,
+                "partner",
+                i,
+                "service_ms",
+                "least and most expected, above 0 and 60000 at most",
+            )?;
+            let limited = p.limit == Limit::None || above(p.limit_per_s);
+            expect(limited, "partner", i, "limit_per_s", "a limit needs one above 0")?;
+            for (key, x) in
+                [("errors", p.errors), ("resets", p.resets), ("cuts", p.cuts), ("spoilt", p.spoilt)]
+            {
+                expect(share(x), "partner", i, key, SHARE)?;
+            }
+            let sum = p.errors + p.resets + p.cuts + p.spoilt;
+            expect(
+                sum <= 1.0,
+                "partner",
+                i,
+                "errors",
+                "errors, resets, cuts and spoilt are more than all calls",
+            )?;
+        }
+        for (i, fault) in self.faults.iter().enumerate() {
+            self.check_fault(i, fault)?;
+        }
+        let r = &self.returning;
+        expect(above(r.cold_s), "returning", 0, "cold_s", ABOVE)?;
+        expect(above(r.fall_s), "returning", 0, "fall_s", ABOVE)?;
+        expect(above(r.multiple), "returning", 0, "multiple", ABOVE)?;
+        expect(share(r.cold_share) && r.cold_share > 0.0, "returning", 0, "cold_share", SHARE)
+    }
+
+    fn check_fault(
+        &self, i: usize, fault: &Fault,
+    ) -> Result<(), (&'static str, usize, &'static str, String)> {
+        let wrong = |key, problem: String| Err(("fault", i, key, problem));
+        let length = self.length_s;
+        if !(0.0..=length).contains(&fault.at_s) {
+            return wrong("at_s", format!("must lie between 0 and the run's {length} s"));
+        }
+        if !fault.for_s.is_finite() || fault.for_s < 0.0 {
+            return wrong("for_s", "must be 0 or more".into());
+        }
+        if fault.at_s + fault.for_s > length {
+            return wrong("for_s", format!("it would outlast the run's {length} s"));
+        }
+        if !fault.kind.instant() && fault.for_s == 0.0 {
+            return wrong("for_s", "this kind lasts for a time: a number above 0 expected".into());
+        }
+        match fault.dispatcher {
+            Some(n) if n >= self.dispatchers.count => {
+                return wrong("dispatcher", format!("there are {}, counted from 0", self.dispatchers.count));
+            }
+            None if fault.kind.dispatcher() => {
+                return wrong("dispatcher", "missing: which one, from 0".into());
+            }
+            Some(_) if !fault.kind.dispatcher() => {
+                return wrong("dispatcher", "this kind does not befall a dispatcher".into());
+            }
+            _ => {}
+        }
+        let partner = fault.partner.as_ref();
+        let known = partner.and_then(|name| self.partners.iter().find(|p| p.name == *name));
+        let wanted = !fault.kind.dispatcher() && !fault.kind.platform();
+        match (partner, known) {
+            (Some(name), None) => return wrong("partner", format!("there is no partner '{name}'")),
+            (None, _) if wanted => return wrong("partner", "missing: its name".into()),
+            (Some(_), _) if !wanted => return wrong("partner", "this kind does not befall a partner".into()),
+            (_, Some(known)) if fault.endpoint >= known.endpoints => {
+                return wrong(
+                    "endpoint",
+                    format!("'{}' has {}, counted from 0", known.name, known.endpoints),
+                );
+            }
+            _ => {}
+        }
+        let needs = matches!(fault.kind, Kind::Slow | Kind::PlatformLate);
+        if needs && !fault.factor.is_some_and(|x| x.is_finite() && x > 0.0 && x <= 1000.0) {
+            return wrong("factor", "must be a number above 0, 1000 at most".into());
+        }
+        // Two outages of one partner at once would leave open when it is back.
+        if let Some(other) = self.faults[..i].iter().find(|other| {
+            !fault.kind.instant()
+                && !other.kind.instant()
+                && other.partner.is_some()
+                && other.partner == fault.partner
+                && other.at_s < fault.at_s + fault.for_s
+                && fault.at_s < other.at_s + other.for_s
+        }) {
+            let text =
+                format!("another fault befalls this partner from {} s for {} s", other.at_s, other.for_s);
+            return wrong("at_s", text);
+        }
+        Ok(())
+    }
+}
+
+/// The line on which a key of the so-manieth section stands, or the section's own where it is not written.
+fn place(text: &str, section: &str, index: usize, key: &str) -> usize {
+    let (mut current, mut count, mut head) = (String::new(), 0, 1);
+    for (i, line) in text.lines().enumerate() {
+        let line = line.trim();
+        if let Some(name) = line.strip_prefix('[') {
+            current = name.trim_matches(['[', ']']).trim().to_string();
+            if current == section {
+                count += 1;
+                if count == index + 1 {
+                    head = i + 1;
+                }
+            }
+        } else if current == section
+            && (section.is_empty() || count == index + 1)
+            && line.split(['=', ' ']).next() == Some(key)
+        {
+            return i + 1;
+        }
+    }
+    head
+}
