--- a/crates/lab/src/http.rs
+++ b/crates/lab/src/http.rs
@@ -115,6 +115,17 @@
         }
     }
 
+    /// The next bytes as they come; none at the connection's end.
+    ///
+    /// # Errors
+    /// Those of the socket.
+    pub async fn piece(&mut self) -> io::Result<Vec<u8>> {
+        if self.buffer.is_empty() {
+            self.more().await?;
+        }
+        Ok(std::mem::take(&mut self.buffer))
+    }
+
     /// Reads a request; none where the connection ended before its first byte.
     ///
     /// # Errors
