--- a/crates/fawnspoke/src/main.rs
+++ b/crates/fawnspoke/src/main.rs
@@ -1,7 +1,9 @@
 //! The program: reads its arguments and hands over to the part that is asked for.
 
 use clap::{Args, Parser, Subcommand};
+use fawnspoke_lab::bench::Settings;
 use fawnspoke_lab::command;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -56,6 +58,32 @@
         /// The record, one JSON object a line
         record: PathBuf,
     },
+    /// Measure how fast one dispatcher delivers, beside a plain proxy on the same core
+    Bench {
+        /// Seconds of each of the four measures
+        #[arg(long, default_value_t = 4.0, value_parser = seconds)]
+        seconds: f64,
+        /// Bytes of a body
+        #[arg(long, default_value_t = 212, value_parser = clap::value_parser!(u64).range(0..=65536))]
+        body: u64,
+        /// Connections of the load
+        #[arg(long, default_value_t = 16, value_parser = clap::value_parser!(u64).range(2..=500))]
+        connections: u64,
+        /// Calls that the dispatcher may have out
+        #[arg(long, default_value_t = 200, value_parser = clap::value_parser!(u64).range(1..=1500))]
+        slots: u64,
+        /// Length of the dispatcher's rounds, in milliseconds
+        #[arg(long, default_value_t = 5.0, value_parser = seconds)]
+        tick_ms: f64,
+    },
+    /// Run the plain proxy that the bench compares with
+    #[command(hide = true)]
+    Proxy {
+        /// Where it listens
+        listen: SocketAddr,
+        /// Where it forwards to
+        to: SocketAddr,
+    },
     /// Run a dispatcher that breaks rules on purpose, in place of `serve`
     #[command(hide = true)]
     Naive {
@@ -83,6 +111,12 @@
     logs: Option<PathBuf>,
 }
 
+/// A figure that may be set from a thousandth to a minute or so.
+fn seconds(text: &str) -> Result<f64, String> {
+    let number = text.parse::<f64>().map_err(|error| error.to_string())?;
+    if (0.001..=60.0).contains(&number) { Ok(number) } else { Err("must lie between 0.001 and 60".into()) }
+}
+
 impl From<Play> for command::Play {
     fn from(play: Play) -> command::Play {
         let Play { seed, seeds, broken, record, logs } = play;
@@ -111,6 +145,11 @@
         Command::Lab(Lab::Run { scenario, play }) => command::run(&scenario, &play.into()),
         Command::Lab(Lab::Script { scenario, seed }) => command::script(&scenario, seed),
         Command::Lab(Lab::Audit { record }) => command::audit(&record),
+        Command::Lab(Lab::Bench { seconds, body, connections, slots, tick_ms }) => {
+            let (body, connections, slots) = (body as usize, connections as usize, slots as usize);
+            command::bench(&Settings { seconds, body, connections, slots, tick_ms })
+        }
+        Command::Lab(Lab::Proxy { listen, to }) => command::proxy(listen, to),
         Command::Lab(Lab::Naive { fault }) => command::naive(&fault),
     }
 }
--- a/crates/fawnspoke/tests/sockets/main.rs
+++ b/crates/fawnspoke/tests/sockets/main.rs
@@ -11,7 +11,6 @@
 use std::fs;
 use std::io::Write;
 use std::process::Stdio;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -161,14 +160,14 @@
 #[test]
 fn killed_with_a_notice_unanswered() {
     let (endpoint, platform) = (Endpoint::start(|_, _| Reply::Break), Platform::start());
-    platform.answer.store(500, Ordering::SeqCst);
+    platform.answer(500);
     let mut dispatcher = Dispatcher::started(&platform, &[endpoint.host("e", 7, "up")]);
     assert_eq!(dispatcher.hand_in("unsafe", "m1", 7), 202);
     // At once, though the message had much time left; and again until it is heard.
     eventually("the notice, twice", || platform.told("m1").len() >= 2);
     dispatcher.kill();
     let before = platform.told("m1").len();
-    platform.answer.store(204, Ordering::SeqCst);
+    platform.answer(204);
     dispatcher.start();
     eventually("the notice of the second life", || platform.told("m1").len() > before);
     assert!(platform.told("m1").iter().all(|outcome| outcome == "given_up"));
@@ -451,12 +450,12 @@
 #[test]
 fn silent_discovery_is_watched_anew() {
     let (endpoint, platform) = (Endpoint::start(|_, _| ok()), Platform::start());
-    platform.silent.store(true, Ordering::SeqCst);
+    platform.silent(true);
     let dispatcher = Dispatcher::started(&platform, &[endpoint.host("e", 7, "up")]);
     assert_eq!(dispatcher.hand_in("safe", "m1", 7), 202);
     eventually("the call", || endpoint.seen().len() == 1);
     eventually("a second watch", || platform.watched_from().len() >= 2);
-    platform.silent.store(false, Ordering::SeqCst);
+    platform.silent(false);
     let silent = platform.watched_from().len();
     eventually("a watch that is answered", || platform.watched_from().len() > silent);
     platform.push_line("this is no list");
--- a/crates/fawnspoke/tests/sockets/reload.rs
+++ b/crates/fawnspoke/tests/sockets/reload.rs
@@ -12,7 +12,7 @@
     let mut dispatcher = Dispatcher::started(&old, &[endpoint.host("e", 7, "up")]);
     eventually("the first watch", || old.watched_from().len() == 1);
     // A notice that the old address never answers is owed to the new one.
-    old.answer.store(500, std::sync::atomic::Ordering::SeqCst);
+    old.answer(500);
     assert_eq!(dispatcher.hand_in("unsafe", "broken-1", 7), 202);
     eventually("the notice at the old address", || !old.told("broken-1").is_empty());
     dispatcher.config["discovery"] = new.at.to_string().into();
--- a/crates/lab/src/command.rs
+++ b/crates/lab/src/command.rs
@@ -6,7 +6,8 @@
 use crate::run::{self, Options};
 use crate::scenario::Scenario;
 use crate::script::Script;
-use crate::{naive, table};
+use crate::{bench, naive, proxy, table};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -96,6 +97,38 @@
     }
 }
 
+/// Measures throughput and latency beside a plain proxy.
+pub fn bench(settings: &bench::Settings) -> ExitCode {
+    let folder = match run::fresh_folder(&std::env::temp_dir()) {
+        Ok(folder) => folder,
+        Err(error) => return wrong(error),
+    };
+    let measured = std::env::current_exe().and_then(|program| bench::run(&program, &folder, settings));
+    // What is left of it is only in the way.
+    let _ = std::fs::remove_dir_all(&folder);
+    match measured {
+        Ok((beside, measured)) => {
+            print!("{}", bench::text(&beside, &measured));
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("fawnspoke: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs the plain proxy.
+pub fn proxy(listen: SocketAddr, to: SocketAddr) -> ExitCode {
+    match runtime().and_then(|runtime| runtime.block_on(proxy::serve(listen, to))) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("proxy: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn program(broken: Option<&str>) -> Result<Program, String> {
     let path = std::env::current_exe().map_err(|error| format!("this program's own path: {error}"))?;
     let arguments = match broken {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,9 +4,12 @@
 //! - [`http`], [`endpoint`], [`partner`], [`platform`], [`clients`]: the stand-ins.
 //! - [`process`]: dispatchers as processes. [`run`] plays a script.
 //! - [`record`]: what the stand-ins of a run saw. [`auditor`] judges it; it shares no code with the dispatcher.
+//! - [`stage`]: the stand-ins for tests that are not asynchronous.
+//! - [`bench`]: throughput and latency beside a plain [`proxy`].
 //! - [`naive`]: a dispatcher that breaks rules on purpose.
 
 pub mod auditor;
+pub mod bench;
 pub mod clients;
 pub mod command;
 pub mod endpoint;
@@ -16,8 +19,10 @@
 pub mod partner;
 pub mod platform;
 pub mod process;
+pub mod proxy;
 pub mod record;
 pub mod run;
 pub mod scenario;
 pub mod script;
+pub mod stage;
 pub mod table;
--- a/crates/lab/src/platform.rs
+++ b/crates/lab/src/platform.rs
@@ -13,12 +13,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{broadcast, mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// A watch gets an empty line in this time.
 const HEARTBEAT: Duration = Duration::from_secs(2);
+/// Lines that a slow watch may be behind.
+const LINES_MOST: usize = 1024;
 /// An old address closes its connections so long after it was moved.
 const MOVED: Duration = Duration::from_millis(1500);
 
@@ -75,11 +77,13 @@
     pub torn: bool,
     /// What a notice is answered.
     pub notice_status: u16,
+    /// Watches get an empty line every 2 s.
+    pub heartbeats: bool,
 }
 
 impl Default for Mood {
     fn default() -> Mood {
-        Mood { silent: false, late: Duration::ZERO, torn: false, notice_status: 204 }
+        Mood { silent: false, late: Duration::ZERO, torn: false, notice_status: 204, heartbeats: true }
     }
 }
 
@@ -95,7 +99,7 @@
     hosts: BTreeMap<String, Host>,
     changes: Vec<Change>,
     notices: Vec<(usize, Notice)>,
-    /// The versions that watches asked for, by dispatcher.
+    /// First lines of the requests for watches, by dispatcher.
     watched: Vec<(usize, String)>,
     /// What each dispatcher has been told in full.
     known: BTreeMap<usize, (u64, BTreeMap<String, Host>)>,
@@ -106,6 +110,10 @@
     mood: watch::Sender<Mood>,
     changed: watch::Sender<u64>,
     recorder: Recorder,
+    /// Lines that watches are told as they are.
+    said: broadcast::Sender<String>,
+    /// Watches that are open.
+    watches: watch::Sender<usize>,
     /// Notices that a client is to hear of.
     heard: mpsc::UnboundedSender<Notice>,
 }
@@ -136,6 +144,8 @@
             mood: watch::Sender::new(Mood::default()),
             changed: watch::Sender::new(1),
             recorder,
+            said: broadcast::Sender::new(LINES_MOST),
+            watches: watch::Sender::new(0),
             heard,
         };
         (Platform { shared: Arc::new(shared), agents: Mutex::default() }, hearing)
@@ -209,6 +219,19 @@
         self.shared.changed.send_replace(seq);
     }
 
+    /// Writes a line, whatever it is, to each watch that is open, as version `seq` of the list; waits until there
+    /// is a watch.
+    pub async fn say(&self, seq: Option<u64>, line: &str) {
+        // The sender lives as long as this does.
+        let _ = self.shared.watches.subscribe().wait_for(|watches| *watches > 0).await;
+        if let Some(seq) = seq {
+            let mut list = self.shared.list();
+            list.seq = list.seq.max(seq);
+        }
+        // Each watch reads it by itself; one that ends just now does not.
+        let _ = self.shared.said.send(line.into());
+    }
+
     /// An endpoint's entry.
     pub fn host(&self, name: &str) -> Option<Host> {
         self.shared.list().hosts.get(name).cloned()
@@ -228,7 +251,7 @@
         self.shared.list().notices.clone()
     }
 
-    /// The versions from which watches were asked for.
+    /// The first lines of the requests for watches.
     pub fn watched(&self) -> Vec<(usize, String)> {
         self.shared.list().watched.clone()
     }
@@ -250,6 +273,9 @@
         match request.target() {
             ("POST", "/status") => notices(shared, dispatcher, &mut wire, &request).await?,
             ("GET", path) if path.starts_with("/registry/instances") => {
+                if path.contains("stream=1") {
+                    shared.list().watched.push((dispatcher, request.first.clone()));
+                }
                 if shared.mood.borrow().silent {
                     let mut mood = shared.mood.subscribe();
                     let _ = mood.wait_for(|mood| !mood.silent).await;
@@ -316,12 +342,29 @@
     wire.write(&http::answer(status, "", b"")).await
 }
 
+/// Counts a watch for as long as it is open.
+struct OpenWatch<'a>(&'a watch::Sender<usize>);
+
+impl OpenWatch<'_> {
+    fn new(watches: &watch::Sender<usize>) -> OpenWatch<'_> {
+        watches.send_modify(|count| *count += 1);
+        OpenWatch(watches)
+    }
+}
+
+impl Drop for OpenWatch<'_> {
+    fn drop(&mut self) {
+        self.0.send_modify(|count| *count -= 1);
+    }
+}
+
 /// A watch: what changed after the version that it asks for, then each change.
 async fn follow(shared: &Shared, dispatcher: usize, wire: &mut Wire, path: &str) -> io::Result<()> {
     let index = path.split(['?', '&']).find_map(|pair| pair.strip_prefix("index=")).unwrap_or("0");
-    shared.list().watched.push((dispatcher, index.into()));
     let mut seen: u64 = index.parse().unwrap_or(0);
-    let (mut changed, mut mood) = (shared.changed.subscribe(), shared.mood.subscribe());
+    let (mut changed, mut mood, mut said) =
+        (shared.changed.subscribe(), shared.mood.subscribe(), shared.said.subscribe());
+    let _open = OpenWatch::new(&shared.watches);
     wire.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
     let mut first = true;
     loop {
@@ -369,10 +412,17 @@
             _ = changed.changed() => {}
             _ = mood.changed() => {}
             () = sleep_until(due) => {
-                if !mood.borrow().silent {
+                let quiet = mood.borrow().silent || !mood.borrow().heartbeats;
+                if !quiet {
                     timeout(HEARTBEAT, wire.write(b"1\r\n\n\r\n")).await??;
                 }
             }
+            line = said.recv() => {
+                if let Ok(line) = line {
+                    wire.write(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes()).await?;
+                    seen = seen.max(shared.list().seq);
+                }
+            }
             () = wire.closed() => return Ok(()),
         }
     }
