--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,7 +5,7 @@
 //! - [`process`]: dispatchers as processes. [`run`] plays a script.
 //! - [`record`]: what the stand-ins of a run saw. [`auditor`] judges it; it shares no code with the dispatcher.
 //! - [`stage`]: the stand-ins for tests that are not asynchronous.
-//! - [`bench`]: throughput and latency beside a plain [`proxy`].
+//! - [`mod@bench`]: throughput and latency beside a plain [`proxy`].
 //! - [`naive`]: a dispatcher that breaks rules on purpose.
 
 pub mod auditor;
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -29,6 +29,8 @@
 /// and its client may never hear the answer.
 const LINGER: Duration = Duration::from_millis(300);
 const LINGER_MOST: usize = 1 << 20;
+/// What was found open so long ago is taken to be: a stall of this process that matters is longer.
+const STILL_THERE: Duration = Duration::from_millis(5);
 /// Header lines of a request.
 const HEADERS_MOST: usize = 64;
 
@@ -78,6 +80,8 @@
     /// Since when a request is awaited or read. A new connection owes one, a kept one does not.
     asked_at: Cell<Option<Instant>>,
     head: RefCell<Head>,
+    /// When its socket was last found open.
+    open_at: Cell<Instant>,
     /// The message whose 202 is to be written.
     pub unheard: Cell<Option<u64>>,
     going: Cell<bool>,
@@ -92,6 +96,7 @@
             heard_at: Cell::new(now),
             asked_at: Cell::new(Some(now)),
             head: RefCell::default(),
+            open_at: Cell::new(now),
             unheard: Cell::new(None),
             going: Cell::new(false),
             leave: Notify::new(),
@@ -101,7 +106,16 @@
     /// Whether more has come than the head and a body of this length. Clients send one request at a time:
     /// such a one is not what its sender took it for, or hides another.
     pub fn sent_more_than(&self, body: usize) -> bool {
-        self.head.borrow().behind().is_none_or(|behind| behind > body) || self.wire.unread() == Unread::Bytes
+        let unread = self.wire.unread();
+        if unread == Unread::Nothing {
+            self.open_at.set(Instant::now());
+        }
+        self.head.borrow().behind().is_none_or(|behind| behind > body) || unread == Unread::Bytes
+    }
+
+    /// Whether the client has closed; one that was there a moment ago is not asked for again.
+    fn closed(&self) -> bool {
+        self.open_at.get().elapsed() > STILL_THERE && self.wire.unread() == Unread::End
     }
 
     fn idle(&self) -> bool {
@@ -224,7 +238,7 @@
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let client = &self.client;
         // A client that closed while this process was stalled has handed the message in elsewhere.
-        if client.unheard.get().is_some() && client.wire.unread() == Unread::End {
+        if client.unheard.get().is_some() && client.closed() {
             return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
         }
         let written = ready!(Pin::new(&mut client.wire.clone()).poll_write(cx, bytes))?;
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -8,7 +8,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
 /// What is kept of a first line: its status stands at the start.
@@ -34,6 +34,13 @@
         Ok(Wire(Rc::new(stream)))
     }
 
+    /// A read that left room has taken all that was there: the runtime need not ask again before it hears of more.
+    /// An end that it has heard of stays heard.
+    fn drained(&self) {
+        let nothing = self.0.try_io(Interest::READABLE, || Err::<(), _>(io::ErrorKind::WouldBlock.into()));
+        debug_assert!(nothing.is_err());
+    }
+
     /// Asks the socket itself: the runtime may not have heard yet of what came.
     pub fn unread(&self) -> Unread {
         match SockRef::from(&*self.0).peek(&mut [MaybeUninit::uninit()]) {
@@ -50,7 +57,12 @@
             ready!(self.0.poll_read_ready(cx))?;
             match self.0.try_read_buf(buf) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                read => return Poll::Ready(read.map(drop)),
+                read => {
+                    if matches!(read, Ok(1..)) && buf.remaining() > 0 {
+                        self.drained();
+                    }
+                    return Poll::Ready(read.map(drop));
+                }
             }
         }
     }
