Answers that bring more, requests that are reset, and another build's figures in the lab

Need: the lab lacked the good answers with a 1xx ahead, a copy or noise behind and reports that can't be read, and resets before a request's last byte; and two builds could not be measured side by side.

--- a/crates/fawnspoke/src/main.rs
+++ b/crates/fawnspoke/src/main.rs
@@ -75,6 +75,9 @@
         /// Length of the dispatcher's rounds, in milliseconds
         #[arg(long, default_value_t = 5.0, value_parser = seconds)]
         tick_ms: f64,
+        /// Measure another build of the program in place of this one
+        #[arg(long)]
+        program: Option<PathBuf>,
     },
     /// Run the plain proxy that the bench compares with
     #[command(hide = true)]
@@ -103,6 +106,9 @@
     /// Run naive dispatchers with this fault: forgets, early, resends, doubles, impatient, stubborn or honest
     #[arg(long, value_name = "FAULT")]
     broken: Option<String>,
+    /// Play another build of the program in place of this one
+    #[arg(long, conflicts_with = "broken")]
+    program: Option<PathBuf>,
     /// Keep the record of all that the stand-ins saw in this file
     #[arg(long)]
     record: Option<PathBuf>,
@@ -119,8 +125,8 @@
 
 impl From<Play> for command::Play {
     fn from(play: Play) -> command::Play {
-        let Play { seed, seeds, broken, record, logs } = play;
-        command::Play { seed, seeds, broken, record, logs }
+        let Play { seed, seeds, broken, program, record, logs } = play;
+        command::Play { seed, seeds, broken, program, record, logs }
     }
 }
 
@@ -145,9 +151,9 @@
         Command::Lab(Lab::Run { scenario, play }) => command::run(&scenario, &play.into()),
         Command::Lab(Lab::Script { scenario, seed }) => command::script(&scenario, seed),
         Command::Lab(Lab::Audit { record }) => command::audit(&record),
-        Command::Lab(Lab::Bench { seconds, body, connections, slots, tick_ms }) => {
+        Command::Lab(Lab::Bench { seconds, body, connections, slots, tick_ms, program }) => {
             let (body, connections, slots) = (body as usize, connections as usize, slots as usize);
-            command::bench(&Settings { seconds, body, connections, slots, tick_ms })
+            command::bench(&Settings { seconds, body, connections, slots, tick_ms, program })
         }
         Command::Lab(Lab::Proxy { listen, to }) => command::proxy(listen, to),
         Command::Lab(Lab::Naive { fault }) => command::naive(&fault),
--- a/crates/lab/src/bench.rs
+++ b/crates/lab/src/bench.rs
@@ -43,6 +43,8 @@
     pub slots: usize,
     /// Length of its rounds in milliseconds.
     pub tick_ms: f64,
+    /// The program that is measured as the dispatcher, in place of this one.
+    pub program: Option<std::path::PathBuf>,
 }
 
 /// One subject's figures.
@@ -338,8 +340,8 @@
     let runtime = crate::stage::handle();
     let subject = cores().into_iter().take(1).collect::<Vec<_>>();
     let recorder = Recorder::new(1_000_000);
-    let start = |index: usize, arguments: Vec<String>, listen: SocketAddr, config: &serde_json::Value| {
-        let program = Program { path: program.to_path_buf(), arguments };
+    let start = |index: usize, path: &Path, arguments, listen: SocketAddr, config: &serde_json::Value| {
+        let program = Program { path: path.to_path_buf(), arguments };
         let log = folder.join(format!("bench-{index}.log"));
         let process = Process::new(index, program, listen, folder, log, recorder.clone())?;
         process.configure(config)?;
@@ -349,7 +351,7 @@
     let (listener, to) = target()?;
     let listen = free()?;
     let arguments = vec!["lab".into(), "proxy".into(), listen.to_string(), to.to_string()];
-    let proxy = start(0, arguments, listen, &json!({}))?;
+    let proxy = start(0, program, arguments, listen, &json!({}))?;
     runtime.block_on(proxy.start(to))?;
     let pid = proxy.id().ok_or(io::ErrorKind::NotFound)?;
     bind(Some(pid), &subject);
@@ -386,7 +388,8 @@
             "safety": {"cold": 9.6, "cold_share": 0.2, "fall": 3.0, "must_ask_in": 10.0, "tip_multiple": 2.0},
         },
     });
-    let dispatcher = start(1, vec!["serve".into()], listen, &config)?;
+    let measured = settings.program.as_deref().unwrap_or(program);
+    let dispatcher = start(1, measured, vec!["serve".into()], listen, &config)?;
     runtime.block_on(dispatcher.start(discovery))?;
     let pid = dispatcher.id().ok_or(io::ErrorKind::NotFound)?;
     bind(Some(pid), &subject);
--- a/crates/lab/src/command.rs
+++ b/crates/lab/src/command.rs
@@ -23,6 +23,8 @@
     pub seeds: u64,
     /// The fault of the naive dispatcher that takes the place of the real one.
     pub broken: Option<String>,
+    /// The program that is run in place of this one.
+    pub program: Option<PathBuf>,
     /// Where the record is kept.
     pub record: Option<PathBuf>,
     /// Where the dispatchers' logs are kept.
@@ -129,9 +131,10 @@
     }
 }
 
-fn program(broken: Option<&str>) -> Result<Program, String> {
-    let path = std::env::current_exe().map_err(|error| format!("this program's own path: {error}"))?;
-    let arguments = match broken {
+fn program(play: &Play) -> Result<Program, String> {
+    let own = || std::env::current_exe().map_err(|error| format!("this program's own path: {error}"));
+    let path = play.program.clone().map_or_else(own, Ok)?;
+    let arguments = match play.broken.as_deref() {
         None => vec!["serve".into()],
         Some(fault) => {
             fault.parse::<naive::Fault>().map_err(|()| format!("--broken: {}", naive::Fault::EXPECTED))?;
@@ -142,7 +145,7 @@
 }
 
 fn played(scenario: &Scenario, play: &Play) -> ExitCode {
-    let program = match program(play.broken.as_deref()) {
+    let program = match program(play) {
         Ok(program) => program,
         Err(error) => return wrong(error),
     };
--- a/crates/lab/src/endpoint.rs
+++ b/crates/lab/src/endpoint.rs
@@ -88,6 +88,10 @@
 
 /// Decides what an endpoint does.
 pub trait Script: Send + Sync + 'static {
+    /// Whether the connection is reset on the next request's first bytes, which then never runs.
+    fn resets_request(&self) -> bool {
+        false
+    }
     /// A call has come whole.
     fn begin(&self, call: &Call) -> Reply;
     /// Its work is done, whatever becomes of its answer.
@@ -355,6 +359,13 @@
 
 /// One call on a connection.
 async fn one(shared: &Arc<Shared>, from: From, wire: &mut Wire, mut door: watch::Receiver<Door>) -> Next {
+    if shared.script.resets_request() {
+        let limit = shared.traits.idle.unwrap_or(Duration::from_secs(3600));
+        return match timeout(limit, wire.piece()).await {
+            Ok(Ok(piece)) if !piece.is_empty() => Next::Reset,
+            _ => Next::Close,
+        };
+    }
     let request = match shared.traits.idle {
         Some(idle) => match timeout(idle, wire.request()).await {
             Ok(request) => request,
--- a/crates/lab/src/partner.rs
+++ b/crates/lab/src/partner.rs
@@ -1,6 +1,7 @@
 //! A stand-in for a partner: its limit, its capacity, its memory of keys, its troubles, and how it comes back.
 
 use crate::endpoint::{Call, How, Reply, Script};
+use crate::http;
 use crate::ledger::Ledger;
 use crate::record::{Effect, End, Fate, Item, Recorder, What};
 use crate::scenario::{self, Limit, Returning};
@@ -275,18 +276,18 @@
             return reply(How::Cut(200, rng.usize(0..60)), runs, Vec::new());
         }
         if drawn < spoilt {
-            let (bytes, end): (&[u8], End) = match rng.u8(..5) {
+            let (bytes, end): (&[u8], End) = match rng.u8(..6) {
                 0 => (b"\x00\x17\xff noise\r\n\r\n", End::Broken),
                 1 => (b"HTTP/1.1 2zz OK\r\n\r\n", End::Broken),
                 2 => (b"HTTP/1.1 200 OK\r\n\x00\x01 bad\r\n\r\n", End::Cut(200)),
                 3 => (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nand on", End::Cut(200)),
+                4 => (b"HTTP/1.1 200 OK\r\nX-Without-End: x", End::Cut(200)),
                 _ => (b"HTTP/1.1 500 No\r\nContent-Length: minus\r\n\r\n", End::Cut(500)),
             };
             return reply(How::Raw(bytes.to_vec(), end), runs, Vec::new());
         }
-        if call.items.len() == 1 {
-            return reply(How::Answer(200, report, Vec::new()), runs, Vec::new());
-        }
+        let extra = (drawn < spoilt + spec.extras).then(|| rng.u8(..4));
+        let one = call.items.len() == 1;
         let mut body = String::new();
         for (item, fate) in call.items.iter().zip(&fates) {
             let word = match fate {
@@ -298,7 +299,19 @@
             };
             body.push_str(&format!("{} {word}\r\n", item.id));
         }
-        reply(How::Answer(200, report, body.into_bytes()), runs, fates)
+        let (body, fates) = if one { (Vec::new(), Vec::new()) } else { (body.into_bytes(), fates) };
+        let whole = http::answer(200, &report, &body);
+        let how = match extra {
+            None => How::Answer(200, report, body),
+            Some(0) => {
+                let early = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+                How::Raw([early, &whole[..]].concat(), End::Answered(200))
+            }
+            Some(1) => How::Raw([&whole[..], b"\x00 noise"].concat(), End::Answered(200)),
+            Some(2) => How::Raw([&whole[..], &whole[..]].concat(), End::Answered(200)),
+            Some(_) => How::Answer(200, "Server-Load: {x1:\r\n".into(), body),
+        };
+        reply(how, runs, fates)
     }
 
     /// A message takes effect, unless its key is still remembered.
@@ -323,6 +336,11 @@
 }
 
 impl Script for Door {
+    fn resets_request(&self) -> bool {
+        let share = self.0.spec.request_resets;
+        share > 0.0 && self.0.state().rng.f64() < share
+    }
+
     fn begin(&self, call: &Call) -> Reply {
         self.0.begin(self.1, call)
     }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -255,6 +255,13 @@
     /// Share of the answers that can't be read.
     #[serde(default)]
     pub spoilt: f64,
+    /// Share of the answers that are good and bring more than belongs to them: a 1xx ahead, a second copy or noise
+    /// behind, a report that can't be read.
+    #[serde(default)]
+    pub extras: f64,
+    /// Share of the requests on whose first bytes the connection is reset: they never run.
+    #[serde(default)]
+    pub request_resets: f64,
 }
 
 fn endpoints() -> usize {
@@ -535,18 +542,23 @@
             )?;
             let limited = p.limit == Limit::None || above(p.limit_per_s);
             expect(limited, "partner", i, "limit_per_s", "a limit needs one above 0")?;
-            for (key, x) in
-                [("errors", p.errors), ("resets", p.resets), ("cuts", p.cuts), ("spoilt", p.spoilt)]
-            {
+            for (key, x) in [
+                ("errors", p.errors),
+                ("resets", p.resets),
+                ("cuts", p.cuts),
+                ("spoilt", p.spoilt),
+                ("extras", p.extras),
+                ("request_resets", p.request_resets),
+            ] {
                 expect(share(x), "partner", i, key, SHARE)?;
             }
-            let sum = p.errors + p.resets + p.cuts + p.spoilt;
+            let sum = p.errors + p.resets + p.cuts + p.spoilt + p.extras;
             expect(
                 sum <= 1.0,
                 "partner",
                 i,
                 "errors",
-                "errors, resets, cuts and spoilt are more than all calls",
+                "errors, resets, cuts, spoilt and extras are more than all calls",
             )?;
         }
         for (i, fault) in self.faults.iter().enumerate() {
