--- a/crates/lab/src/command.rs
+++ b/crates/lab/src/command.rs
@@ -183,7 +183,6 @@
     let parent = play.logs.clone().unwrap_or_else(std::env::temp_dir);
     let folder = run::fresh_folder(&parent)?;
     let options = Options { program: program.clone(), folder: folder.clone(), progress: play.seeds == 1 };
-    // Two threads: signals and children are waited for beside what the stand-ins do.
     let outcome = runtime()?.block_on(run::play(scenario, &script, &options));
     if play.logs.is_none() {
         // What is left of it is only in the way.
