--- a/crates/lab/tests/stand_ins.rs
+++ b/crates/lab/tests/stand_ins.rs
@@ -206,21 +206,16 @@
 async fn answers_that_bring_more_are_good_and_requests_that_are_reset_never_ran() {
     let (partner, recorder) = partner("capacity = 1e6\nservice_ms = [1.0, 1.0]\nextras = 1.0\n", &["m"]);
     let endpoint = open(&partner, &recorder).await;
-    let mut kinds = std::collections::BTreeSet::new();
     // Three tries a message; each answer is drawn by chance among four.
     for _ in 0..3 {
         let mut wire = connect(endpoint.at(0).unwrap()).await;
         wire.write(&call("m")).await.unwrap();
         let piece = timeout(PATIENCE, wire.piece()).await.unwrap().unwrap();
         let text = String::from_utf8_lossy(&piece).into_owned();
-        assert!(text.contains("HTTP/1.1 200 OK\r\n"), "{text}");
-        kinds.insert((
-            text.starts_with("HTTP/1.1 103"),
-            text.matches("200 OK").count(),
-            text.contains("{x1:"),
-        ));
+        let copies = text.matches("HTTP/1.1 200 OK\r\n").count();
+        let more = text.starts_with("HTTP/1.1 103") || text.ends_with("noise") || text.contains("{x1:");
+        assert!(copies == 2 || (copies == 1 && more), "{text}");
     }
-    assert!(!kinds.is_empty() && !kinds.contains(&(false, 0, false)));
     until("their ends", || ends(&recorder) == [End::Answered(200); 3]).await;
 
     let (partner, recorder) =
