What an earlier life left goes at the own part's pace, not all at once

Resumed messages now begin at the own part's pace, and no longer count as new demand, which had made that part too large.

--- a/crates/waydoor/src/choice.rs
+++ b/crates/waydoor/src/choice.rs
@@ -346,7 +346,7 @@
             (self.stalled_at, self.timer) = (now, None);
         }
         match event {
-            Event::Taken(message) => self.take(now, message),
+            Event::Taken(message) => self.take(now, message, true),
             Event::Resumed { message, may_have_run: Some(_), .. }
                 if message.class >= self.settings.classes.len() =>
             {
@@ -354,10 +354,11 @@
                 self.decided.push(Action::Fail(message.id));
             }
             Event::Resumed { message, taken, attempts, may_have_run } => {
-                self.take(now, message);
+                self.take(now, message, false);
                 if let Some(parcel) = self.parcels.get_mut(&message.id) {
                     (parcel.taken, parcel.attempts, parcel.may_have_run) = (taken, attempts, may_have_run);
                 }
+                self.pace_backlog(now, message.destination);
             }
             Event::Remembered(destination) => {
                 self.recalled.insert(destination);
@@ -387,7 +388,8 @@
         }
     }
 
-    fn take(&mut self, now: Seconds, message: Message) {
+    /// `new`: it came now, and tells of the demand.
+    fn take(&mut self, now: Seconds, message: Message, new: bool) {
         if self.parcels.contains_key(&message.id) || self.ended.0.contains(&message.id) {
             return;
         }
@@ -400,7 +402,10 @@
         }
         let unlisted =
             Destination::new(None, UNKNOWN_LATENCY, usize::MAX, Kind { routes_apart: false, batch: 1 });
-        self.destinations.entry(message.destination).or_insert(unlisted).demand.count(now, DEMAND_TIME);
+        let destination = self.destinations.entry(message.destination).or_insert(unlisted);
+        if new {
+            destination.demand.count(now, DEMAND_TIME);
+        }
         self.refresh(now, message.destination);
         if let Some(destination) = self.destinations.get_mut(&message.destination) {
             let rule = &self.settings.returning;
@@ -1021,6 +1026,21 @@
         }
     }
 
+    /// What an earlier life left goes at the own part's pace at first: the pace that was learned is gone with
+    /// that life. Guards against a clump of all that is held, at a place that had told its limit or was cold.
+    /// Harm: what waited for the restart waits a little longer.
+    fn pace_backlog(&mut self, now: Seconds, number: DestinationId) {
+        let Some(destination) = self.destinations.get_mut(&number) else { return };
+        let set = |lane: &mut Lane| {
+            let own = lane.capacity.map(|capacity| (lane.part * capacity, now));
+            lane.pace = lane.pace.or(own);
+        };
+        set(&mut destination.lane);
+        for id in destination.endpoints.iter().filter(|_| destination.apart) {
+            self.endpoints.entry(*id).and_modify(|e| set(&mut e.lane));
+        }
+    }
+
     /// Silence: a call unanswered for far longer than usual, with nothing served since, makes its lane
     /// suspect, so that no more is lost there until something answers. Harm: a slow call delays others.
     /// What an own stall kept from coming is no silence: the calls get as long again.
--- a/crates/waydoor/tests/lives.rs
+++ b/crates/waydoor/tests/lives.rs
@@ -100,8 +100,17 @@
     // multiple x mean share over the window x rate x window.
     let budget = (1.5 * (0.25 + 0.75 * 0.15) * 8.0 * 3.0) as usize;
     let (knowing, ignorant) = (sent_at_start(true), sent_at_start(false));
-    assert!((1..=budget).contains(&knowing), "{knowing} sent, budget {budget}");
-    assert!(ignorant > budget, "{ignorant} sent where nothing is known: the test shows nothing");
+    // One of two: half of the budget is its own.
+    assert!((1..=budget / 2 + 1).contains(&knowing), "{knowing} sent, budget {budget}");
+    assert!(ignorant > budget / 2 + 1, "{ignorant} sent where nothing is known: the test shows nothing");
+}
+
+#[test]
+fn a_backlog_goes_at_the_own_pace() {
+    let own = 8.0 * 3.0 / 2.0;
+    let sent = sent_at_start(false) as f64;
+    // Half of the capacity for one of two dispatchers, two calls at once, and the growth of the pace.
+    assert!((0.8 * own..1.5 * own + 3.0).contains(&sent), "{sent} sent, the own part is {own}");
 }
 
 fn remembers(stage: &Stage) -> Vec<bool> {
