Lab: a partner looks a key up when its call comes, not when it gets to work on it

The rule binds the time of the send, and no sender can know how long a call will wait. The stand-in now judges by when the call was there in full. Its new test fails with the clock of before.

--- a/crates/lab/src/partner.rs
+++ b/crates/lab/src/partner.rs
@@ -314,14 +314,15 @@
         reply(how, runs, fates)
     }
 
-    /// A message takes effect, unless its key is still remembered.
-    fn takes_effect(&self, item: &Item) -> bool {
+    /// A message takes effect, unless its key was remembered when its call came: how long a call waits here is
+    /// not what a sender can know or be blamed for.
+    fn takes_effect(&self, came: Instant, item: &Item) -> bool {
         let Some((Effect::Keyed, window)) = self.ledger.effect(&item.id) else { return true };
         let Some(key) = &item.key else { return true };
         let mut state = self.state();
         let now = Instant::now();
         let window = Duration::from_micros(window);
-        if state.keys.get(key).is_some_and(|at| now.saturating_duration_since(*at) < window) {
+        if state.keys.get(key).is_some_and(|at| came.saturating_duration_since(*at) < window) {
             return false;
         }
         state.keys.insert(key.clone(), now);
@@ -347,7 +348,7 @@
 
     fn worked(&self, call: &Call, reply: &Reply) {
         for (item, _) in call.items.iter().zip(&reply.runs).filter(|(_, ran)| **ran) {
-            let effect = self.0.takes_effect(item);
+            let effect = self.0.takes_effect(call.request.whole, item);
             self.0.recorder.add(What::Ran { call: call.number, id: item.id.clone(), effect });
         }
     }
--- a/crates/lab/tests/stand_ins.rs
+++ b/crates/lab/tests/stand_ins.rs
@@ -59,6 +59,10 @@
 }
 
 fn partner(text: &str, keyed: &[&str]) -> (Arc<Partner>, Recorder) {
+    partner_that_remembers(text, keyed, 3_600_000_000)
+}
+
+fn partner_that_remembers(text: &str, keyed: &[&str], window: Micros) -> (Arc<Partner>, Recorder) {
     let text = format!(
         "length_s = 1.0\n[dispatchers]\ncount = 1\n[clients]\nrate = 1.0\n[[class]]\nname = \"c\"\neffect = \"safe\"\n\
          share = 1.0\naim_s = 1.0\ndeadline_s = 1.0\n[[partner]]\nname = \"p\"\nshare = 1.0\nendpoints = 1\n{text}"
@@ -66,7 +70,7 @@
     let spec: scenario::Partner = Scenario::parse("p", &text).unwrap().partners.remove(0);
     let (ledger, recorder) = (Arc::new(Ledger::default()), Recorder::new(100_000));
     for id in keyed {
-        ledger.enter(id, 7, Micros::MAX, Effect::Keyed, 3_600_000_000);
+        ledger.enter(id, 7, Micros::MAX, Effect::Keyed, window);
     }
     (Arc::new(Partner::new(spec, Returning::default(), 7, 3, 1, ledger, recorder.clone())), recorder)
 }
@@ -178,6 +182,21 @@
     assert_eq!(effects, [true, false, false], "a repeat is dropped");
 }
 
+/// A key is looked up when its call comes, however late that call is worked on.
+#[tokio::test]
+async fn a_partner_that_is_slow_forgets_no_key_meanwhile() {
+    let text = "capacity = 1000.0\nservice_ms = [1500.0, 1500.0]\n";
+    let (partner, recorder) = partner_that_remembers(text, &["m"], 1_000_000);
+    let endpoint = open(&partner, &recorder).await;
+    let mut wire = connect(endpoint.at(0).unwrap()).await;
+    for _ in 0..2 {
+        assert_eq!(ask(&mut wire, "m").await.unwrap(), 200);
+    }
+    let effect = |entry: &Entry| if let What::Ran { effect, .. } = entry.what { Some(effect) } else { None };
+    let effects: Vec<bool> = recorder.entries().iter().filter_map(effect).collect();
+    assert_eq!(effects, [true, false], "the repeat came 1 ms after the first one's end");
+}
+
 #[tokio::test]
 async fn a_partner_tells_waits_above_its_limit() {
     let limit = "limit = \"window\"\nlimit_per_s = 2.0\nwindow_s = 3600.0\ntells_wait = true\n";
