--- /dev/null
+++ b/crates/journal/src/journal.rs
@@ -0,0 +1,774 @@
+//! The thin shell: segments on a file system, a ledger in memory, and steps that keep the two together.
+
+use crate::files::{Disk, Files};
+use crate::format::{self, HEADER, Handed, Header, HeaderError, Notice, Record, Start, UnixMicros};
+use crate::ledger::{self, Fact, Kept, Ledger};
+use crate::old;
+use crate::plan::{self, Admission, Limits, Stock, blocks};
+use std::collections::BTreeMap;
+use std::io;
+use std::path::Path;
+
+/// What a record has to outlast before its effect.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Durability {
+    /// The process. What was written is in the hands of the operating system.
+    #[default]
+    None,
+    /// The machine, for all that is older than the caller's interval: it calls [`Journal::sync`] so often.
+    Interval,
+    /// The machine: nothing is promised before [`Journal::sync`] has returned.
+    Always,
+}
+
+/// How a journal is kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// Sizes; [`Limits::of`] a budget for all files together.
+    pub limits: Limits,
+    /// See [`Durability`].
+    pub durability: Durability,
+    /// The time now.
+    pub now: UnixMicros,
+    /// Names a journal that is begun; any number that no other journal has.
+    pub identity: u128,
+}
+
+/// Why a journal can't be opened. Nothing was changed.
+#[derive(Debug, thiserror::Error)]
+pub enum OpenError {
+    /// A later program wrote it.
+    #[error("{file}: written by a newer program: format {version}, this one knows {}", format::VERSION)]
+    Newer {
+        /// The file.
+        file: String,
+        /// Its version.
+        version: u16,
+    },
+    /// The file system.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+}
+
+/// Something in the files that no crash leaves behind.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Damage {
+    /// Bytes that are no record, with sound ones after them.
+    #[error("segment {segment}: {length} bytes at {offset} are no record")]
+    Bad {
+        /// The segment.
+        segment: u64,
+        /// Where they begin.
+        offset: u64,
+        /// How many.
+        length: u64,
+    },
+    /// A segment is shorter than its successor says.
+    #[error("segment {segment}: {length} bytes, {listed} are listed")]
+    Cut {
+        /// The segment.
+        segment: u64,
+        /// Its length in bytes.
+        length: u64,
+        /// The length that is listed.
+        listed: u64,
+    },
+    /// A segment that is listed is not there.
+    #[error("segment {segment} is missing")]
+    Missing {
+        /// The segment.
+        segment: u64,
+    },
+    /// A file that is no segment of this journal in its place. It is left as it is.
+    #[error("{file}: {problem}")]
+    Foreign {
+        /// The file.
+        file: String,
+        /// What is wrong with it.
+        problem: String,
+    },
+}
+
+/// What was found when a journal was opened.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Recovery {
+    /// Bytes at the end of the last segment that are no whole record: one that never happened.
+    pub torn: u64,
+    /// All else that is wrong.
+    pub damage: Vec<Damage>,
+    /// Messages that were carried over from the old format.
+    pub carried: Option<usize>,
+    /// The latest time that any record tells: the clock may have gone back since.
+    pub latest: UnixMicros,
+}
+
+/// Sums since the journal was opened.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Bytes written, copies among them.
+    pub written: u64,
+    /// Bytes of copies.
+    pub copied: u64,
+    /// Segments that were removed.
+    pub removed: u64,
+    /// Messages that were refused for want of room.
+    pub refused: u64,
+    /// Calls of the file system that failed.
+    pub failed: u64,
+}
+
+struct Head<H> {
+    segment: u64,
+    handle: H,
+    /// Bytes that count.
+    length: u64,
+    /// Bytes on file.
+    on_file: u64,
+    /// There may be bytes beyond `length` that could not be cut off: nothing more goes here.
+    broken: bool,
+    /// Something was written since it was last synced.
+    unsynced: bool,
+}
+
+#[derive(Clone, Copy)]
+struct Sealed {
+    length: u64,
+    on_file: u64,
+}
+
+/// What is owed, in memory and on file.
+pub struct Journal<F: Files = Disk> {
+    files: F,
+    limits: Limits,
+    durability: Durability,
+    identity: u128,
+    ledger: Ledger,
+    sealed: BTreeMap<u64, Sealed>,
+    head: Option<Head<F::Handle>>,
+    /// The next segment's number.
+    next: u64,
+    /// The segment that is being emptied, and whether its removal stands on record.
+    emptying: Option<(u64, bool)>,
+    /// Records of what happened that could not be written so far, in order.
+    unwritten: Vec<Record<'static>>,
+    /// Files that are not ours, in bytes.
+    foreign: u64,
+    started: UnixMicros,
+    counts: Counts,
+    buffer: Vec<u8>,
+}
+
+/// The file of a segment.
+pub fn file_name(segment: u64) -> String {
+    format!("{segment:016x}.journal")
+}
+
+fn file_number(name: &str) -> Option<u64> {
+    let digits = name.strip_suffix(".journal").filter(|digits| digits.len() == 16)?;
+    u64::from_str_radix(digits, 16).ok().filter(|number| file_name(*number) == name)
+}
+
+impl Journal<Disk> {
+    /// Opens the journal of a folder, or begins one.
+    ///
+    /// # Errors
+    /// See [`OpenError`].
+    pub fn open(folder: &Path, options: Options) -> Result<(Journal<Disk>, Recovery), OpenError> {
+        Journal::recover(Disk::new(folder), options)
+    }
+}
+
+struct Found {
+    header: Header,
+    bytes: Vec<u8>,
+}
+
+/// Reads one segment into the ledger; returns how many bytes count. `last`: bytes at its end that are no record
+/// were being written.
+fn replay(
+    ledger: &mut Ledger, segment: u64, bytes: &[u8], last: bool, recovery: &mut Recovery,
+    removed: &mut Vec<u64>,
+) -> u64 {
+    let mut at = HEADER.min(bytes.len());
+    while at < bytes.len() {
+        if let Some((record, length)) = format::unframe(segment, &bytes[at..]) {
+            if let Record::Removed { segment } = record {
+                removed.push(segment);
+            }
+            ledger.replay(segment, &record);
+            at += length;
+            continue;
+        }
+        let next = format::next_sound(segment, bytes, at + 1);
+        if next.is_none() && last {
+            recovery.torn = (bytes.len() - at) as u64;
+            return at as u64;
+        }
+        let end = next.unwrap_or(bytes.len());
+        let (offset, length) = (at as u64, (end - at) as u64);
+        recovery.damage.push(Damage::Bad { segment, offset, length });
+        ledger.doubt(segment);
+        at = end;
+    }
+    at as u64
+}
+
+impl<F: Files> Journal<F> {
+    /// Opens the journal of a folder, or begins one. Until its first new segment is whole, nothing is changed but
+    /// for files that no longer count; so a crash in here does no harm.
+    ///
+    /// # Errors
+    /// See [`OpenError`].
+    pub fn recover(files: F, options: Options) -> Result<(Journal<F>, Recovery), OpenError> {
+        let Options { limits, durability, now, identity } = options;
+        let mut journal = Journal {
+            files,
+            limits,
+            durability,
+            identity,
+            ledger: Ledger::new(),
+            sealed: BTreeMap::new(),
+            head: None,
+            next: 1,
+            emptying: None,
+            unwritten: Vec::new(),
+            foreign: 0,
+            started: now,
+            counts: Counts::default(),
+            buffer: Vec::new(),
+        };
+        let mut recovery = Recovery::default();
+        let mut found: BTreeMap<u64, Found> = BTreeMap::new();
+        let mut unfinished = Vec::new();
+        let mut is_old = false;
+        for (name, length) in journal.files.list()? {
+            is_old |= name == old::FILE;
+            let Some(number) = file_number(&name) else {
+                journal.foreign += blocks(length) * u64::from(name != old::FILE && name != old::NEXT_FILE);
+                continue;
+            };
+            journal.next = journal.next.max(number.saturating_add(1));
+            let bytes = journal.files.read(&name)?;
+            let problem = match Header::read(&bytes) {
+                Ok(header) if header.segment == number => {
+                    found.insert(number, Found { header, bytes });
+                    continue;
+                }
+                Ok(header) => format!("it holds segment {}", header.segment),
+                Err(HeaderError::Newer(version)) => return Err(OpenError::Newer { file: name, version }),
+                // No byte of it was promised to anybody.
+                Err(HeaderError::Short) => {
+                    unfinished.push(name);
+                    continue;
+                }
+                Err(error) => error.to_string(),
+            };
+            journal.foreign += blocks(length);
+            recovery.damage.push(Damage::Foreign { file: name, problem });
+        }
+        if is_old {
+            // The old file is removed last: what else is there are copies of it that were not finished.
+            let old = old::read(&journal.files.read(old::FILE)?);
+            for name in found.keys().map(|segment| file_name(*segment)).chain(unfinished) {
+                journal.files.remove(&name)?;
+            }
+            (recovery.torn, recovery.carried) = (old.torn as u64, Some(old.messages.len()));
+            journal.carry_over(old)?;
+            recovery.latest = journal.ledger.latest();
+            return Ok((journal, recovery));
+        }
+        journal.files.remove(old::NEXT_FILE)?;
+        for name in unfinished {
+            journal.files.remove(&name)?;
+        }
+        recovery.latest = found.values().map(|found| found.header.created).max().unwrap_or_default();
+        journal.read_segments(found, &mut recovery)?;
+        recovery.latest = recovery.latest.max(journal.ledger.latest());
+        journal.ledger.settle();
+        journal.begin_segment()?;
+        Ok((journal, recovery))
+    }
+
+    fn read_segments(
+        &mut self, mut found: BTreeMap<u64, Found>, recovery: &mut Recovery,
+    ) -> Result<(), OpenError> {
+        // A segment counts from its first whole record on, which lists those before it.
+        let opening = |segment: u64, found: &Found| match format::unframe(segment, &found.bytes[HEADER..]) {
+            Some((Record::Opening { sealed, .. }, _)) => Some(sealed),
+            _ => None,
+        };
+        while let Some(last) =
+            found.last_entry().filter(|last| format::cut_short(&last.get().bytes[HEADER..]))
+        {
+            let name = file_name(*last.key());
+            last.remove();
+            self.files.remove(&name)?;
+        }
+        let Some((newest, last)) = found.last_key_value() else { return Ok(()) };
+        let (newest, identity) = (*newest, last.header.identity);
+        self.identity = identity;
+        let listed = opening(newest, last);
+        if let Some(listed) = &listed {
+            let listed: BTreeMap<u64, u64> = listed.iter().map(|s| (s.segment, s.length)).collect();
+            // What is not listed is of no account: its removal failed, or it never was whole.
+            let stray: Vec<u64> =
+                found.keys().filter(|s| **s != newest && !listed.contains_key(*s)).copied().collect();
+            for segment in stray {
+                found.remove(&segment);
+                self.files.remove(&file_name(segment))?;
+            }
+        }
+        let mut removed = Vec::new();
+        let lengths: BTreeMap<u64, u64> =
+            listed.iter().flatten().map(|sealed| (sealed.segment, sealed.length)).collect();
+        let mut missing: Vec<u64> = lengths.keys().filter(|s| !found.contains_key(*s)).copied().collect();
+        let strange: Vec<u64> = found
+            .iter()
+            .filter(|(_, f)| f.header.identity != identity)
+            .map(|(segment, _)| *segment)
+            .collect();
+        for segment in strange {
+            if let Some(strange) = found.remove(&segment) {
+                self.foreign += blocks(strange.bytes.len() as u64);
+                let problem = "it is of another journal".into();
+                recovery.damage.push(Damage::Foreign { file: file_name(segment), problem });
+                missing.push(segment);
+            }
+        }
+        for segment in found.keys() {
+            self.ledger.open(*segment);
+        }
+        for (segment, file) in &found {
+            let on_file = file.bytes.len() as u64;
+            let listed = lengths.get(segment).copied().unwrap_or(on_file);
+            if on_file < listed {
+                recovery.damage.push(Damage::Cut { segment: *segment, length: on_file, listed });
+            }
+            let counts = &file.bytes[..listed.min(on_file) as usize];
+            let last = *segment == newest;
+            let length = replay(&mut self.ledger, *segment, counts, last, recovery, &mut removed);
+            self.sealed.insert(*segment, Sealed { length, on_file });
+            if on_file < listed {
+                self.ledger.doubt(*segment);
+            }
+        }
+        for segment in removed {
+            missing.retain(|other| *other != segment);
+            // All that counted of it stands in later segments. Its file is back after a power cut, or never went.
+            if self.sealed.remove(&segment).is_some() {
+                self.files.remove(&file_name(segment))?;
+            }
+        }
+        for segment in missing {
+            recovery.damage.push(Damage::Missing { segment });
+            self.ledger.doubt(segment);
+        }
+        Ok(())
+    }
+
+    /// Takes over what a file of the old format tells.
+    fn carry_over(&mut self, old: old::Old) -> io::Result<()> {
+        self.begin_segment()?;
+        for dest in old.outages {
+            let record = Record::Outage { dest, out: true };
+            self.append(std::slice::from_ref(&record))?;
+            self.ledger.happened(&record);
+        }
+        for (number, (handed, progress)) in old.messages {
+            let segment = self.append(&[ledger::taken(number, &handed, Some(progress))])?;
+            self.ledger.insert(segment, number, handed, progress);
+        }
+        if let Some(head) = &self.head {
+            self.files.sync(&head.handle)?;
+        }
+        self.files.sync_folder()?;
+        self.files.remove(old::NEXT_FILE)?;
+        self.files.remove(old::FILE)?;
+        self.ledger.settle();
+        Ok(())
+    }
+
+    /// A message that is not over.
+    pub fn get(&self, number: u64) -> Option<&Kept> {
+        self.ledger.get(number)
+    }
+
+    /// The number of the message with an id.
+    pub fn number(&self, id: &str) -> Option<u64> {
+        self.ledger.number(id)
+    }
+
+    /// All messages that are not over, in the order taken.
+    pub fn iter(&self) -> impl Iterator<Item = (u64, &Kept)> {
+        self.ledger.iter()
+    }
+
+    /// Destinations that were out, or back and cold, when this was last known.
+    pub fn outages(&self) -> impl Iterator<Item = u32> {
+        self.ledger.outages().iter().copied()
+    }
+
+    /// Messages that are neither delivered nor ended.
+    pub fn open_messages(&self) -> usize {
+        self.ledger.len() - self.ledger.owed().len()
+    }
+
+    /// The first notices that are owed.
+    pub fn owed(&self, most: usize) -> Vec<(u64, String, Notice)> {
+        let kept = self.ledger.owed().iter().filter_map(|number| Some((*number, self.ledger.get(*number)?)));
+        let owed = kept.filter_map(|(number, kept)| Some((number, kept.handed.id.clone(), kept.notice?)));
+        owed.take(most).collect()
+    }
+
+    /// Sums since the journal was opened.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Segments that are there, with the one that is written to: number, bytes, and bytes of those that count.
+    pub fn segments(&self) -> Vec<(u64, u64, u64)> {
+        let sealed = self.sealed.iter().map(|(segment, s)| (*segment, s.length));
+        let head = self.head.iter().map(|head| (head.segment, head.length));
+        sealed.chain(head).map(|(segment, length)| (segment, length, self.ledger.weight(segment))).collect()
+    }
+
+    /// Bytes of all files, in whole blocks.
+    pub fn on_file(&self) -> u64 {
+        let sealed: u64 = self.sealed.values().map(|s| blocks(s.on_file)).sum();
+        sealed + self.head.iter().map(|head| blocks(head.on_file)).sum::<u64>() + self.foreign
+    }
+
+    /// Whether all that happened is on file.
+    pub fn is_whole(&self) -> bool {
+        self.unwritten.is_empty()
+    }
+
+    fn stock(&self) -> Stock {
+        Stock { on_file: self.on_file(), owed: self.ledger.size() + self.foreign }
+    }
+
+    /// Takes a message on; none where there is no room for it.
+    ///
+    /// # Errors
+    /// Where its record is not on file: it was not taken.
+    pub fn take(&mut self, handed: &Handed) -> io::Result<Option<u64>> {
+        self.catch_up()?;
+        let size = ledger::size(handed);
+        let fits = match plan::admit(&self.limits, self.stock(), size, size) {
+            Admission::Fits => true,
+            // A step may win enough; more than one would hold up everybody else.
+            Admission::Later => {
+                self.step()?;
+                plan::admit(&self.limits, self.stock(), size, size) == Admission::Fits
+            }
+            Admission::Full => false,
+        };
+        if !fits {
+            self.counts.refused += 1;
+            return Ok(None);
+        }
+        let number = self.ledger.next();
+        let segment = self.append(&[ledger::taken(number, handed, None)])?;
+        self.ledger.insert(segment, number, handed.clone(), format::Progress::default());
+        Ok(Some(number))
+    }
+
+    /// A call is about to go out.
+    ///
+    /// # Errors
+    /// Where the record is not on file: the call must not go out.
+    pub fn started(&mut self, number: u64, start: Start) -> io::Result<()> {
+        self.write(Record::Started { number, start })
+    }
+
+    /// A call has ended and the message is not delivered.
+    ///
+    /// # Errors
+    /// Where the record is not on file yet; it will be before any other.
+    pub fn ended(&mut self, number: u64, may_have_run: bool) -> io::Result<()> {
+        self.write(Record::Ended { number, may_have_run })
+    }
+
+    /// The message ends undelivered; the platform has yet to hear.
+    ///
+    /// # Errors
+    /// As for [`ended`](Journal::ended).
+    pub fn owe(&mut self, number: u64, notice: Notice) -> io::Result<()> {
+        self.write(Record::Owed { number, notice })
+    }
+
+    /// Nothing more is owed for the message.
+    ///
+    /// # Errors
+    /// As for [`ended`](Journal::ended).
+    pub fn over(&mut self, number: u64) -> io::Result<()> {
+        let Some(base) = self.ledger.base(number) else { return Ok(()) };
+        self.write(Record::Over { number, base })
+    }
+
+    /// A destination is out or comes back cold; or it is as usual again.
+    ///
+    /// # Errors
+    /// As for [`ended`](Journal::ended).
+    pub fn outage(&mut self, dest: u32, out: bool) -> io::Result<()> {
+        self.write(Record::Outage { dest, out })
+    }
+
+    /// What happened is true even where it can't be written: memory follows in any case, and the record is
+    /// written before any other.
+    fn write(&mut self, record: Record<'static>) -> io::Result<()> {
+        // Half of the reserve is used: what ends messages pays for room as it goes.
+        if self.on_file() + self.limits.segment > self.limits.budget {
+            let _ = self.step();
+        }
+        let written = self.catch_up().and_then(|()| self.append(std::slice::from_ref(&record)));
+        self.ledger.happened(&record);
+        match written {
+            Ok(segment) => {
+                self.ledger.stands(segment, &record);
+                Ok(())
+            }
+            Err(error) => {
+                self.unwritten.push(record);
+                Err(error)
+            }
+        }
+    }
+
+    /// Writes what could not be written when it happened.
+    ///
+    /// # Errors
+    /// Where it can't be written still.
+    pub fn catch_up(&mut self) -> io::Result<()> {
+        if self.unwritten.is_empty() {
+            return Ok(());
+        }
+        let records = std::mem::take(&mut self.unwritten);
+        match self.append(&records) {
+            Ok(segment) => {
+                records.iter().for_each(|record| self.ledger.stands(segment, record));
+                Ok(())
+            }
+            Err(error) => {
+                self.unwritten = records;
+                Err(error)
+            }
+        }
+    }
+
+    /// Works on space for a bounded time: copies what counts of one segment, or removes it. Tells whether there
+    /// was anything to do.
+    ///
+    /// # Errors
+    /// Where a call of the file system failed; the step may be asked for again.
+    pub fn step(&mut self) -> io::Result<bool> {
+        self.catch_up()?;
+        if self.head.as_ref().is_none_or(|head| head.broken) {
+            self.begin_segment()?;
+        }
+        let stock = self.stock();
+        let emptying = match self.emptying {
+            Some(emptying) => emptying,
+            None => {
+                let sealed = self.sealed.iter().map(|(segment, s)| plan::Segment {
+                    segment: *segment,
+                    length: s.on_file,
+                    weight: self.ledger.weight(*segment),
+                });
+                let next = self.ledger.unfinished().or_else(|| plan::next(&self.limits, stock, sealed));
+                let Some(next) = next else { return Ok(false) };
+                (next, false)
+            }
+        };
+        let segment = emptying.0;
+        self.emptying = Some(emptying);
+        let most = plan::step(&self.limits, stock);
+        if self.ledger.facts(segment).next().is_some() {
+            let target = self.room_for(most)?;
+            let (mut facts, mut buffer) = (Vec::new(), std::mem::take(&mut self.buffer));
+            buffer.clear();
+            for fact in self.ledger.facts(segment) {
+                let kept = |number: u64| self.ledger.get(number).map(|kept| (kept, kept.progress()));
+                let record = match fact {
+                    Fact::Message(number) => {
+                        kept(number).map(|(k, progress)| k.record(number, Some(progress)))
+                    }
+                    Fact::Progress(number) => {
+                        kept(number).map(|(_, progress)| Record::Progress { number, progress })
+                    }
+                    Fact::Over { number, base } => Some(Record::Over { number, base }),
+                };
+                let Some(record) = record else { continue };
+                format::frame(&mut buffer, target, &record)?;
+                facts.push(fact);
+                if buffer.len() as u64 >= most {
+                    break;
+                }
+            }
+            let written = self.put(&buffer);
+            self.counts.copied += buffer.len() as u64 * u64::from(written.is_ok());
+            self.buffer = buffer;
+            written?;
+            for fact in facts {
+                match fact {
+                    Fact::Message(number) => self.ledger.moved(target, number),
+                    Fact::Progress(number) => {
+                        if let Some(progress) = self.ledger.get(number).map(Kept::progress) {
+                            self.ledger.stands(target, &Record::Progress { number, progress });
+                        }
+                    }
+                    Fact::Over { number, base } => {
+                        self.ledger.tomb_moved(segment, number, base);
+                        self.ledger.stands(target, &Record::Over { number, base });
+                    }
+                }
+            }
+        }
+        if self.ledger.facts(segment).next().is_none() {
+            self.finish(emptying)?;
+        }
+        Ok(true)
+    }
+
+    /// Removes a segment whose facts all stand in later ones.
+    fn finish(&mut self, (segment, recorded): (u64, bool)) -> io::Result<()> {
+        if !recorded {
+            self.append(&[Record::Removed { segment }])?;
+            self.emptying = Some((segment, true));
+        }
+        if self.durability != Durability::None {
+            // The copies outlast the machine before what they were made of goes.
+            self.sync()?;
+        }
+        let removed = self.files.remove(&file_name(segment));
+        self.note(removed)?;
+        self.sealed.remove(&segment);
+        self.ledger.remove_segment(segment);
+        self.counts.removed += 1;
+        self.emptying = None;
+        Ok(())
+    }
+
+    /// Waits until all that was written outlasts the machine.
+    ///
+    /// # Errors
+    /// Where that is not sure. The segment is sealed then: a later success would tell nothing of its bytes.
+    pub fn sync(&mut self) -> io::Result<()> {
+        let Some(head) = self.head.as_mut().filter(|head| head.unsynced) else { return Ok(()) };
+        let synced = self.files.sync(&head.handle);
+        head.unsynced = false;
+        if synced.is_err() {
+            // Nobody can say which of its bytes are there: all that counts is written once more, elsewhere.
+            head.broken = true;
+            self.ledger.rewrite(head.segment);
+        }
+        self.note(synced)
+    }
+
+    fn note<T>(&mut self, done: io::Result<T>) -> io::Result<T> {
+        self.counts.failed += u64::from(done.is_err());
+        done
+    }
+
+    /// Appends records in one write; tells which segment they stand in.
+    fn append(&mut self, records: &[Record]) -> io::Result<u64> {
+        let mut buffer = std::mem::take(&mut self.buffer);
+        buffer.clear();
+        let result = (|| {
+            let segment = self.room_for(0)?;
+            for record in records {
+                format::frame(&mut buffer, segment, record)?;
+            }
+            self.put(&buffer)?;
+            Ok(segment)
+        })();
+        self.buffer = buffer;
+        result
+    }
+
+    /// The segment to write to, after a new one was begun if that is due.
+    fn room_for(&mut self, bytes: u64) -> io::Result<u64> {
+        let segment_most = self.limits.segment;
+        let due = self.head.as_ref().is_none_or(|head| {
+            head.broken || (head.length + bytes > segment_most && head.length > segment_most / 2)
+        });
+        if due
+            && let Err(error) = self.begin_segment()
+            && self.head.as_ref().is_none_or(|head| head.broken)
+        {
+            return Err(error);
+        }
+        self.head.as_ref().map(|head| head.segment).ok_or_else(|| io::Error::other("no segment"))
+    }
+
+    /// Writes bytes at the end of the head, all or none.
+    fn put(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let Some(head) = &mut self.head else { return Err(io::Error::other("no segment")) };
+        let mut written = 0;
+        let mut result = Ok(());
+        while written < bytes.len() && result.is_ok() {
+            match self.files.append(&mut head.handle, &bytes[written..]) {
+                Ok(0) => result = Err(io::ErrorKind::WriteZero.into()),
+                Ok(more) => written += more,
+                Err(error) => result = Err(error),
+            }
+        }
+        if result.is_err() {
+            self.counts.failed += 1;
+            // Half a record would hide all that comes after it.
+            if self.files.truncate(&mut head.handle, head.length).is_err() {
+                self.counts.failed += 1;
+                (head.broken, head.on_file) = (true, head.length + written as u64);
+            }
+            return result;
+        }
+        head.length += bytes.len() as u64;
+        head.on_file = head.length;
+        head.unsynced = true;
+        self.counts.written += bytes.len() as u64;
+        Ok(())
+    }
+
+    /// Seals the head and begins the next segment.
+    fn begin_segment(&mut self) -> io::Result<()> {
+        if self.durability != Durability::None {
+            self.sync()?;
+        }
+        let segment = self.next;
+        let head = self.head.iter().map(|head| (head.segment, head.length));
+        let sealed = self.sealed.iter().map(|(segment, s)| (*segment, s.length)).chain(head);
+        let opening = Record::Opening {
+            sealed: ledger::sealed(sealed),
+            outages: self.ledger.outages().iter().copied().collect(),
+            next: self.ledger.next(),
+        };
+        let header = Header { identity: self.identity, segment, created: self.started };
+        let mut bytes = header.bytes().to_vec();
+        format::frame(&mut bytes, segment, &opening)?;
+        let name = file_name(segment);
+        let created = self.files.create(&name);
+        let handle = self.note(created)?;
+        self.next = segment + 1;
+        let begun = Head { segment, handle, length: 0, on_file: 0, broken: false, unsynced: false };
+        let before = self.head.replace(begun);
+        let whole = self.put(&bytes);
+        if let Err(error) = whole {
+            self.head = before;
+            // Without a whole first record it is of no account if it stays.
+            let removed = self.files.remove(&name);
+            let _ = self.note(removed);
+            return Err(error);
+        }
+        // From here on it counts: what stands in it holds for all before it.
+        if let Some(head) = before {
+            self.sealed.insert(head.segment, Sealed { length: head.length, on_file: head.on_file });
+        }
+        self.ledger.open(segment);
+        if self.durability != Durability::None {
+            self.sync()?;
+            let synced = self.files.sync_folder();
+            self.note(synced)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/journal/src/ledger.rs
@@ -0,0 +1,451 @@
+//! What the records say: the messages that are not over, and for each segment which of its facts still count. No
+//! I/O: records go in, sums come out.
+
+use crate::format::{Handed, Notice, Progress, Record, Sealed, Start, UnixMicros};
+use bytes::Bytes;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// What a message takes at most besides the bytes of its id, class, key and body: numbers and times of its first
+/// record with its frame, a copy of its progress, and the record of its end.
+pub const OVERHEAD: u64 = 192;
+/// What a copy of a message takes besides those bytes.
+const COPY: u64 = 72;
+/// What a record that ends a message takes at most.
+const TOMB: u64 = 32;
+/// What a copy of a message's progress takes at most.
+const PROGRESS: u64 = 64;
+
+/// A message that is not over.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Kept {
+    /// As it was handed in.
+    pub handed: Handed,
+    /// Calls that were started.
+    pub attempts: u32,
+    /// The first call that may have run.
+    pub may_have_run: Option<Start>,
+    /// The call that is out.
+    pub out: Option<Start>,
+    /// The notice that is owed to the platform.
+    pub notice: Option<Notice>,
+}
+
+impl Kept {
+    /// Whether this is what is handed in once more; the body is gone once a notice is owed.
+    pub fn is(&self, handed: &Handed) -> bool {
+        let Handed { class, dest, key, body, .. } = &self.handed;
+        (class, dest, key) == (&handed.class, &handed.dest, &handed.key)
+            && (self.notice.is_some() || *body == handed.body)
+    }
+
+    /// How far it has come.
+    pub fn progress(&self) -> Progress {
+        let Kept { attempts, may_have_run, out, notice, .. } = *self;
+        Progress { attempts, may_have_run, out, notice }
+    }
+
+    fn set(&mut self, progress: Progress) {
+        let Progress { attempts, may_have_run, out, notice } = progress;
+        (self.attempts, self.may_have_run, self.out, self.notice) = (attempts, may_have_run, out, notice);
+        if notice.is_some() {
+            self.handed.body = Bytes::new();
+        }
+    }
+
+    /// What it takes at most, in bytes, with all that is still to be written of it.
+    pub fn size(&self) -> u64 {
+        size(&self.handed)
+    }
+
+    /// What a copy of it takes, in bytes.
+    fn copy(&self) -> u64 {
+        self.size() - OVERHEAD + COPY
+    }
+
+    /// The first record of the message, or a copy of it.
+    pub fn record(&self, number: u64, progress: Option<Progress>) -> Record<'_> {
+        taken(number, &self.handed, progress)
+    }
+}
+
+/// See [`Kept::size`].
+pub fn size(handed: &Handed) -> u64 {
+    let key = handed.key.as_ref().map_or(0, String::len);
+    (handed.id.len() + handed.class.len() + key + handed.body.len()) as u64 + OVERHEAD
+}
+
+/// The first record of a message, or a copy of it with how far it has come.
+pub fn taken(number: u64, handed: &Handed, progress: Option<Progress>) -> Record<'_> {
+    Record::Taken {
+        number,
+        id: &handed.id,
+        class: &handed.class,
+        dest: handed.dest,
+        taken: handed.taken,
+        deadline: handed.deadline,
+        key: handed.key.as_deref(),
+        body: &handed.body,
+        progress,
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    kept: Kept,
+    /// The segment with its last `Taken` record.
+    base: u64,
+    /// Segments with later records of it that count.
+    touched: Vec<u64>,
+}
+
+/// A segment's facts that count.
+#[derive(Clone, Debug, Default)]
+struct Facts {
+    /// Messages whose last `Taken` record it holds.
+    bases: BTreeSet<u64>,
+    /// Messages of other segments of whose progress it holds records.
+    touched: BTreeSet<u64>,
+    /// Messages that are over, by the segment with their last `Taken` record while that is there.
+    tombs: BTreeMap<u64, Vec<u64>>,
+    /// What copies of all that would take at most, in bytes.
+    weight: u64,
+}
+
+/// A fact that has to stand in a later segment before the one it stands in can go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fact {
+    /// A message: its `Taken` record with its progress.
+    Message(u64),
+    /// How far a message has come.
+    Progress(u64),
+    /// That a message is over.
+    Over {
+        /// The message.
+        number: u64,
+        /// The segment with its last `Taken` record.
+        base: u64,
+    },
+}
+
+/// All that is owed, and where it stands.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    entries: BTreeMap<u64, Entry>,
+    numbers: HashMap<String, u64>,
+    owed: BTreeSet<u64>,
+    outages: BTreeSet<u32>,
+    segments: BTreeMap<u64, Facts>,
+    /// Segments of which copies were begun and not ended.
+    unfinished: BTreeSet<u64>,
+    next: u64,
+    size: u64,
+    latest: UnixMicros,
+}
+
+impl Ledger {
+    /// A ledger that knows of nothing.
+    pub fn new() -> Ledger {
+        Ledger { next: 1, ..Ledger::default() }
+    }
+
+    /// A message that is not over.
+    pub fn get(&self, number: u64) -> Option<&Kept> {
+        self.entries.get(&number).map(|entry| &entry.kept)
+    }
+
+    /// The number of the message with an id.
+    pub fn number(&self, id: &str) -> Option<u64> {
+        self.numbers.get(id).copied()
+    }
+
+    /// All messages that are not over, in the order taken.
+    pub fn iter(&self) -> impl Iterator<Item = (u64, &Kept)> {
+        self.entries.iter().map(|(number, entry)| (*number, &entry.kept))
+    }
+
+    /// How many messages are not over.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether all messages are over.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Messages that are over but for a notice, in the order taken.
+    pub fn owed(&self) -> &BTreeSet<u64> {
+        &self.owed
+    }
+
+    /// Destinations that are out or cold.
+    pub fn outages(&self) -> &BTreeSet<u32> {
+        &self.outages
+    }
+
+    /// The number of the next message.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// What copies of all messages take at most, in bytes.
+    pub fn size(&self) -> u64 {
+        self.size
+    }
+
+    /// The latest time that any record tells: no later life begins before it.
+    pub fn latest(&self) -> UnixMicros {
+        self.latest
+    }
+
+    /// What the facts of a segment take in a copy at most, in bytes. A segment that weighs nothing may go.
+    pub fn weight(&self, segment: u64) -> u64 {
+        self.segments.get(&segment).map_or(0, |facts| facts.weight)
+    }
+
+    /// The facts of a segment that count; none where the segment may go.
+    pub fn facts(&self, segment: u64) -> impl Iterator<Item = Fact> {
+        self.segments.get(&segment).into_iter().flat_map(|facts| {
+            let bases = facts.bases.iter().map(|number| Fact::Message(*number));
+            let touched = facts.touched.iter().map(|number| Fact::Progress(*number));
+            let tombs = facts.tombs.iter().flat_map(|(base, numbers)| {
+                numbers.iter().map(|number| Fact::Over { number: *number, base: *base })
+            });
+            bases.chain(touched).chain(tombs)
+        })
+    }
+
+    /// A segment that an earlier life had begun to empty. It goes before any other: the end of a message would
+    /// not outlast a stale copy of it.
+    pub fn unfinished(&self) -> Option<u64> {
+        self.unfinished.first().copied()
+    }
+
+    /// Takes note of a record that was read from a segment. What tells of unknown messages changes nothing.
+    ///
+    /// The writer empties one segment at a time to its end and removes it before it empties another: so a record
+    /// that ends a message has to outlast only the segment with the last copy of it.
+    pub fn replay(&mut self, segment: u64, record: &Record) {
+        if let Record::Taken { number, id, class, dest, taken, deadline, key, body, progress } = record {
+            let handed = Handed {
+                id: (*id).into(),
+                class: (*class).into(),
+                dest: *dest,
+                taken: *taken,
+                deadline: *deadline,
+                key: key.map(Into::into),
+                body: Bytes::copy_from_slice(body),
+            };
+            if let Some(stale) = self.base(*number).filter(|base| *base != segment) {
+                self.unfinished.insert(stale);
+            }
+            self.insert(segment, *number, handed, progress.unwrap_or_default());
+            return;
+        }
+        self.happened(record);
+        self.stands(segment, record);
+    }
+
+    /// Takes note of what a record tells, wherever it stands.
+    pub fn happened(&mut self, record: &Record) {
+        match record {
+            Record::Started { number, start } => {
+                self.latest = self.latest.max(start.at);
+                self.change(*number, |kept| {
+                    (kept.attempts, kept.out) = (kept.attempts.saturating_add(1), Some(*start));
+                });
+            }
+            Record::Ended { number, may_have_run } => self.change(*number, |kept| {
+                let out = kept.out.take().filter(|_| *may_have_run);
+                kept.may_have_run = kept.may_have_run.or(out);
+            }),
+            Record::Owed { number, notice } => self.change(*number, |kept| {
+                kept.set(Progress { notice: Some(*notice), ..kept.progress() });
+            }),
+            Record::Progress { number, progress } => self.change(*number, |kept| kept.set(*progress)),
+            Record::Over { number, .. } => self.forget(*number),
+            Record::Outage { dest, out: true } => _ = self.outages.insert(*dest),
+            Record::Outage { dest, out: false } => _ = self.outages.remove(dest),
+            Record::Opening { outages, next, .. } => {
+                self.outages = outages.iter().copied().collect();
+                self.next = self.next.max(*next);
+            }
+            Record::Removed { segment } => {
+                // What it held that was not copied was over: the record of that may be gone already.
+                let stale = self.segments.get(segment).map(|facts| facts.bases.clone());
+                stale.into_iter().flatten().for_each(|number| self.forget(number));
+                self.remove_segment(*segment);
+            }
+            Record::Taken { .. } => {}
+        }
+    }
+
+    /// Takes note that a record stands in a segment: what of it has to outlast the segment.
+    pub fn stands(&mut self, segment: u64, record: &Record) {
+        match record {
+            Record::Started { number, .. } | Record::Ended { number, .. } | Record::Owed { number, .. } => {
+                self.touch(segment, *number);
+            }
+            Record::Progress { number, .. } => {
+                // It stands for all records of progress before it.
+                self.untouch(*number);
+                self.touch(segment, *number);
+            }
+            // Nothing of the message outlasts the segment that it begins in, or that one is gone.
+            Record::Over { number, base } if *base != segment && self.segments.contains_key(base) => {
+                let facts = self.segments.entry(segment).or_default();
+                facts.tombs.entry(*base).or_default().push(*number);
+                facts.weight += TOMB;
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes note of a message whose first record, or a copy of it, stands in a segment.
+    pub fn insert(&mut self, segment: u64, number: u64, handed: Handed, progress: Progress) {
+        self.next = self.next.max(number.saturating_add(1));
+        self.latest = self.latest.max(handed.taken);
+        self.forget(number);
+        self.segments.entry(segment).or_default();
+        let mut kept = Kept { handed, attempts: 0, may_have_run: None, out: None, notice: None };
+        kept.set(progress);
+        if kept.notice.is_some() {
+            self.owed.insert(number);
+        }
+        // Of two messages with one id, which nobody hands in, the first keeps it.
+        self.numbers.entry(kept.handed.id.clone()).or_insert(number);
+        let facts = self.segments.entry(segment).or_default();
+        facts.bases.insert(number);
+        facts.weight += kept.copy();
+        self.size += kept.size();
+        self.entries.insert(number, Entry { kept, base: segment, touched: Vec::new() });
+    }
+
+    /// Moves a message to the copy that was made of it. Its body is not touched.
+    pub fn moved(&mut self, segment: u64, number: u64) {
+        self.untouch(number);
+        let Some(entry) = self.entries.get_mut(&number) else { return };
+        let size = entry.kept.copy();
+        let old = std::mem::replace(&mut entry.base, segment);
+        if let Some(facts) = self.segments.get_mut(&old) {
+            facts.bases.remove(&number);
+            facts.weight -= size;
+        }
+        let facts = self.segments.entry(segment).or_default();
+        facts.bases.insert(number);
+        facts.weight += size;
+    }
+
+    /// The last `Taken` record of a message stands there.
+    pub fn base(&self, number: u64) -> Option<u64> {
+        self.entries.get(&number).map(|entry| entry.base)
+    }
+
+    /// Drops what is known of a segment: its file is gone, and with it all need to outlast it.
+    pub fn remove_segment(&mut self, segment: u64) {
+        self.segments.remove(&segment);
+        self.unfinished.remove(&segment);
+        for facts in self.segments.values_mut() {
+            if let Some(numbers) = facts.tombs.remove(&segment) {
+                facts.weight -= numbers.len() as u64 * TOMB;
+            }
+        }
+    }
+
+    /// Every message whose last copy stands at or before a damage may have run: the record that tells so may be
+    /// what was lost.
+    pub fn doubt(&mut self, segment: u64) {
+        for entry in self.entries.values_mut().filter(|entry| entry.base <= segment) {
+            let Kept { handed, may_have_run, out, .. } = &mut entry.kept;
+            // The earliest time at which it can have been sent.
+            let first = Start { at: handed.taken, zone: out.map_or(0, |out| out.zone) };
+            may_have_run.get_or_insert(first);
+        }
+    }
+
+    /// A call whose end was not recorded may have run: at the start of a life.
+    pub fn settle(&mut self) {
+        for entry in self.entries.values_mut() {
+            let out = entry.kept.out.take();
+            entry.kept.may_have_run = entry.kept.may_have_run.or(out);
+        }
+    }
+
+    /// A segment is to be emptied before any other.
+    pub fn rewrite(&mut self, segment: u64) {
+        self.unfinished.insert(segment);
+    }
+
+    /// Makes segments known that hold no fact.
+    pub fn open(&mut self, segment: u64) {
+        self.segments.entry(segment).or_default();
+    }
+
+    fn change(&mut self, number: u64, with: impl FnOnce(&mut Kept)) {
+        let Some(entry) = self.entries.get_mut(&number) else { return };
+        let before = entry.kept.size();
+        with(&mut entry.kept);
+        let after = entry.kept.size();
+        if let Some(facts) = self.segments.get_mut(&entry.base) {
+            facts.weight = facts.weight + after - before;
+        }
+        self.size = self.size + after - before;
+        if entry.kept.notice.is_some() {
+            self.owed.insert(number);
+        }
+    }
+
+    fn touch(&mut self, segment: u64, number: u64) {
+        let Some(entry) = self.entries.get_mut(&number) else { return };
+        if entry.base != segment && !entry.touched.contains(&segment) {
+            entry.touched.push(segment);
+            let facts = self.segments.entry(segment).or_default();
+            facts.touched.insert(number);
+            facts.weight += PROGRESS;
+        }
+    }
+
+    /// No earlier record of the message's progress counts any more.
+    fn untouch(&mut self, number: u64) {
+        let Some(entry) = self.entries.get_mut(&number) else { return };
+        for segment in std::mem::take(&mut entry.touched) {
+            if let Some(facts) = self.segments.get_mut(&segment)
+                && facts.touched.remove(&number)
+            {
+                facts.weight -= PROGRESS;
+            }
+        }
+    }
+
+    /// Drops a message from memory; none of its records count.
+    fn forget(&mut self, number: u64) {
+        self.untouch(number);
+        let Some(entry) = self.entries.remove(&number) else { return };
+        self.size -= entry.kept.size();
+        if let Some(facts) = self.segments.get_mut(&entry.base) {
+            facts.bases.remove(&number);
+            facts.weight -= entry.kept.copy();
+        }
+        self.owed.remove(&number);
+        if self.numbers.get(&entry.kept.handed.id) == Some(&number) {
+            self.numbers.remove(&entry.kept.handed.id);
+        }
+    }
+
+    /// A copy was made of the record that ends a message, out of a segment.
+    pub fn tomb_moved(&mut self, from: u64, number: u64, base: u64) {
+        let Some(facts) = self.segments.get_mut(&from) else { return };
+        let Some(numbers) = facts.tombs.get_mut(&base) else { return };
+        let Some(at) = numbers.iter().rposition(|other| *other == number) else { return };
+        numbers.swap_remove(at);
+        facts.weight -= TOMB;
+        if numbers.is_empty() {
+            facts.tombs.remove(&base);
+        }
+    }
+}
+
+/// What an opening record lists of the segments that are there.
+pub fn sealed(segments: impl Iterator<Item = (u64, u64)>) -> Vec<Sealed> {
+    segments.map(|(segment, length)| Sealed { segment, length }).collect()
+}
