--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -120,6 +120,8 @@
 struct Head<H> {
     segment: u64,
     handle: H,
+    /// Bytes of its header and its first record.
+    first: u64,
     /// Bytes that count.
     length: u64,
     /// Bytes on file.
@@ -672,10 +674,11 @@
 
     /// Appends records in one write; tells which segment they stand in.
     fn append(&mut self, records: &[Record]) -> io::Result<u64> {
+        let size: u64 = records.iter().map(ledger::record_size).sum();
         let mut buffer = std::mem::take(&mut self.buffer);
         buffer.clear();
         let result = (|| {
-            let segment = self.room_for(0)?;
+            let segment = self.room_for(size)?;
             for record in records {
                 format::frame(&mut buffer, segment, record)?;
             }
@@ -688,9 +691,10 @@
 
     /// The segment to write to, after a new one was begun if that is due.
     fn room_for(&mut self, bytes: u64) -> io::Result<u64> {
-        let segment_most = self.limits.segment;
+        let most = self.limits.segment;
         let due = self.head.as_ref().is_none_or(|head| {
-            head.broken || (head.length + bytes > segment_most && head.length > segment_most / 2)
+            // A record that is longer than a segment gets one of its own.
+            head.broken || (head.length + bytes > most && head.length > head.first)
         });
         if due
             && let Err(error) = self.begin_segment()
@@ -749,7 +753,8 @@
         let created = self.files.create(&name);
         let handle = self.note(created)?;
         self.next = segment + 1;
-        let begun = Head { segment, handle, length: 0, on_file: 0, broken: false, unsynced: false };
+        let (first, broken) = (bytes.len() as u64, false);
+        let begun = Head { segment, handle, first, length: 0, on_file: 0, broken, unsynced: false };
         let before = self.head.replace(begun);
         let whole = self.put(&bytes);
         if let Err(error) = whole {
--- a/crates/journal/src/ledger.rs
+++ b/crates/journal/src/ledger.rs
@@ -445,6 +445,16 @@
     }
 }
 
+/// What a record takes with its frame, in bytes, more or less.
+pub fn record_size(record: &Record) -> u64 {
+    match record {
+        Record::Taken { id, class, key, body, .. } => {
+            (id.len() + class.len() + key.map_or(0, str::len) + body.len()) as u64 + COPY
+        }
+        _ => PROGRESS,
+    }
+}
+
 /// What an opening record lists of the segments that are there.
 pub fn sealed(segments: impl Iterator<Item = (u64, u64)>) -> Vec<Sealed> {
     segments.map(|(segment, length)| Sealed { segment, length }).collect()
--- a/crates/journal/src/plan.rs
+++ b/crates/journal/src/plan.rs
@@ -3,8 +3,9 @@
 //!
 //! Two sums are kept apart. What is *owed* (all messages, each with what is still to be written of it) must fit
 //! into the budget with the reserve to spare: then dead bytes are always to be found, and records that end
-//! messages have room for ever. What is *on file* must leave the reserve free before a message is taken: the
-//! reserve is for records of messages that are there already, and for copies.
+//! messages have room for ever. What is *on file* may be more by a segment, as the dead bytes of the one that is
+//! written to are won back only once it is sealed; the rest of the reserve is for records of messages that are
+//! there already, and for copies.
 
 /// Sizes, all in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -92,14 +93,14 @@
     let room = limits.budget.saturating_sub(limits.reserve);
     if stock.owed + size > room {
         Admission::Full
-    } else if stock.on_file + record + BLOCK > room {
+    } else if stock.on_file + record + BLOCK > room + limits.segment {
         Admission::Later
     } else {
         Admission::Fits
     }
 }
 
-/// Whether room runs short: the last quarter before the reserve.
+/// Whether room runs short: the last quarter before the reserve, or the reserve.
 pub fn hurried(limits: &Limits, stock: Stock) -> bool {
     let room = limits.budget.saturating_sub(limits.reserve);
     stock.on_file > room - room / 4
@@ -107,7 +108,9 @@
 
 /// The bytes to copy at the next step.
 pub fn step(limits: &Limits, stock: Stock) -> u64 {
-    if hurried(limits, stock) { limits.hurry_step } else { limits.calm_step }
+    let step = if hurried(limits, stock) { limits.hurry_step } else { limits.calm_step };
+    // What is copied at a step fits into a segment.
+    step.min(limits.segment / 2)
 }
 
 /// The segment to empty next, where one is worth it: the one with the least that counts for its length, the
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -345,9 +345,14 @@
         self.folder.join("state")
     }
 
-    /// Its journal.
+    /// The last segment of its journal.
+    ///
+    /// # Panics
+    /// Where there is none.
     pub fn journal(&self) -> PathBuf {
-        self.state().join("journal")
+        let files = fs::read_dir(self.state()).expect("a folder").flatten().map(|file| file.path());
+        let segments = files.filter(|file| file.extension().is_some_and(|end| end == "journal"));
+        segments.max().expect("a segment")
     }
 
     /// Writes the file of the configuration.
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -1,8 +1,8 @@
 //! Calls to endpoints, and the connections that they go over.
 
-use crate::journal::Handed;
 use crate::wire::{Head, Unread, Wire};
 use crate::{Node, log};
+use fawnspoke_journal::Handed;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -39,8 +39,8 @@
 }
 
 impl Limits {
-    /// Descriptors of the process itself: standard streams, the runtime's, the listener, the journal and its
-    /// successor, discovery's connections, and what is on its way to being closed.
+    /// Descriptors of the process itself: standard streams, the runtime's, the listener, the journal's segment and
+    /// its successor, discovery's connections, and what is on its way to being closed.
     const OWN: usize = 20;
     /// Share of the clients' connections that may stand idle.
     const IDLE_CLIENTS: f64 = 1.0 / 3.0;
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,8 +1,8 @@
 //! The platform: the list of endpoints comes from it, notices go to it.
 
 use crate::calls::{self, Link};
-use crate::journal::Notice;
 use crate::{Node, log};
+use fawnspoke_journal::Notice;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Bytes;
 use hyper::{Method, Request, StatusCode};
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -1,8 +1,8 @@
 //! Clients' requests: takes messages on, once they stand in the journal, and answers.
 
 use crate::clients::Client;
-use crate::journal::{Handed, UnixMicros};
-use crate::{Node, log, unix_now};
+use crate::{Node, log};
+use fawnspoke_journal::{Handed, UnixMicros};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
@@ -56,7 +56,7 @@
 }
 
 async fn hand_in(node: &Node, client: &Client, class: usize, request: Request<Incoming>) -> Answer {
-    let received = unix_now();
+    let received = node.unix_now();
     let (head, body) = request.into_parts();
     // With two lengths a request can hide another one; which of them another reader goes by is not known.
     // hyper tells of Content-Length no more once there is the other.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,15 +9,17 @@
 mod directory;
 mod discovery;
 mod intake;
-mod journal;
 mod log;
 mod wire;
 
+mod space;
+
 use calls::{Call, CallEnd, Item, Pool};
 use clients::Clients;
 use config::Config;
 use directory::Directory;
-use journal::{Journal, Notice, Start, UnixMicros};
+use fawnspoke_journal::plan::{self, Limits};
+use fawnspoke_journal::{Durability, Journal, Notice, Options, Recovery, Start, UnixMicros};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
@@ -42,6 +44,9 @@
 /// New connections come for up to 0.4 s; no sooner than this the process ends.
 const EXIT_LEAST: Seconds = 0.8;
 
+/// Less is no clock that was set back, but one that is read by two processes; in microseconds.
+const CLOCK_SLACK: u64 = 1000;
+
 /// What the round loop hears of.
 enum Input {
     Event(Event),
@@ -58,6 +63,8 @@
 struct Node {
     config: Config,
     started: Instant,
+    /// Microseconds by which the system's clock is behind the latest time that an earlier life saw.
+    behind: u64,
     inbox: UnboundedSender<Input>,
     dispatcher: RefCell<Dispatcher>,
     journal: RefCell<Journal>,
@@ -78,7 +85,8 @@
     stopping: Notify,
 }
 
-fn unix_now() -> UnixMicros {
+/// The system's clock. What is journaled goes by [`Node::unix_now`].
+fn clock() -> UnixMicros {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_micros() as UnixMicros)
 }
 
@@ -103,9 +111,15 @@
         }
     }
 
+    /// Unix time that never falls behind what an earlier life saw: a clock that was set back between two lives
+    /// lets no message's time grow. How long this dispatcher was down can't be known then; it counts as no time.
+    fn unix_now(&self) -> UnixMicros {
+        clock().saturating_add(self.behind)
+    }
+
     /// A point of Unix time on the decisions' clock.
     fn seconds(&self, at: UnixMicros) -> Seconds {
-        self.now() + (at as f64 - unix_now() as f64) / 1e6
+        self.now() + (at as f64 - self.unix_now() as f64) / 1e6
     }
 
     fn come_back(&self, destination: DestinationId) -> Seconds {
@@ -220,7 +234,7 @@
         let place = node.directory.borrow().place(endpoint).filter(|p| p.dest == item.handed.dest);
         let zone = place.map_or(0, |place| place.zone);
         // On record before its first byte, or a call might run that no later life knows of.
-        let recorded = journal.started(number, Start { at: unix_now(), zone });
+        let recorded = journal.started(number, Start { at: node.unix_now(), zone });
         let (Some(place), Ok(())) = (place, &recorded) else {
             node.record(recorded.and(journal.ended(number, false)));
             let ends =
@@ -336,6 +350,7 @@
     };
     let mut timer = None;
     let mut sweep_at = 0.0;
+    let mut space = space::Space::default();
     let mut told_at = None;
     let mut actions = Vec::new();
     loop {
@@ -365,6 +380,7 @@
         actions.clear();
         node.dispatcher.borrow_mut().decide(now, &mut actions);
         act(&node, now, &actions, &mut timer);
+        space.work(&node);
         if now >= sweep_at {
             sweep_at = now + if told_at.is_some() { 0.05 } else { 0.5 };
             node.pool.sweep(calls::keepalive(&node), node.config.limits.idle(node.config.settings.slots));
@@ -380,15 +396,47 @@
     }
 }
 
+/// Opens the journal and tells what was found; with it, by how many microseconds the clock is behind.
+fn open_journal(config: &Config) -> Result<(Journal, u64), String> {
+    let now = clock();
+    let options = Options {
+        // The platform's own count may have a block more than ours.
+        limits: Limits::of((config.limits.disk_mb * 1e6) as u64 - plan::BLOCK),
+        durability: Durability::None,
+        now,
+        identity: u128::from(config.seed) << 64 | u128::from(now),
+    };
+    let (journal, recovery) = Journal::open(&config.state, options)
+        .map_err(|error| format!("GW_STATE: {}: {error}", config.state.display()))?;
+    let Recovery { torn, damage, carried, latest } = recovery;
+    if torn > 0 {
+        println!("journal: {torn} bytes of a torn record left out");
+    }
+    if let Some(messages) = carried {
+        println!("journal: {messages} messages carried over from the format before");
+    }
+    for damage in damage {
+        println!("journal: damaged: {damage}");
+    }
+    let behind = latest.saturating_sub(now);
+    if behind > CLOCK_SLACK {
+        println!(
+            "clock: {:.3} s behind what an earlier life saw; counted on from there",
+            behind as f64 / 1e6
+        );
+    }
+    Ok((journal, behind))
+}
+
 async fn run(config: Config) -> Result<(), String> {
     let signals = Signals::heed().map_err(|error| format!("signals: {error}"))?;
-    let journal = Journal::open(&config.state, (config.limits.disk_mb * 1e6) as u64)
-        .map_err(|error| format!("GW_STATE: {}: {error}", config.state.display()))?;
+    let (journal, behind) = open_journal(&config)?;
     let dispatcher =
         Dispatcher::new(config.settings.clone(), config.seed).map_err(|error| error.to_string())?;
     let (sender, mut inbox) = unbounded_channel();
     let node = Rc::new(Node {
         started: Instant::now(),
+        behind,
         inbox: sender,
         dispatcher: RefCell::new(dispatcher),
         journal: RefCell::new(journal),
