--- a/crates/journal/tests/faults.rs
+++ b/crates/journal/tests/faults.rs
@@ -5,7 +5,7 @@
 
 use common::model::*;
 use common::*;
-use fawnspoke_journal::{Durability, Journal};
+use fawnspoke_journal::{Durability, Handed, Journal};
 
 /// Plays on whatever fails; the model goes by what the journal answered.
 fn play(
@@ -177,3 +177,82 @@
         }
     }
 }
+
+/// Stopped while a segment is emptied: its stale copies go before anything that holds the ends of what was copied.
+#[test]
+fn an_emptying_that_was_cut_off_is_ended_first() {
+    // One of these is in the first segment and not copied yet.
+    (10..=20).for_each(emptying_cut_off);
+}
+
+fn emptying_cut_off(left: u64) {
+    let files = Memory::new(1);
+    let (mut journal, _) = Journal::recover(files.clone(), options(Durability::None)).unwrap();
+    let mut model = Model::default();
+    let end = |journal: &mut Journal<Memory>, model: &mut Model, number: u64| {
+        assert!(act(journal, &Op::Over(number)).1);
+        model.apply(&Op::Over(number), None);
+    };
+    for i in 0..60 {
+        // Most of the first segment's messages end, so that it is worth emptying, and takes two steps.
+        if i == 20 {
+            (1..=9).for_each(|number| end(&mut journal, &mut model, number));
+        }
+        let body = vec![7; 100].into();
+        let (id, class) = (format!("m{i:03}"), "safe".into());
+        let op = Op::Take(Handed { id, class, dest: 1, taken: 1, deadline: 2, key: None, body });
+        let (taken, _) = act(&mut journal, &op);
+        assert!(taken.is_some());
+        model.apply(&op, taken);
+    }
+    let (copied, removed) = (journal.counts().copied, journal.counts().removed);
+    while journal.counts().copied == copied {
+        assert!(journal.step().unwrap(), "there is nothing to empty, this shows nothing");
+    }
+    assert_eq!(journal.counts().removed, removed, "it was emptied at one step, this shows nothing");
+    let files = files.revived();
+    let (mut journal, _) = Journal::recover(files.clone(), options(Durability::None)).unwrap();
+    // Now all that was copied ends, and whatever may go goes, step by step.
+    // Only the last of the first segment, which was not copied yet, does not.
+    for number in model.messages.keys().copied().filter(|number| *number != left).collect::<Vec<_>>() {
+        end(&mut journal, &mut model, number);
+    }
+    // And so does what comes after, so that the records of these ends are in a segment that may go.
+    for i in 0..40 {
+        let body = vec![7; 100].into();
+        let (id, class) = (format!("n{i:03}"), "safe".into());
+        let op = Op::Take(Handed { id, class, dest: 1, taken: 1, deadline: 2, key: None, body });
+        let (taken, _) = act(&mut journal, &op);
+        model.apply(&op, taken);
+        end(&mut journal, &mut model, taken.unwrap());
+    }
+    loop {
+        let (after, recovery) = Journal::recover(files.revived(), options(Durability::None)).unwrap();
+        assert!(recovery.damage.is_empty(), "{recovery:?}");
+        assert_eq!(Model::of(&after), model.settled(), "something that was over is back");
+        if !journal.step().unwrap() {
+            break;
+        }
+    }
+}
+
+/// A segment that could not be begun, nor removed, with another one begun after it.
+#[test]
+fn a_beginning_that_failed_is_of_no_account() {
+    let files = Memory::new(2);
+    let (mut journal, _) = Journal::recover(files.clone(), options(Durability::None)).unwrap();
+    let (mut model, mut rng) = (Model::default(), fastrand::Rng::with_seed(2));
+    play(&mut journal, &mut model, &mut rng, 0..120);
+    let names = files.names();
+    let free = (1..).map(fawnspoke_journal::journal::file_name).find(|name| !names.contains(name)).unwrap();
+    assert!(free < *names.last().unwrap(), "no number is free below the last one, this shows nothing");
+    let segment = u64::from_str_radix(&free[..16], 16).unwrap();
+    let identity = fawnspoke_journal::format::Header::read(&files.bytes(&names[0])).unwrap().identity;
+    let header = fawnspoke_journal::format::Header { identity, segment, created: 0 };
+    let revived = files.revived();
+    revived.put(&free, [&header.bytes()[..], b"\xa7\xff\x00\x00 half of a record"].concat());
+    let (after, recovery) = Journal::recover(revived.clone(), options(Durability::None)).unwrap();
+    assert!(recovery.damage.is_empty(), "{recovery:?}");
+    assert_eq!(Model::of(&after), model.settled());
+    assert!(!revived.names().contains(&free), "it takes up no room");
+}
