--- /dev/null
+++ b/crates/journal/tests/old_format.rs
@@ -0,0 +1,136 @@
+//! Journals of the format before are carried over, whatever stops that on the way.
+
+mod common;
+
+use common::model::*;
+use common::*;
+use fawnspoke_journal::{Durability, Journal, Notice, Start};
+use serde::Serialize;
+
+/// The records of the format before.
+#[derive(Serialize)]
+enum Old<'a> {
+    Taken {
+        number: u64,
+        id: &'a str,
+        class: &'a str,
+        dest: u32,
+        taken: u64,
+        deadline: u64,
+        key: Option<&'a str>,
+        body: &'a [u8],
+    },
+    Past {
+        number: u64,
+        attempts: u32,
+        may_have_run: Option<Start>,
+    },
+    Started {
+        number: u64,
+        start: Start,
+    },
+    Ended {
+        number: u64,
+        may_have_run: bool,
+    },
+    Owed {
+        number: u64,
+        notice: Notice,
+    },
+    Over {
+        number: u64,
+    },
+    Outage {
+        dest: u32,
+        out: bool,
+    },
+}
+
+fn frame(bytes: &mut Vec<u8>, record: &Old) {
+    let payload = postcard::to_stdvec(record).unwrap();
+    bytes.extend_from_slice(&(payload.len() as u32).to_le_bytes());
+    bytes.extend_from_slice(&crc32fast::hash(&payload).to_le_bytes());
+    bytes.extend_from_slice(&payload);
+}
+
+/// Five messages in all states, a destination that is out, and half a record.
+fn file() -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for number in 1..=5 {
+        let (id, body) = (format!("m{number}"), vec![number as u8; 300]);
+        let key = (number % 2 == 0).then_some("key");
+        let (id, body) = (id.as_str(), &body[..]);
+        frame(
+            &mut bytes,
+            &Old::Taken { number, id, class: "c", dest: 3, taken: 10, deadline: 99, key, body },
+        );
+    }
+    let start = Start { at: 20, zone: 1 };
+    frame(&mut bytes, &Old::Past { number: 1, attempts: 2, may_have_run: Some(start) });
+    frame(&mut bytes, &Old::Started { number: 2, start });
+    frame(&mut bytes, &Old::Started { number: 3, start });
+    frame(&mut bytes, &Old::Ended { number: 3, may_have_run: false });
+    frame(&mut bytes, &Old::Owed { number: 4, notice: Notice::GivenUp });
+    frame(&mut bytes, &Old::Over { number: 5 });
+    frame(&mut bytes, &Old::Outage { dest: 3, out: true });
+    frame(&mut bytes, &Old::Outage { dest: 4, out: true });
+    frame(&mut bytes, &Old::Outage { dest: 4, out: false });
+    bytes.extend_from_slice(&[200, 0, 0, 0, 1, 2]);
+    bytes
+}
+
+fn check(journal: &Journal<Memory>) {
+    let start = Some(Start { at: 20, zone: 1 });
+    let about: Vec<_> =
+        journal.iter().map(|(number, k)| (number, k.attempts, k.may_have_run, k.out, k.notice)).collect();
+    let expected = [
+        (1, 2, start, None, None),
+        (2, 1, start, None, None),
+        (3, 1, None, None, None),
+        (4, 0, None, None, Some(Notice::GivenUp)),
+    ];
+    assert_eq!(about, expected);
+    assert_eq!(journal.outages().collect::<Vec<_>>(), [3]);
+    let second = &journal.get(2).unwrap().handed;
+    assert_eq!((second.id.as_str(), second.key.as_deref(), second.body.len()), ("m2", Some("key"), 300));
+}
+
+#[test]
+fn an_old_journal_is_carried_over_once() {
+    let files = Memory::new(1);
+    files.put("journal", file());
+    files.put("journal.next", b"half of one that was written anew".to_vec());
+    let (mut journal, recovery) = Journal::recover(files.clone(), options(Durability::None)).unwrap();
+    assert_eq!((recovery.carried, recovery.torn, recovery.damage.len()), (Some(4), 6, 0));
+    check(&journal);
+    assert!(files.names().iter().all(|name| name.ends_with(".journal")), "{:?}", files.names());
+    // Numbers go on behind the old ones.
+    let mut handed = journal.get(2).unwrap().handed.clone();
+    handed.id = "new".into();
+    assert_eq!(journal.take(&handed).unwrap(), Some(5));
+    let (again, recovery) = Journal::recover(files.revived(), options(Durability::None)).unwrap();
+    assert_eq!(recovery.carried, None);
+    assert_eq!(again.iter().count(), 5);
+}
+
+#[test]
+fn a_carrying_over_that_is_stopped_anywhere_is_done_again() {
+    let files = Memory::new(2);
+    files.put("journal", file());
+    let (_, _) = Journal::recover(files.clone(), options(Durability::None)).unwrap();
+    let calls = files.calls();
+    assert!(calls > 8, "{calls} calls");
+    for call in 1..=calls {
+        let files = Memory::new(call);
+        files.put("journal", file());
+        files.fault(call, Fault::Stop);
+        assert!(
+            Journal::recover(files.clone(), options(Durability::None)).is_err(),
+            "stopped at call {call}"
+        );
+        let next = files.revived();
+        let (journal, recovery) = Journal::recover(next, options(Durability::None)).unwrap();
+        assert!(recovery.damage.is_empty(), "stopped at call {call}: {:?}", recovery.damage);
+        check(&journal);
+    }
+}
