--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -45,6 +45,9 @@
         /// Its version.
         version: u16,
     },
+    /// A journal of the old format beside one of this: an older program ran here since. Both may hold messages.
+    #[error("{}: a journal of an older program beside this one's; one of them must be moved away", old::FILE)]
+    Both,
     /// The file system.
     #[error(transparent)]
     Io(#[from] io::Error),
@@ -286,7 +289,13 @@
         }
         if is_old {
             // The old file is removed last: what else is there are copies of it that were not finished.
-            let old = old::read(&journal.files.read(old::FILE)?);
+            // They bear the mark of that file; others are a journal that an older program did not see.
+            let bytes = journal.files.read(old::FILE)?;
+            journal.identity = old::identity(&bytes);
+            if found.values().any(|found| found.header.identity != journal.identity) {
+                return Err(OpenError::Both);
+            }
+            let old = old::read(&bytes);
             for name in found.keys().map(|segment| file_name(*segment)).chain(unfinished) {
                 journal.files.remove(&name)?;
             }
--- a/crates/journal/src/old.rs
+++ b/crates/journal/src/old.rs
@@ -68,6 +68,11 @@
     Some((postcard::from_bytes(body).ok().filter(|_| whole)?, FRAME + length))
 }
 
+/// The identity of a journal that is carried over from these bytes.
+pub(crate) fn identity(bytes: &[u8]) -> u128 {
+    u128::from(bytes.len() as u64) << 32 | u128::from(crc32fast::hash(bytes))
+}
+
 /// Reads an old file up to its first record that is not whole, as the program that wrote it did.
 pub(crate) fn read(mut bytes: &[u8]) -> Old {
     let mut old = Old::default();
--- a/crates/journal/tests/old_format.rs
+++ b/crates/journal/tests/old_format.rs
@@ -4,7 +4,7 @@
 
 use common::model::*;
 use common::*;
-use fawnspoke_journal::{Durability, Journal, Notice, Start};
+use fawnspoke_journal::{Durability, Journal, Notice, OpenError, Start};
 use serde::Serialize;
 
 /// The records of the format before.
@@ -134,3 +134,18 @@
         check(&journal);
     }
 }
+
+/// An older program ran in the folder since: neither journal is taken for a copy of the other.
+#[test]
+fn an_old_journal_beside_a_new_one_is_refused_and_untouched() {
+    let files = Memory::new(3);
+    let (mut journal, _) = Journal::recover(files.clone(), options(Durability::None)).unwrap();
+    let mut rng = fastrand::Rng::with_seed(3);
+    while !matches!(act(&mut journal, &draw(&mut rng, &Model::default(), 0)), (Some(_), true)) {}
+    drop(journal);
+    files.put("journal", file());
+    let all = |files: &Memory| files.names().iter().map(|name| files.bytes(name)).collect::<Vec<_>>();
+    let before = all(&files);
+    assert!(matches!(Journal::recover(files.clone(), options(Durability::None)), Err(OpenError::Both)));
+    assert!(all(&files) == before);
+}
