Unsafe calls are waited for; what a place held up leaves by its deadlines

Seen there, with a line for each refusal: none was for want of room, all but one were messages at the end of their time (23.7 of 24 s, 27.7 of 28 s) at three or four places that had been out or stood at their limit, while slots were free. The newest went first there, so what an outage had held up was lost, though all could have been served; and each unsafe message that was out in a hang was lost by its time-out.

The change: an unsafe message's time-out is its life, since another attempt is not allowed and the answer may come.

--- a/crates/waydoor/src/choice.rs
+++ b/crates/waydoor/src/choice.rs
@@ -30,8 +30,6 @@
 const TIMEOUT_BUSY: f64 = 0.5;
 /// Each failure in a row doubles the time-out, up to this often: slow is told from silent by waiting longer.
 const TIMEOUT_DOUBLES: u32 = 3;
-/// An unsafe message is lost by its time-out, so it gets this much longer.
-const UNSAFE_PATIENCE: f64 = 3.0;
 /// Unanswered for this many means, with nothing else served since, a destination is suspect.
 const SILENT_MEANS: f64 = 5.0;
 /// And not before this time, for the same reason as `TIMEOUT_LEAST`.
@@ -638,7 +636,7 @@
         if self.calls.len() >= self.settings.slots {
             return;
         }
-        let mut held = Vec::new();
+        let (mut held, mut open) = (Vec::new(), 0);
         for number in self.waiting.clone() {
             self.refresh(now, number);
             let Some(destination) = self.destinations.get(&number) else { continue };
@@ -650,14 +648,24 @@
             } else if !self.over_share(now, destination) {
                 let rate = self.service(now, destination);
                 let parcels = destination.held.iter().filter_map(|id| self.parcels.get(id));
-                held.extend(parcels.map(|p| (self.rank(now, p, rate), p.taken, p.message.id)));
+                held.extend(parcels.map(|p| (self.rank(now, p, rate), p.taken, p.message)));
+                open += 1;
             }
         }
-        held.sort_by(|a, b| b.0.total_cmp(&a.0).then(b.1.total_cmp(&a.1)).then(b.2.cmp(&a.2)));
+        // With a slot to spare for each, the places' limits and returns hold messages, not the slots that the
+        // rank is for. Where worth falls evenly all lose alike by waiting, and what is left of it goes at the
+        // deadline: the first to go there goes first. Guards against a backlog whose oldest are lost at an
+        // hour when all could be served. Harm: where a place stays too small, all come late.
+        let spare = self.calls.len() + open < self.settings.slots && self.settings.decay == Decay::Even;
+        held.sort_by(|(rank, taken, message), (other, then, than)| {
+            let first = message.deadline.total_cmp(&than.deadline);
+            let order = if spare { first } else { other.total_cmp(rank) };
+            order.then(then.total_cmp(taken)).then(than.id.cmp(&message.id))
+        });
         let mut closed: BTreeSet<DestinationId> = BTreeSet::new();
         // Calls of this round with room for more messages.
         let mut open_calls: BTreeMap<EndpointId, u64> = BTreeMap::new();
-        for (_, _, id) in held {
+        for id in held.into_iter().map(|(_, _, message)| message.id) {
             let Some(parcel) = self.parcels.get(&id) else { continue };
             if closed.contains(&parcel.message.destination) || !self.has_turn(now, parcel, wake) {
                 continue;
@@ -717,12 +725,14 @@
     fn timeout(&self, now: Seconds, class: usize, endpoint: EndpointId) -> Seconds {
         let lane = self.endpoints.get(&endpoint).map(|e| &e.lane);
         let (latency, fails) = lane.map_or((UNKNOWN_LATENCY, 0), |l| (l.latency(now), l.fails));
-        let (patience, busy) = match self.settings.classes[class].effect {
-            Effect::Unsafe => (UNSAFE_PATIENCE, 1.0),
-            _ if self.calls.len() >= self.settings.slots => (1.0, TIMEOUT_BUSY),
-            _ => (1.0, 1.0),
+        let busy = match self.settings.classes[class].effect {
+            // Its time-out would be its end, and an answer may come as long as it lives. Guards against giving
+            // up what a place that has stopped for a while still holds. Harm: a slot is kept until then.
+            Effect::Unsafe => return self.settings.classes[class].deadline,
+            _ if self.calls.len() >= self.settings.slots => TIMEOUT_BUSY,
+            _ => 1.0,
         };
-        let stretch = patience * 2f64.powi(fails.min(TIMEOUT_DOUBLES) as i32);
+        let stretch = 2f64.powi(fails.min(TIMEOUT_DOUBLES) as i32);
         stretch * (TIMEOUT_MEANS * latency).max(TIMEOUT_LEAST * busy)
     }
 
--- a/crates/waydoor/tests/rules.rs
+++ b/crates/waydoor/tests/rules.rs
@@ -309,6 +309,45 @@
     assert_eq!(left, [4, 3, 2], "worth first, then the newest");
 }
 
+/// The order in which three messages leave that were taken a second apart while their destination had told a wait.
+fn order_after_a_wait(decay: Decay, slots: usize) -> Vec<u64> {
+    let mut stage = Stage::new(Settings { decay, slots, ..settings() });
+    stage.take(1, 0, 1);
+    assert_eq!(stage.round().len(), 1);
+    stage.end_waiting(1, 1, 0, Outcome::Full, 0.05, Some(4.0));
+    stage.until(stage.now + 1.0);
+    stage.take(2, 0, 1);
+    stage.until(stage.now + 1.0);
+    stage.take(3, 0, 1);
+    let mut left = Vec::new();
+    while left.len() < 3 && stage.now < 1015.0 {
+        stage.now += 0.05;
+        for sent in stage.round() {
+            left.push(sent.id);
+            stage.end(sent.id, sent.endpoint, u32::from(sent.id == 1), Outcome::Served, 0.05);
+        }
+    }
+    left
+}
+
+#[test]
+fn what_a_place_held_up_leaves_by_its_deadlines_where_worth_falls_evenly() {
+    assert_eq!(order_after_a_wait(Decay::Even, 8), [1, 2, 3], "slots to spare: none may be lost");
+    assert_eq!(order_after_a_wait(Decay::Even, 1), [3, 2, 1], "a single slot goes by the rank");
+    assert_eq!(order_after_a_wait(Decay::ByHalf, 8), [3, 2, 1], "the fresh one loses more by waiting");
+}
+
+#[test]
+fn an_unsafe_call_is_waited_for_as_long_as_its_message_lives() {
+    let mut stage = Stage::new(settings());
+    stage.take(1, 2, 1);
+    stage.take(2, 0, 2);
+    let sent = stage.round();
+    let timeout = |id: u64| sent.iter().find(|sent| sent.id == id).map_or(0.0, |sent| sent.timeout);
+    assert!((19.5..20.0).contains(&timeout(1)), "its time-out would be its end: {sent:?}");
+    assert!(timeout(2) < 5.0, "another call is harmless: {sent:?}");
+}
+
 #[test]
 fn a_destination_holds_three_quarters_of_the_slots_at_most() {
     let mut stage = Stage::new(settings());
