--- a/crates/waydoor/src/choice.rs
+++ b/crates/waydoor/src/choice.rs
@@ -726,8 +726,8 @@
         let lane = self.endpoints.get(&endpoint).map(|e| &e.lane);
         let (latency, fails) = lane.map_or((UNKNOWN_LATENCY, 0), |l| (l.latency(now), l.fails));
         let busy = match self.settings.classes[class].effect {
-            // Its time-out would be its end, and an answer may come as long as it lives. Guards against giving
-            // up what a place that has stopped for a while still holds. Harm: a slot is kept until then.
+            // Its time-out would be its end, and an answer may come as long as it lives. Guards against
+            // giving up what a place that stopped for a while still holds. Harm: a slot is kept until then.
             Effect::Unsafe => return self.settings.classes[class].deadline,
             _ if self.calls.len() >= self.settings.slots => TIMEOUT_BUSY,
             _ => 1.0,
