Customers' shares: what comes beyond one ranks at what it is worth

The wire and the configuration tell both (orgs, over_share_worth, the Tenant header), and the program read none of it.

The change: each dispatcher counts an even part of each customer's quota over ten seconds; a message that comes beyond it has its worth cut in the rank, so it makes place first where room ends, and goes last where a place's own limit holds messages up. A message without a customer, of an unknown one, or of an earlier life is inside. Without customers nothing changes.

--- a/crates/drill/src/host.rs
+++ b/crates/drill/src/host.rs
@@ -152,8 +152,9 @@
                 let key = Some(reader.u64()?).filter(|key| *key != 0).map(OrderKey);
                 let class = reader.u8()?.into();
                 let destination = DestinationId(reader.f32()? as u32);
-                reader.bytes(8 + 2)?;
-                Event::Taken(Message { id, class, destination, deadline, key })
+                reader.bytes(8)?;
+                let tenant = reader.u16()?.into();
+                Event::Taken(Message { id, class, destination, deadline, key, tenant })
             }
             70 => {
                 let endpoint = EndpointId(reader.endpoint()?);
--- a/crates/drill/src/settings.rs
+++ b/crates/drill/src/settings.rs
@@ -3,7 +3,7 @@
 use crate::wire::WireError;
 use std::collections::BTreeMap;
 use std::str::FromStr;
-use waydoor::{Class, Decay, Effect, Kind, Listing, ReturnRule, Settings};
+use waydoor::{Class, Decay, Effect, Kind, Listing, ReturnRule, Settings, Tenant};
 
 struct Text<'a> {
     record: usize,
@@ -87,6 +87,9 @@
         routes_apart: apart.get(i).copied().unwrap_or(false),
         batch: batch.get(i).copied().unwrap_or(1),
     };
+    // A site without customers has an empty list or none.
+    let tenants: usize = text.find("orgs.count")?.unwrap_or(0);
+    let tenant = |i: usize| text.get(&format!("orgs.{i}.quota_per_s")).map(|quota| Tenant { quota });
     let asked = text.choice("discovery", &[("automatic", false), ("subscribe", true)])?;
     Ok(Settings {
         dispatchers: text.get("balancers")?,
@@ -111,6 +114,8 @@
             multiple: text.get("safety.tip_multiple")?,
             window: text.get("safety.fall")?,
         },
+        tenants: (0..tenants).map(tenant).collect::<Result<_, _>>()?,
+        over_share_worth: text.find("over_share_worth")?.unwrap_or(1.0),
         key_rest: text.find("safety.key_rest")?.unwrap_or(0.0),
     })
 }
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use waydoor::{Class, Decay, Effect, Kind, Listing, ReturnRule, Settings};
+use waydoor::{Class, Decay, Effect, Kind, Listing, ReturnRule, Settings, Tenant};
 
 /// All that this dispatcher is told.
 #[derive(Clone, Debug)]
@@ -22,6 +22,8 @@
     pub classes: Vec<String>,
     pub kinds: Vec<String>,
     pub zones: Vec<String>,
+    /// Names of the customers.
+    pub tenants: Vec<String>,
     /// Events of so long are handled together.
     pub tick: f64,
     pub connect_timeout: f64,
@@ -90,6 +92,9 @@
     grades: Vec<RawClass>,
     kinds: Vec<String>,
     limits: RawLimits,
+    #[serde(default)]
+    orgs: Vec<RawTenant>,
+    over_share_worth: Option<f64>,
     report: RawReport,
     safety: RawSafety,
     tick: f64,
@@ -134,6 +139,12 @@
     serial_by_key: bool,
 }
 
+#[derive(Deserialize)]
+struct RawTenant {
+    name: String,
+    quota_per_s: f64,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum RawEffect {
@@ -264,10 +275,13 @@
                 multiple: given.safety.tip_multiple,
                 window: given.safety.fall,
             },
+            tenants: given.orgs.iter().map(|tenant| Tenant { quota: tenant.quota_per_s }).collect(),
+            over_share_worth: given.over_share_worth.unwrap_or(1.0),
             key_rest: 0.0,
         };
         waydoor::Dispatcher::new(settings.clone(), seed).map_err(|error| {
             let key = KEYS.iter().find(|(name, _)| *name == error.name).map_or(&*error.name, |(_, key)| key);
+            let key = key.replace("tenants[", "orgs[").replace("].quota", "].quota_per_s");
             format!("settings.{key}: {}", error.problem)
         })?;
         for (key, x) in [("tick", given.tick), ("limits.connect_timeout", given.limits.connect_timeout)] {
@@ -288,6 +302,7 @@
             classes: given.grades.into_iter().map(|class| class.name).collect(),
             kinds: given.kinds,
             zones: given.zones,
+            tenants: given.orgs.into_iter().map(|tenant| tenant.name).collect(),
             tick: given.tick,
             connect_timeout: given.limits.connect_timeout,
             max_retry_after: given.limits.max_retry_after.unwrap_or(f64::INFINITY),
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -1,7 +1,7 @@
 //! Clients' requests: takes messages on, once they stand in the journal, and answers.
 
 use crate::clients::Client;
-use crate::{Node, log};
+use crate::{NO_TENANT, Node, log};
 use fawnspoke_journal::{Handed, UnixMicros};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
@@ -63,6 +63,9 @@
     if head.headers.contains_key(TRANSFER_ENCODING) {
         return plain(StatusCode::LENGTH_REQUIRED, "Content-Length alone tells the length\n");
     }
+    let tenant = head.headers.get("Tenant").and_then(|name| name.to_str().ok()).map(str::trim);
+    let tenant = tenant.and_then(|name| node.config.tenants.iter().position(|known| known == name));
+    let tenant = tenant.unwrap_or(NO_TENANT);
     let handed = match read_head(node, class, &head.headers, received) {
         Ok(handed) => handed,
         Err(problem) => return plain(StatusCode::BAD_REQUEST, format!("{problem}\n")),
@@ -84,7 +87,7 @@
     let mut journal = node.journal.borrow_mut();
     match journal.number(&handed.id) {
         // Still to be heard on another connection, which may yet fail.
-        Some(number) if node.unheard.borrow().contains(&number) => return refuse(node, dest),
+        Some(number) if node.unheard.borrow().contains_key(&number) => return refuse(node, dest),
         // The same message once more: it is owed already.
         Some(number) if journal.get(number).is_some_and(|kept| kept.is(&handed)) => {
             return plain(StatusCode::ACCEPTED, "taken\n");
@@ -98,7 +101,7 @@
     }
     match journal.take(&handed) {
         Ok(Some(number)) => {
-            node.unheard.borrow_mut().insert(number);
+            node.unheard.borrow_mut().insert(number, tenant);
             client.unheard.set(Some(number));
             plain(StatusCode::ACCEPTED, "taken\n")
         }
@@ -123,7 +126,8 @@
     node: &Node, class: usize, headers: &HeaderMap, received: UnixMicros,
 ) -> Result<Handed, &'static str> {
     // Of a header that stands twice, nobody can say which one holds.
-    let names = ["Request-Id", "Request-Class", "Request-Timeout-Ms", "Idempotency-Key", "X-Consignee"];
+    let names =
+        ["Request-Id", "Request-Class", "Request-Timeout-Ms", "Idempotency-Key", "X-Consignee", "Tenant"];
     if names.iter().any(|name| headers.get_all(*name).iter().nth(1).is_some()) {
         return Err("a header stands twice");
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,7 +21,7 @@
 use fawnspoke_journal::plan::{self, Limits};
 use fawnspoke_journal::{Durability, Journal, Notice, Options, Recovery, Start, UnixMicros};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
@@ -47,11 +47,17 @@
 /// Less is no clock that was set back, but one that is read by two processes; in microseconds.
 const CLOCK_SLACK: u64 = 1000;
 
+/// The customer of a message is not told, not known, or was told to an earlier life: no share binds it.
+const NO_TENANT: usize = usize::MAX;
+
 /// What the round loop hears of.
 enum Input {
     Event(Event),
     /// The client was told that the message is taken.
-    Taken(u64),
+    Taken {
+        number: u64,
+        tenant: usize,
+    },
     Ended {
         endpoint: EndpointId,
         sent_at: Seconds,
@@ -72,8 +78,8 @@
     pool: Pool,
     /// Where discovery is now; a new configuration may move it.
     discovery: watch::Sender<SocketAddr>,
-    /// Taken in the journal, but the 202 is not written yet.
-    unheard: RefCell<HashSet<u64>>,
+    /// Taken in the journal, but the 202 is not written yet; with the index of its customer.
+    unheard: RefCell<HashMap<u64, usize>>,
     clients: Clients,
     calls_out: Cell<usize>,
     closing: Cell<bool>,
@@ -138,6 +144,7 @@
             destination: DestinationId(handed.dest),
             deadline: self.seconds(handed.deadline),
             key: None,
+            tenant: NO_TENANT,
         })
     }
 
@@ -166,9 +173,9 @@
     let mut dispatcher = node.dispatcher.borrow_mut();
     match input {
         Input::Event(event) => dispatcher.handle(now, event),
-        Input::Taken(number) => {
+        Input::Taken { number, tenant } => {
             if let Some(message) = node.message(number) {
-                dispatcher.handle(now, Event::Taken(message));
+                dispatcher.handle(now, Event::Taken(Message { tenant, ..message }));
             }
         }
         Input::Ended { endpoint, sent_at, end } => {
--- a/crates/waydoor/src/choice.rs
+++ b/crates/waydoor/src/choice.rs
@@ -114,6 +114,8 @@
 const USES_LEAST: f64 = 0.3;
 /// So few dispatchers fill no table with unused connections, and the rule's slack covers a call of each.
 const FEW: f64 = 6.0;
+/// A customer's share is counted over this time: clumps that are no more than that are inside it.
+const SHARE_TIME: f64 = 10.0;
 /// Ended ids that are remembered, against repeated events.
 const ENDED_KEPT: usize = 4096;
 /// Log lines in one life.
@@ -421,11 +423,25 @@
             over: false,
             alone: false,
             unusable: false,
+            over_share: new && self.over_its_share(now, message.tenant),
         };
         self.parcels.insert(message.id, parcel);
         self.hold(&message);
     }
 
+    /// Counts a message against its customer's share, of which each dispatcher has an even part.
+    fn over_its_share(&mut self, now: Seconds, tenant: usize) -> bool {
+        let Some(quota) = self.settings.tenants.get(tenant).map(|tenant| tenant.quota) else { return false };
+        let own = quota / f64::from(self.settings.dispatchers);
+        let most = (own * SHARE_TIME).max(1.0);
+        self.purses.resize(self.settings.tenants.len(), Purse { left: most, at: now });
+        let Some(purse) = self.purses.get_mut(tenant) else { return false };
+        *purse = Purse { left: (purse.left + own * (now - purse.at)).min(most), at: now };
+        let over = purse.left < 1.0;
+        purse.left -= f64::from(u8::from(!over));
+        over
+    }
+
     fn attempt_ended(&mut self, now: Seconds, end: AttemptEnd) {
         let Some(parcel) = self.parcels.get_mut(&end.id) else { return };
         let Some(flight) = parcel.out.filter(|_| parcel.attempts == end.attempt + 1) else { return };
@@ -623,7 +639,8 @@
             }
         };
         let life = parcel.message.deadline - parcel.taken;
-        class.worth * (-decay.max(std::f64::consts::LN_2 / life) * (now - parcel.taken)).exp() * rate
+        let worth = class.worth * if parcel.over_share { self.settings.over_share_worth } else { 1.0 };
+        worth * (-decay.max(std::f64::consts::LN_2 / life) * (now - parcel.taken)).exp() * rate
     }
 
     /// The expected rate of successful service.
@@ -648,7 +665,7 @@
             } else if !self.over_share(now, destination) {
                 let rate = self.service(now, destination);
                 let parcels = destination.held.iter().filter_map(|id| self.parcels.get(id));
-                held.extend(parcels.map(|p| (self.rank(now, p, rate), p.taken, p.message)));
+                held.extend(parcels.map(|p| (self.rank(now, p, rate), p.taken, p.over_share, p.message)));
                 open += 1;
             }
         }
@@ -657,15 +674,15 @@
         // deadline: the first to go there goes first. Guards against a backlog whose oldest are lost at an
         // hour when all could be served. Harm: where a place stays too small, all come late.
         let spare = self.calls.len() + open < self.settings.slots && self.settings.decay == Decay::Even;
-        held.sort_by(|(rank, taken, message), (other, then, than)| {
-            let first = message.deadline.total_cmp(&than.deadline);
+        held.sort_by(|(rank, taken, over, message), (other, then, beyond, than)| {
+            let first = over.cmp(beyond).then(message.deadline.total_cmp(&than.deadline));
             let order = if spare { first } else { other.total_cmp(rank) };
             order.then(then.total_cmp(taken)).then(than.id.cmp(&message.id))
         });
         let mut closed: BTreeSet<DestinationId> = BTreeSet::new();
         // Calls of this round with room for more messages.
         let mut open_calls: BTreeMap<EndpointId, u64> = BTreeMap::new();
-        for id in held.into_iter().map(|(_, _, message)| message.id) {
+        for id in held.into_iter().map(|(.., message)| message.id) {
             let Some(parcel) = self.parcels.get(&id) else { continue };
             if closed.contains(&parcel.message.destination) || !self.has_turn(now, parcel, wake) {
                 continue;
--- a/crates/waydoor/src/interface.rs
+++ b/crates/waydoor/src/interface.rs
@@ -54,6 +54,13 @@
     pub ordered: bool,
 }
 
+/// A customer whose messages are carried.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tenant {
+    /// Messages a second within its share, at all dispatchers together.
+    pub quota: f64,
+}
+
 /// A kind of destination.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Kind {
@@ -116,6 +123,10 @@
     pub zone: u16,
     /// Classes, by their index.
     pub classes: Vec<Class>,
+    /// Customers, by their index; none where messages are all of one.
+    pub tenants: Vec<Tenant>,
+    /// Worth of a message beyond its customer's share, as a part of its class's.
+    pub over_share_worth: f64,
     /// Kinds of destination, by their index.
     pub kinds: Vec<Kind>,
     /// How worth falls.
@@ -162,6 +173,14 @@
                 return fault(format!("classes[{i}].effect.window"), "must be a number above 0");
             }
         }
+        for (i, tenant) in settings.tenants.iter().enumerate() {
+            if !(span(tenant.quota) && tenant.quota > 0.0) {
+                return fault(format!("tenants[{i}].quota"), "must be a number above 0");
+            }
+        }
+        if !(0.0..=1.0).contains(&settings.over_share_worth) {
+            return fault("over_share_worth".into(), "must lie between 0 and 1");
+        }
         let rule = &settings.returning;
         let ask = match settings.listing {
             Listing::OnRequest { ask_within } => ask_within,
@@ -210,6 +229,8 @@
     pub deadline: Seconds,
     /// Its key of order, if any.
     pub key: Option<OrderKey>,
+    /// Its customer, an index of [`Settings::tenants`]; one that is not there has no share that binds.
+    pub tenant: usize,
 }
 
 /// How a call or a probe ended.
--- a/crates/waydoor/src/lib.rs
+++ b/crates/waydoor/src/lib.rs
@@ -28,6 +28,8 @@
 //!     rates_listed: false,
 //!     returning: ReturnRule { cold_share: 0.2, cold_time: 10.0, multiple: 2.0, window: 3.0 },
 //!     key_rest: 0.0,
+//!     tenants: Vec::new(),
+//!     over_share_worth: 1.0,
 //! };
 //! let mut dispatcher = Dispatcher::new(settings, 7)?;
 //! let endpoint = EndpointId(1);
@@ -40,7 +42,7 @@
 //!     0.0,
 //!     Event::ListWhole(vec![Entry { endpoint, destination, kind: 0, zone: 0, rate: 5.0, listed }]),
 //! );
-//! let message = Message { id: MessageId(1), class: 0, destination, deadline: 20.0, key: None };
+//! let message = Message { id: MessageId(1), class: 0, destination, deadline: 20.0, key: None, tenant: 0 };
 //! dispatcher.handle(0.0, Event::Taken(message));
 //! dispatcher.decide(0.0, &mut actions);
 //! let sent = actions.iter().any(|a| matches!(a, Action::Send { id: MessageId(1), .. }));
--- a/crates/waydoor/src/state.rs
+++ b/crates/waydoor/src/state.rs
@@ -107,6 +107,13 @@
     pub(crate) call: u64,
 }
 
+/// What a customer may still hand in within its share.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Purse {
+    pub(crate) left: f64,
+    pub(crate) at: Seconds,
+}
+
 /// The ledger of one message: what was sent and what may have run.
 #[derive(Clone, Debug)]
 pub(crate) struct Parcel {
@@ -121,6 +128,8 @@
     pub(crate) alone: bool,
     /// Rejected by itself: no other attempt would fare better.
     pub(crate) unusable: bool,
+    /// It came beyond its customer's share.
+    pub(crate) over_share: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -165,6 +174,8 @@
     pub(crate) destinations: BTreeMap<DestinationId, Destination>,
     pub(crate) endpoints: BTreeMap<EndpointId, Endpoint>,
     pub(crate) lines: BTreeMap<OrderKey, Line>,
+    /// By customer.
+    pub(crate) purses: Vec<Purse>,
     /// Destinations with held messages; messages to look at this round; idle connections to close, when.
     pub(crate) waiting: BTreeSet<DestinationId>,
     pub(crate) review: Vec<MessageId>,
@@ -202,6 +213,7 @@
             destinations: BTreeMap::new(),
             endpoints: BTreeMap::new(),
             lines: BTreeMap::new(),
+            purses: Vec::new(),
             waiting: BTreeSet::new(),
             review: Vec::new(),
             closing: Vec::new(),
--- a/crates/waydoor/tests/common/mod.rs
+++ b/crates/waydoor/tests/common/mod.rs
@@ -28,6 +28,8 @@
         rates_listed: true,
         returning: ReturnRule { cold_share: 0.25, cold_time: 10.0, multiple: 1.5, window: 3.0 },
         key_rest: 2.0,
+        tenants: Vec::new(),
+        over_share_worth: 1.0,
     }
 }
 
@@ -75,7 +77,14 @@
     pub fn take_keyed(&mut self, id: u64, class: usize, destination: u32, key: Option<u64>) {
         let (id, destination) = (MessageId(id), DestinationId(destination));
         let deadline = self.now + 20.0;
-        self.event(Event::Taken(Message { id, class, destination, deadline, key: key.map(OrderKey) }));
+        self.event(Event::Taken(Message {
+            id,
+            class,
+            destination,
+            deadline,
+            key: key.map(OrderKey),
+            tenant: 0,
+        }));
     }
 
     /// Decides and returns what was sent.
--- a/crates/waydoor/tests/crowd.rs
+++ b/crates/waydoor/tests/crowd.rs
@@ -35,8 +35,14 @@
         while owed >= 1.0 {
             (owed, id) = (owed - 1.0, id + 1);
             let to = ((rng.f64() * rng.f64()) * CROWD as f64) as usize;
-            let message =
-                Message { id: MessageId(id), class: 0, destination: HOME, deadline: now + 20.0, key: None };
+            let message = Message {
+                id: MessageId(id),
+                class: 0,
+                destination: HOME,
+                deadline: now + 20.0,
+                key: None,
+                tenant: 0,
+            };
             crowd[to].handle(now, Event::Taken(message));
         }
         out.retain(|(end, from, event): &(f64, usize, Event)| {
--- a/crates/waydoor/tests/lives.rs
+++ b/crates/waydoor/tests/lives.rs
@@ -7,7 +7,7 @@
 
 fn resumed(stage: &mut Stage, id: u64, class: usize, attempts: u32, ran_ago: Option<f64>) {
     let (id, destination) = (MessageId(id), HOME);
-    let message = Message { id, class, destination, deadline: stage.now + 9.0, key: None };
+    let message = Message { id, class, destination, deadline: stage.now + 9.0, key: None, tenant: 0 };
     let may_have_run = ran_ago.map(|ago| (stage.now - ago, 0));
     let taken = stage.now - 11.0;
     stage.event(Event::Resumed { message, taken, attempts, may_have_run });
--- a/crates/waydoor/tests/robust.rs
+++ b/crates/waydoor/tests/robust.rs
@@ -29,6 +29,8 @@
     assert_eq!(fault(|s| s.returning.window = f64::INFINITY), "returning.window");
     assert_eq!(fault(|s| s.returning.cold_share = 0.0), "returning.cold_share");
     assert_eq!(fault(|s| s.key_rest = f64::NAN), "key_rest");
+    assert_eq!(fault(|s| s.tenants = vec![Tenant { quota: 0.0 }]), "tenants[0].quota");
+    assert_eq!(fault(|s| s.over_share_worth = 1.5), "over_share_worth");
     assert_eq!(fault(|s| s.listing = Listing::OnRequest { ask_within: 0.0 }), "listing.ask_within");
 }
 
@@ -229,6 +231,7 @@
                     destination: DestinationId(destination),
                     deadline,
                     key: key.map(OrderKey),
+                    tenant: 0,
                 };
                 let (attempts, answers) = (0, 0);
                 let seen = Seen {
--- a/crates/waydoor/tests/rules.rs
+++ b/crates/waydoor/tests/rules.rs
@@ -337,6 +337,55 @@
     assert_eq!(order_after_a_wait(Decay::ByHalf, 8), [3, 2, 1], "the fresh one loses more by waiting");
 }
 
+/// A stage on which customer 0 may hand in a message a second here, and customer 1 as many as it likes.
+fn shares(decay: Decay, room: usize) -> Stage {
+    let tenants = vec![Tenant { quota: 2.0 }, Tenant { quota: 1e6 }];
+    Stage::new(Settings { tenants, over_share_worth: 0.05, decay, room, slots: 1, ..settings() })
+}
+
+fn hand_in(stage: &mut Stage, id: u64, tenant: usize) {
+    let (id, destination) = (MessageId(id), HOME);
+    let deadline = stage.now + 20.0;
+    stage.event(Event::Taken(Message { id, class: 0, destination, deadline, key: None, tenant }));
+}
+
+#[test]
+fn what_is_beyond_its_customers_share_makes_place_first() {
+    for decay in [Decay::Even, Decay::ByHalf] {
+        let mut stage = shares(decay, 31);
+        // Ten seconds of the share stand open, and one message is out.
+        for id in 0..30 {
+            hand_in(&mut stage, id, 0);
+        }
+        stage.round();
+        for id in 30..45 {
+            hand_in(&mut stage, id, 1);
+        }
+        stage.round();
+        let gone: Vec<_> = (0..45).filter(|id| stage.refused(*id)).collect();
+        assert_eq!(gone.len(), 15, "{gone:?}");
+        assert!(gone.iter().all(|id| (10..30).contains(id)), "beyond the share and nothing else: {gone:?}");
+    }
+}
+
+#[test]
+fn a_share_comes_back_with_time_and_binds_nobody_unknown() {
+    let mut stage = shares(Decay::Even, 40);
+    for id in 0..10 {
+        hand_in(&mut stage, id, 0);
+    }
+    stage.now += 5.0;
+    for id in 10..20 {
+        hand_in(&mut stage, id, 0);
+    }
+    for id in 20..45 {
+        hand_in(&mut stage, id, 7);
+    }
+    stage.round();
+    let gone: Vec<_> = (0..45).filter(|id| stage.refused(*id)).collect();
+    assert_eq!(gone, [0, 15, 16, 17, 18, 19], "five more were inside the share; then the oldest of all");
+}
+
 #[test]
 fn an_unsafe_call_is_waited_for_as_long_as_its_message_lives() {
     let mut stage = Stage::new(settings());
@@ -363,7 +412,14 @@
 fn what_cannot_be_delivered_any_more_is_refused_unsent() {
     let mut stage = Stage::new(settings());
     let (id, destination) = (MessageId(1), DestinationId(1));
-    stage.event(Event::Taken(Message { id, class: 0, destination, deadline: stage.now + 0.1, key: None }));
+    stage.event(Event::Taken(Message {
+        id,
+        class: 0,
+        destination,
+        deadline: stage.now + 0.1,
+        key: None,
+        tenant: 0,
+    }));
     assert!(stage.round().is_empty());
     assert!(stage.refused(1));
 }
