--- a/crates/fawnspoke/src/main.rs
+++ b/crates/fawnspoke/src/main.rs
@@ -1,11 +1,14 @@
 //! The program: reads its arguments and hands over to the part that is asked for.
 
 use clap::{Args, Parser, Subcommand};
+use fawnspoke_journal::inspect::{self, InspectError, Repaired};
 use fawnspoke_lab::bench::Settings;
 use fawnspoke_lab::command;
+use std::io::{BufWriter, ErrorKind, Write};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// A delivery service for messages to other firms' systems.
 ///
@@ -34,6 +37,41 @@
     /// Stand-ins, faults and the auditor
     #[command(subcommand)]
     Lab(Lab),
+    /// Look into a dispatcher's journal; nothing is written to it
+    #[command(subcommand)]
+    Journal(Journal),
+}
+
+#[derive(Subcommand)]
+enum Journal {
+    /// Tell what is owed, to whom and since when, and what the segments hold
+    Show {
+        /// The dispatcher's folder
+        folder: PathBuf,
+    },
+    /// Tell whether it is sound: exit code 1 on damage
+    Verify {
+        /// The dispatcher's folder
+        folder: PathBuf,
+    },
+    /// Write what is owed as JSON, a message a line
+    Dump {
+        /// The dispatcher's folder
+        folder: PathBuf,
+        /// With the bodies, in base64
+        #[arg(long)]
+        bodies: bool,
+        /// Every record in place of what is owed
+        #[arg(long)]
+        records: bool,
+    },
+    /// Write all that can be read to a new folder; exit code 1 where something is lost
+    Repair {
+        /// The folder of a dispatcher that is stopped
+        folder: PathBuf,
+        /// The new folder: not there, or empty
+        to: PathBuf,
+    },
 }
 
 #[derive(Subcommand)]
@@ -157,5 +195,50 @@
         }
         Command::Lab(Lab::Proxy { listen, to }) => command::proxy(listen, to),
         Command::Lab(Lab::Naive { fault }) => command::naive(&fault),
+        Command::Journal(asked) => match journal(&asked) {
+            Ok(code) => code,
+            // Who reads has had enough.
+            Err(InspectError::Write(error)) if error.kind() == ErrorKind::BrokenPipe => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("fawnspoke: {error}");
+                ExitCode::from(2)
+            }
+        },
     }
 }
+
+fn journal(asked: &Journal) -> Result<ExitCode, InspectError> {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_micros() as u64);
+    let mut out = BufWriter::new(std::io::stdout().lock());
+    let sound = match asked {
+        Journal::Show { folder } => {
+            write!(out, "{}", inspect::show(folder, now)?)?;
+            true
+        }
+        Journal::Verify { folder } => {
+            let (sound, text) = inspect::verify(folder)?;
+            write!(out, "{text}")?;
+            sound
+        }
+        Journal::Dump { folder, bodies, records: true } => {
+            inspect::dump_records(folder, *bodies, &mut out)?;
+            true
+        }
+        Journal::Dump { folder, bodies, records: false } => {
+            inspect::dump(folder, *bodies, &mut out)?;
+            true
+        }
+        Journal::Repair { folder, to } => {
+            let Repaired { messages, doubted, problems } = inspect::repair(folder, to, now)?;
+            problems.iter().try_for_each(|line| writeln!(out, "{line}"))?;
+            writeln!(
+                out,
+                "{messages} messages written to {}; {doubted} of them count as ones that may have run",
+                to.display()
+            )?;
+            !problems.iter().any(|line| line.starts_with(inspect::DAMAGED))
+        }
+    };
+    out.flush()?;
+    Ok(if sound { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
--- a/crates/journal/src/files.rs
+++ b/crates/journal/src/files.rs
@@ -1,7 +1,7 @@
 //! The seam to the file system: all that the journal asks of it, so that tests can let each call fail.
 
 use std::fs::{self, File, OpenOptions};
-use std::io::{self, Read, Write};
+use std::io::{self, Read, Seek, Write};
 use std::path::{Path, PathBuf};
 
 /// A folder of files that are only appended to.
@@ -15,11 +15,11 @@
     /// Where the folder can't be read.
     fn list(&self) -> io::Result<Vec<(String, u64)>>;
 
-    /// All bytes of a file.
+    /// Bytes of a file from an offset on, up to so many; fewer where it ends before.
     ///
     /// # Errors
     /// Where it is not there or can't be read.
-    fn read(&self, name: &str) -> io::Result<Vec<u8>>;
+    fn read(&self, name: &str, from: u64, most: usize) -> io::Result<Vec<u8>>;
 
     /// A new file that is open for appending.
     ///
@@ -88,9 +88,10 @@
         Ok(files)
     }
 
-    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
-        let mut bytes = Vec::new();
-        File::open(self.folder.join(name))?.read_to_end(&mut bytes)?;
+    fn read(&self, name: &str, from: u64, most: usize) -> io::Result<Vec<u8>> {
+        let (mut file, mut bytes) = (File::open(self.folder.join(name))?, Vec::new());
+        file.seek(io::SeekFrom::Start(from))?;
+        file.take(most as u64).read_to_end(&mut bytes)?;
         Ok(bytes)
     }
 
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -1,10 +1,11 @@
 //! The thin shell: segments on a file system, a ledger in memory, and steps that keep the two together.
 
 use crate::files::{Disk, Files};
-use crate::format::{self, HEADER, Handed, Header, HeaderError, Notice, Record, Start, UnixMicros};
+use crate::format::{self, Handed, Header, Notice, Progress, Record, Start, UnixMicros};
 use crate::ledger::{self, Fact, Kept, Ledger};
 use crate::old;
 use crate::plan::{self, Admission, Limits, Stock, blocks};
+use crate::survey::{Segment, Survey, survey};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::path::Path;
@@ -184,7 +185,7 @@
     format!("{segment:016x}.journal")
 }
 
-fn file_number(name: &str) -> Option<u64> {
+pub(crate) fn file_number(name: &str) -> Option<u64> {
     let digits = name.strip_suffix(".journal").filter(|digits| digits.len() == 16)?;
     u64::from_str_radix(digits, 16).ok().filter(|number| file_name(*number) == name)
 }
@@ -199,41 +200,6 @@
     }
 }
 
-struct Found {
-    header: Header,
-    bytes: Vec<u8>,
-}
-
-/// Reads one segment into the ledger; returns how many bytes count. `last`: bytes at its end that are no record
-/// were being written.
-fn replay(
-    ledger: &mut Ledger, segment: u64, bytes: &[u8], last: bool, recovery: &mut Recovery,
-    removed: &mut Vec<u64>,
-) -> u64 {
-    let mut at = HEADER.min(bytes.len());
-    while at < bytes.len() {
-        if let Some((record, length)) = format::unframe(segment, &bytes[at..]) {
-            if let Record::Removed { segment } = record {
-                removed.push(segment);
-            }
-            ledger.replay(segment, &record);
-            at += length;
-            continue;
-        }
-        let next = format::next_sound(segment, bytes, at + 1);
-        if next.is_none() && last {
-            recovery.torn = (bytes.len() - at) as u64;
-            return at as u64;
-        }
-        let end = next.unwrap_or(bytes.len());
-        let (offset, length) = (at as u64, (end - at) as u64);
-        recovery.damage.push(Damage::Bad { segment, offset, length });
-        ledger.doubt(segment);
-        at = end;
-    }
-    at as u64
-}
-
 impl<F: Files> Journal<F> {
     /// Opens the journal of a folder, or begins one. Until its first new segment is whole, nothing is changed but
     /// for files that no longer count; so a crash in here does no harm.
@@ -258,59 +224,24 @@
             counts: Counts::default(),
             buffer: Vec::new(),
         };
-        let mut recovery = Recovery::default();
-        let mut found: BTreeMap<u64, Found> = BTreeMap::new();
-        let mut unfinished = Vec::new();
-        let mut is_old = false;
-        for (name, length) in journal.files.list()? {
-            is_old |= name == old::FILE;
-            let Some(number) = file_number(&name) else {
-                journal.foreign += blocks(length) * u64::from(name != old::FILE && name != old::NEXT_FILE);
-                continue;
-            };
-            journal.next = journal.next.max(number.saturating_add(1));
-            let bytes = journal.files.read(&name)?;
-            let problem = match Header::read(&bytes) {
-                Ok(header) if header.segment == number => {
-                    found.insert(number, Found { header, bytes });
-                    continue;
-                }
-                Ok(header) => format!("it holds segment {}", header.segment),
-                Err(HeaderError::Newer(version)) => return Err(OpenError::Newer { file: name, version }),
-                // No byte of it was promised to anybody.
-                Err(HeaderError::Short) => {
-                    unfinished.push(name);
-                    continue;
-                }
-                Err(error) => error.to_string(),
-            };
-            journal.foreign += blocks(length);
-            recovery.damage.push(Damage::Foreign { file: name, problem });
+        let survey = survey(&journal.files)?;
+        let Survey { identity, segments, ledger, recovery, foreign, remove, next, old } = survey;
+        (journal.identity, journal.foreign, journal.next) =
+            (identity.unwrap_or(journal.identity), foreign, next);
+        let mut recovery = recovery;
+        for name in remove {
+            journal.files.remove(&name)?;
         }
-        if is_old {
-            // The old file is removed last: what else is there are copies of it that were not finished.
-            // They bear the mark of that file; others are a journal that an older program did not see.
-            let bytes = journal.files.read(old::FILE)?;
-            journal.identity = old::identity(&bytes);
-            if found.values().any(|found| found.header.identity != journal.identity) {
-                return Err(OpenError::Both);
-            }
-            let old = old::read(&bytes);
-            for name in found.keys().map(|segment| file_name(*segment)).chain(unfinished) {
-                journal.files.remove(&name)?;
-            }
-            (recovery.torn, recovery.carried) = (old.torn as u64, Some(old.messages.len()));
+        if let Some(old) = old {
             journal.carry_over(old)?;
             recovery.latest = journal.ledger.latest();
             return Ok((journal, recovery));
         }
-        journal.files.remove(old::NEXT_FILE)?;
-        for name in unfinished {
-            journal.files.remove(&name)?;
-        }
-        recovery.latest = found.values().map(|found| found.header.created).max().unwrap_or_default();
-        journal.read_segments(found, &mut recovery)?;
-        recovery.latest = recovery.latest.max(journal.ledger.latest());
+        journal.ledger = ledger;
+        journal.sealed = segments
+            .into_iter()
+            .map(|(number, Segment { length, on_file, .. })| (number, Sealed { length, on_file }))
+            .collect();
         journal.ledger.settle();
         journal.begin_segment()?;
         for number in journal.ledger.doubted() {
@@ -320,102 +251,36 @@
         Ok((journal, recovery))
     }
 
-    fn read_segments(
-        &mut self, mut found: BTreeMap<u64, Found>, recovery: &mut Recovery,
-    ) -> Result<(), OpenError> {
-        // A segment counts from its first whole record on, which lists those before it.
-        let opening = |segment: u64, found: &Found| match format::unframe(segment, &found.bytes[HEADER..]) {
-            Some((Record::Opening { sealed, .. }, _)) => Some(sealed),
-            _ => None,
-        };
-        while let Some(last) =
-            found.last_entry().filter(|last| format::cut_short(&last.get().bytes[HEADER..]))
-        {
-            let name = file_name(*last.key());
-            last.remove();
-            self.files.remove(&name)?;
-        }
-        let Some((newest, last)) = found.last_key_value() else { return Ok(()) };
-        let (newest, identity) = (*newest, last.header.identity);
-        self.identity = identity;
-        let listed = opening(newest, last);
-        let strange: Vec<u64> = found
-            .iter()
-            .filter(|(_, f)| f.header.identity != identity)
-            .map(|(segment, _)| *segment)
-            .collect();
-        for segment in strange {
-            if let Some(strange) = found.remove(&segment) {
-                self.foreign += blocks(strange.bytes.len() as u64);
-                let problem = "it is of another journal".into();
-                recovery.damage.push(Damage::Foreign { file: file_name(segment), problem });
-            }
-        }
-        if let Some(listed) = &listed {
-            let listed: BTreeMap<u64, u64> = listed.iter().map(|s| (s.segment, s.length)).collect();
-            // What is not listed is of no account: its removal failed, or it never was whole.
-            let stray: Vec<u64> =
-                found.keys().filter(|s| **s != newest && !listed.contains_key(*s)).copied().collect();
-            for segment in stray {
-                found.remove(&segment);
-                self.files.remove(&file_name(segment))?;
-            }
-        }
-        let mut removed = Vec::new();
-        let lengths: BTreeMap<u64, u64> =
-            listed.iter().flatten().map(|sealed| (sealed.segment, sealed.length)).collect();
-        let mut missing: Vec<u64> = lengths.keys().filter(|s| !found.contains_key(*s)).copied().collect();
-        for segment in found.keys() {
-            self.ledger.open(*segment);
-        }
-        for (segment, file) in &found {
-            let on_file = file.bytes.len() as u64;
-            let listed = lengths.get(segment).copied().unwrap_or(on_file);
-            if on_file < listed {
-                recovery.damage.push(Damage::Cut { segment: *segment, length: on_file, listed });
-            }
-            let counts = &file.bytes[..listed.min(on_file) as usize];
-            let last = *segment == newest;
-            let length = replay(&mut self.ledger, *segment, counts, last, recovery, &mut removed);
-            self.sealed.insert(*segment, Sealed { length, on_file });
-            if on_file < listed {
-                self.ledger.doubt(*segment);
-            }
-        }
-        for segment in removed {
-            missing.retain(|other| *other != segment);
-            // All that counted of it stands in later segments. Its file is back after a power cut, or never went.
-            if self.sealed.remove(&segment).is_some() {
-                self.files.remove(&file_name(segment))?;
-            }
-        }
-        for segment in missing {
-            recovery.damage.push(Damage::Missing { segment });
-            self.ledger.doubt(segment);
-        }
-        Ok(())
-    }
-
     /// Takes over what a file of the old format tells.
     fn carry_over(&mut self, old: old::Old) -> io::Result<()> {
         self.begin_segment()?;
-        for dest in old.outages {
+        let messages =
+            old.messages.into_iter().map(|(number, (handed, progress))| (number, handed, progress));
+        self.adopt(old.outages.into_iter(), messages)?;
+        self.files.remove(old::NEXT_FILE)?;
+        self.files.remove(old::FILE)?;
+        self.ledger.settle();
+        Ok(())
+    }
+
+    /// Writes down what another journal told; when this returns it outlasts the machine.
+    pub(crate) fn adopt(
+        &mut self, outages: impl Iterator<Item = u32>,
+        messages: impl Iterator<Item = (u64, Handed, Progress)>,
+    ) -> io::Result<()> {
+        for dest in outages {
             let record = Record::Outage { dest, out: true };
             self.append(std::slice::from_ref(&record))?;
             self.ledger.happened(&record);
         }
-        for (number, (handed, progress)) in old.messages {
+        for (number, handed, progress) in messages {
             let segment = self.append(&[ledger::taken(number, &handed, Some(progress))])?;
             self.ledger.insert(segment, number, handed, progress);
         }
         if let Some(head) = &self.head {
             self.files.sync(&head.handle)?;
         }
-        self.files.sync_folder()?;
-        self.files.remove(old::NEXT_FILE)?;
-        self.files.remove(old::FILE)?;
-        self.ledger.settle();
-        Ok(())
+        self.files.sync_folder()
     }
 
     /// A message that is not over.
@@ -499,7 +364,7 @@
         }
         let number = self.ledger.next();
         let segment = self.append(&[ledger::taken(number, handed, None)])?;
-        self.ledger.insert(segment, number, handed.clone(), format::Progress::default());
+        self.ledger.insert(segment, number, handed.clone(), Progress::default());
         Ok(Some(number))
     }
 
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -8,15 +8,19 @@
 //! - [`format`](mod@format): the bytes, described in `docs/journal-format.md`; no I/O.
 //! - [`ledger`]: what the records say, and which segment each fact stands in; no I/O.
 //! - [`plan`]: which segment to empty next, how much at a step, what still fits; no I/O.
+//! - [`survey`](mod@survey): reads a folder and changes nothing: what recovery begins with.
+//! - [`inspect`]: what operators ask of a journal.
 //! - [`files`]: the seam to the file system.
 //! - [`journal`]: the thin shell that puts them together.
 
 pub mod files;
 pub mod format;
+pub mod inspect;
 pub mod journal;
 pub mod ledger;
 mod old;
 pub mod plan;
+pub mod survey;
 
 pub use files::{Disk, Files};
 pub use format::{Handed, Notice, Start, UnixMicros};
--- a/crates/journal/tests/common/mod.rs
+++ b/crates/journal/tests/common/mod.rs
@@ -181,10 +181,12 @@
             .collect())
     }
 
-    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+    fn read(&self, name: &str, from: u64, most: usize) -> io::Result<Vec<u8>> {
         self.call("read")?;
         let state = self.0.borrow();
-        state.files.get(name).map(|entry| entry.bytes.clone()).ok_or(error(2))
+        let bytes = state.files.get(name).map(|entry| &entry.bytes).ok_or(error(2))?;
+        let from = bytes.len().min(from as usize);
+        Ok(bytes[from..from.saturating_add(most).min(bytes.len())].to_vec())
     }
 
     fn create(&self, name: &str) -> io::Result<String> {
