A message that comes again after its end is not run again; no zone is guessed after damage

The change: the ledger remembers the last ends (4,096 of a life, by a keyed hash of id, class, destination and key, some 200 KB at most; of earlier lives those whose records are still there). Delivered: 202 again, nothing owed; given up: 409; handed back: taken anew, which is harmless. The zone of a doubted call is unknown, and a message keyed by zone is then given up at once.

The new test on sockets has a kill between the two halves.

--- a/crates/fawnspoke/tests/sockets/clients.rs
+++ b/crates/fawnspoke/tests/sockets/clients.rs
@@ -141,3 +141,32 @@
     let last = clients.last_mut().unwrap();
     assert_eq!(last.hand_in("safe", "again", 7, 15_000, b"x").status(), 202, "the last one is kept");
 }
+
+#[test]
+fn a_message_that_comes_again_after_its_end_does_not_run_again() {
+    let endpoint = Endpoint::start(|_, request| match request.header("request-id") {
+        Some(id) if id.starts_with("bad") => Reply::status(500),
+        _ => Reply::status(200),
+    });
+    let platform = Platform::start();
+    let mut dispatcher = Dispatcher::started(&platform, &[endpoint.host("e", 7, "up")]);
+    assert_eq!(dispatcher.hand_in("unsafe", "good", 7), 202);
+    assert_eq!(dispatcher.hand_in("unsafe", "bad", 7), 202);
+    eventually("both calls", || endpoint.ids().len() == 2);
+    eventually("the notice", || platform.told("bad") == ["given_up"]);
+    let again = |dispatcher: &Dispatcher| {
+        // Its answer may be on its way still when the call has been seen.
+        eventually("the end on record", || dispatcher.hand_in("unsafe", "bad", 7) == 409);
+        eventually("the end of the good one", || dispatcher.hand_in("unsafe", "good", 7) == 202);
+        assert_eq!(dispatcher.hand_in("unsafe", "good", 7), 202);
+    };
+    again(&dispatcher);
+    // The next life knows it from the records that are still there.
+    dispatcher.kill();
+    dispatcher.start();
+    again(&dispatcher);
+    assert_eq!(dispatcher.hand_in("unsafe", "next", 7), 202);
+    eventually("the next one", || endpoint.ids().contains(&"next".to_string()));
+    let ids = endpoint.ids();
+    assert_eq!(ids.len(), 3, "each once: {ids:?}");
+}
--- /dev/null
+++ b/crates/journal/src/ended.rs
@@ -0,0 +1,116 @@
+//! Messages that are over, for as long as that is worth remembering: one that comes again must not take effect once
+//! more. No I/O.
+
+use crate::format::{Handed, Notice};
+use crate::ledger::Kept;
+use std::collections::hash_map::RandomState;
+use std::collections::{HashMap, VecDeque};
+use std::hash::BuildHasher;
+
+/// How a message ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Delivered, or over by the other side's word: nothing is owed, and it may not run again.
+    Delivered,
+    /// Given up: it may have run.
+    GivenUp,
+    /// Handed back: handing it in again is harmless.
+    HandedBack,
+}
+
+impl End {
+    /// How a message ends of which nothing more is owed; none where no client was ever told of it.
+    pub(crate) fn of(kept: &Kept) -> Option<End> {
+        match kept.notice {
+            Some(Notice::GivenUp) => Some(End::GivenUp),
+            Some(Notice::HandedBack { .. }) => Some(End::HandedBack),
+            // Without a call it was withdrawn: its client was gone before it heard.
+            None => (kept.attempts > 0).then_some(End::Delivered),
+        }
+    }
+}
+
+/// The last messages that ended, at most so many: some 40 bytes each.
+#[derive(Clone, Debug)]
+pub struct Ended {
+    most: usize,
+    hasher: RandomState,
+    order: VecDeque<u64>,
+    ends: HashMap<u64, End>,
+}
+
+impl Default for Ended {
+    fn default() -> Ended {
+        Ended::new(0)
+    }
+}
+
+impl Ended {
+    /// Remembers so many ends.
+    pub fn new(most: usize) -> Ended {
+        let (hasher, order, ends) = (RandomState::new(), VecDeque::new(), HashMap::new());
+        Ended { most, hasher, order, ends }
+    }
+
+    /// A message by its id, class, destination and key. The body is not looked at: it is gone once a notice is owed.
+    /// Two messages meet by chance in one of 2^64 / `most` cases.
+    fn mark(&self, handed: &Handed) -> u64 {
+        self.hasher.hash_one((&handed.id, &handed.class, handed.dest, &handed.key))
+    }
+
+    /// Remembers an end; the oldest one makes place.
+    pub fn remember(&mut self, handed: &Handed, end: End) {
+        let mark = self.mark(handed);
+        if self.most == 0 || self.ends.insert(mark, end).is_some() {
+            return;
+        }
+        self.order.push_back(mark);
+        if self.order.len() > self.most
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.ends.remove(&oldest);
+        }
+    }
+
+    /// How the message ended, where that is remembered.
+    pub fn get(&self, handed: &Handed) -> Option<End> {
+        self.ends.get(&self.mark(handed)).copied()
+    }
+
+    /// How many ends are remembered.
+    pub fn len(&self) -> usize {
+        self.order.len()
+    }
+
+    /// Whether none is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.order.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn handed(id: u64) -> Handed {
+        let (class, key, body) = ("c".to_string(), Some(format!("k{id}")), "b".into());
+        Handed { id: id.to_string(), class, dest: 1, taken: 1, deadline: 2, key, body }
+    }
+
+    #[test]
+    fn the_last_ends_are_remembered_and_no_more() {
+        let mut ended = Ended::new(100);
+        for id in 0..1000 {
+            // Twice: a message that ends again, after it was handed back and taken anew, takes no second place.
+            ended.remember(&handed(id), End::HandedBack);
+            ended.remember(&handed(id), End::Delivered);
+        }
+        assert_eq!((ended.len(), ended.ends.len()), (100, 100));
+        assert_eq!(ended.get(&handed(900)), Some(End::Delivered));
+        assert_eq!(ended.get(&handed(899)), None);
+        assert_eq!(ended.get(&Handed { dest: 2, ..handed(950) }), None, "another message under the id");
+        ended = Ended::new(0);
+        ended.remember(&handed(1), End::Delivered);
+        assert!(ended.is_empty() && ended.get(&handed(1)).is_none());
+    }
+}
--- a/crates/journal/src/format.rs
+++ b/crates/journal/src/format.rs
@@ -20,12 +20,15 @@
 /// No payload is longer, in bytes: the longest body is 64 KiB, and an opening lists up to 100,000 segments.
 pub const RECORD_MOST: usize = 4 * 1024 * 1024;
 
+/// The zone of a call of which the record is lost.
+pub const UNKNOWN_ZONE: u16 = u16::MAX;
+
 /// When and where a call was started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Start {
     /// When.
     pub at: UnixMicros,
-    /// The zone of the endpoint.
+    /// The zone of the endpoint, or [`UNKNOWN_ZONE`].
     pub zone: u16,
 }
 
--- a/crates/journal/src/inspect.rs
+++ b/crates/journal/src/inspect.rs
@@ -70,7 +70,7 @@
     files.list().map_err(|error| failed(error.into()))?;
     let mut tries = 1;
     let survey = loop {
-        match visit(&files, seen) {
+        match visit(&files, 0, seen) {
             Err(error) if is_gone(&error) && tries < TRIES => tries += 1,
             other => break other.map_err(failed)?,
         }
@@ -334,7 +334,7 @@
     let mut found = {
         let files = Disk::new(folder);
         let failed = |error| InspectError::Open { folder: folder.display().to_string(), error };
-        survey(&files).map_err(failed)?
+        survey(&files, 0).map_err(failed)?
     };
     if found.old.is_some() {
         return Err(InspectError::Old(folder.display().to_string()));
@@ -354,6 +354,7 @@
         durability: Durability::Always,
         now: now.max(found.recovery.latest),
         identity,
+        ends: 0,
     };
     let failed = |error| InspectError::Open { folder: to.display().to_string(), error };
     let (mut journal, _) = Journal::recover(files, options).map_err(failed)?;
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -1,5 +1,6 @@
 //! The thin shell: segments on a file system, a ledger in memory, and steps that keep the two together.
 
+use crate::ended::End;
 use crate::files::{Disk, Files};
 use crate::format::{self, Handed, Header, Notice, Progress, Record, Start, UnixMicros};
 use crate::ledger::{self, Fact, Kept, Ledger};
@@ -33,6 +34,9 @@
     pub now: UnixMicros,
     /// Names a journal that is begun; any number that no other journal has.
     pub identity: u128,
+    /// Messages that are over and are remembered as such, against one that is handed in again: so many of this life,
+    /// and of earlier ones those whose records are still there.
+    pub ends: usize,
 }
 
 /// Why a journal can't be opened. Nothing was changed.
@@ -207,13 +211,13 @@
     /// # Errors
     /// See [`OpenError`].
     pub fn recover(files: F, options: Options) -> Result<(Journal<F>, Recovery), OpenError> {
-        let Options { limits, durability, now, identity } = options;
+        let Options { limits, durability, now, identity, ends } = options;
         let mut journal = Journal {
             files,
             limits,
             durability,
             identity,
-            ledger: Ledger::new(),
+            ledger: Ledger::new(ends),
             sealed: BTreeMap::new(),
             head: None,
             next: 1,
@@ -224,7 +228,7 @@
             counts: Counts::default(),
             buffer: Vec::new(),
         };
-        let survey = survey(&journal.files)?;
+        let survey = survey(&journal.files, ends)?;
         let Survey { identity, segments, ledger, recovery, foreign, remove, next, old } = survey;
         (journal.identity, journal.foreign, journal.next) =
             (identity.unwrap_or(journal.identity), foreign, next);
@@ -293,6 +297,11 @@
         self.ledger.number(id)
     }
 
+    /// How a message ended that is handed in again, where that is remembered.
+    pub fn end_of(&self, handed: &Handed) -> Option<End> {
+        self.ledger.end_of(handed)
+    }
+
     /// All messages that are not over, in the order taken.
     pub fn iter(&self) -> impl Iterator<Item = (u64, &Kept)> {
         self.ledger.iter()
--- a/crates/journal/src/ledger.rs
+++ b/crates/journal/src/ledger.rs
@@ -1,7 +1,8 @@
 //! What the records say: the messages that are not over, and for each segment which of its facts still count. No
 //! I/O: records go in, sums come out.
 
-use crate::format::{Handed, Notice, Progress, Record, Sealed, Start, UnixMicros};
+use crate::ended::{End, Ended};
+use crate::format::{Handed, Notice, Progress, Record, Sealed, Start, UNKNOWN_ZONE, UnixMicros};
 use bytes::Bytes;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -139,15 +140,21 @@
     /// Segments of which copies were begun and not ended.
     unfinished: BTreeSet<u64>,
     doubted: BTreeSet<u64>,
+    ended: Ended,
     next: u64,
     size: u64,
     latest: UnixMicros,
 }
 
 impl Ledger {
-    /// A ledger that knows of nothing.
-    pub fn new() -> Ledger {
-        Ledger { next: 1, ..Ledger::default() }
+    /// A ledger that knows of nothing, and will remember so many ends.
+    pub fn new(ends: usize) -> Ledger {
+        Ledger { next: 1, ended: Ended::new(ends), ..Ledger::default() }
+    }
+
+    /// How a message ended that is handed in again, where that is remembered.
+    pub fn end_of(&self, handed: &Handed) -> Option<End> {
+        self.ended.get(handed)
     }
 
     /// A message that is not over.
@@ -267,7 +274,14 @@
                 kept.set(Progress { notice: Some(*notice), ..kept.progress() });
             }),
             Record::Progress { number, progress } => self.change(*number, |kept| kept.set(*progress)),
-            Record::Over { number, .. } => self.forget(*number),
+            Record::Over { number, .. } => {
+                if let Some(kept) = self.entries.get(number).map(|entry| &entry.kept)
+                    && let Some(end) = End::of(kept)
+                {
+                    self.ended.remember(&kept.handed, end);
+                }
+                self.forget(*number);
+            }
             Record::Outage { dest, out: true } => _ = self.outages.insert(*dest),
             Record::Outage { dest, out: false } => _ = self.outages.remove(dest),
             Record::Opening { outages, next, .. } => {
@@ -367,9 +381,9 @@
     /// what was lost. It has to be written down, too: [`doubted`](Ledger::doubted).
     pub fn doubt(&mut self, segment: u64) {
         for (number, entry) in self.entries.iter_mut().filter(|(_, entry)| entry.base <= segment) {
-            let Kept { handed, may_have_run, out, .. } = &mut entry.kept;
-            // The earliest time at which it can have been sent.
-            let first = Start { at: handed.taken, zone: out.map_or(0, |out| out.zone) };
+            let Kept { handed, may_have_run, .. } = &mut entry.kept;
+            // The earliest time at which it can have been sent; nobody knows where to.
+            let first = Start { at: handed.taken, zone: UNKNOWN_ZONE };
             may_have_run.get_or_insert(first);
             self.doubted.insert(*number);
         }
--- a/crates/journal/src/survey.rs
+++ b/crates/journal/src/survey.rs
@@ -53,24 +53,26 @@
     is_old: bool,
 }
 
-/// Surveys the files of a folder.
+/// Surveys the files of a folder; so many messages that are over are remembered.
 ///
 /// # Errors
 /// Where a file was written by a newer program, where journals of two formats stand side by side, or where a file
 /// can't be read. [`OpenError`].
-pub fn survey<F: Files>(files: &F) -> Result<Survey, OpenError> {
-    visit(files, &mut |_, _, _| ())
+pub fn survey<F: Files>(files: &F, ends: usize) -> Result<Survey, OpenError> {
+    visit(files, ends, &mut |_, _, _| ())
 }
 
 /// Surveys the files of a folder, and shows each sound record with its segment and offset as it is read.
 ///
 /// # Errors
 /// As for [`survey`].
-pub fn visit<F: Files>(files: &F, seen: &mut dyn FnMut(u64, u64, &Record)) -> Result<Survey, OpenError> {
+pub fn visit<F: Files>(
+    files: &F, ends: usize, seen: &mut dyn FnMut(u64, u64, &Record),
+) -> Result<Survey, OpenError> {
     let mut survey = Survey {
         identity: None,
         segments: BTreeMap::new(),
-        ledger: Ledger::new(),
+        ledger: Ledger::new(ends),
         recovery: Recovery::default(),
         foreign: 0,
         remove: Vec::new(),
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -2,7 +2,7 @@
 
 use crate::clients::Client;
 use crate::{NO_TENANT, Node, log};
-use fawnspoke_journal::{Handed, UnixMicros};
+use fawnspoke_journal::{End, Handed, UnixMicros};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
@@ -96,6 +96,13 @@
         Some(_) => return refuse(node, dest),
         None => {}
     }
+    // Once more after its end.
+    match journal.end_of(&handed) {
+        // Nothing more is owed, and it may not run again.
+        Some(End::Delivered) => return plain(StatusCode::ACCEPTED, "taken\n"),
+        Some(End::GivenUp) => return plain(StatusCode::CONFLICT, "it failed, and may have run\n"),
+        Some(End::HandedBack) | None => {}
+    }
     if journal.open_messages() >= node.config.settings.room {
         return refuse(node, dest);
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,7 +19,7 @@
 use config::Config;
 use directory::Directory;
 use fawnspoke_journal::plan::{self, Limits};
-use fawnspoke_journal::{Durability, Journal, Notice, Options, Recovery, Start, UnixMicros};
+use fawnspoke_journal::{Durability, Journal, Notice, Options, Recovery, Start, UNKNOWN_ZONE, UnixMicros};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -34,7 +34,8 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep_until;
 use waydoor::{
-    Action, AttemptEnd, DestinationId, Dispatcher, EndpointId, Event, Message, MessageId, Outcome, Seconds,
+    Action, AttemptEnd, DestinationId, Dispatcher, Effect, EndpointId, Event, Message, MessageId, Outcome,
+    Seconds,
 };
 
 /// From SIGTERM on: no call may be out later than this ...
@@ -50,6 +51,9 @@
 /// The customer of a message is not told, not known, or was told to an earlier life: no share binds it.
 const NO_TENANT: usize = usize::MAX;
 
+/// Messages that are over and remembered as such, some 200 KB: a client that comes again does so within seconds.
+const ENDS: usize = 4096;
+
 /// What the round loop hears of.
 enum Input {
     Event(Event),
@@ -148,6 +152,14 @@
         })
     }
 
+    /// When and where a call was sent that may have run. Where keys are kept by zone and nobody knows the zone any
+    /// more, no endpoint can be trusted to know the key: it is as if its time were over.
+    fn first_run(&self, class: usize, start: Start) -> (Seconds, u16) {
+        let effect = self.config.settings.classes.get(class).map(|class| class.effect);
+        let lost = start.zone == UNKNOWN_ZONE && matches!(effect, Some(Effect::Keyed { by_zone: true, .. }));
+        (if lost { f64::NEG_INFINITY } else { self.seconds(start.at) }, start.zone)
+    }
+
     /// Takes up what an earlier process left.
     fn resume(&self) {
         let journal = self.journal.borrow();
@@ -162,7 +174,7 @@
                 message,
                 taken: self.seconds(kept.handed.taken),
                 attempts: kept.attempts,
-                may_have_run: kept.may_have_run.map(|start| (self.seconds(start.at), start.zone)),
+                may_have_run: kept.may_have_run.map(|start| self.first_run(message.class, start)),
             });
         }
     }
@@ -412,6 +424,7 @@
         durability: Durability::None,
         now,
         identity: u128::from(config.seed) << 64 | u128::from(now),
+        ends: ENDS,
     };
     let (journal, recovery) = Journal::open(&config.state, options)
         .map_err(|error| format!("GW_STATE: {}: {error}", config.state.display()))?;
--- a/crates/waydoor/tests/lives.rs
+++ b/crates/waydoor/tests/lives.rs
@@ -41,6 +41,16 @@
     assert!(stage.refused(5));
 }
 
+#[test]
+fn a_key_that_nobody_can_be_trusted_to_know_ends_its_message_at_once() {
+    let mut own = settings();
+    own.classes[1].effect = Effect::Keyed { window: 12.0, by_zone: true };
+    let mut stage = Stage::new(own);
+    resumed(&mut stage, 1, 1, 1, Some(f64::INFINITY));
+    assert!(stage.round().is_empty());
+    assert!(stage.failed(1), "it may have run in a zone that nobody knows");
+}
+
 #[test]
 fn used_attempts_stay_used() {
     let mut stage = Stage::new(settings());
