--- a/crates/fawnspoke/tests/lab.rs
+++ b/crates/fawnspoke/tests/lab.rs
@@ -118,3 +118,26 @@
     assert_eq!(script("5"), script("5"));
     assert_ne!(script("5"), script("6"));
 }
+
+#[test]
+fn fifty_kills_in_the_middle_of_compaction_lose_and_double_nothing() {
+    let text_of = std::fs::read_to_string(scenario("kills")).unwrap();
+    let shorter = text_of
+        .replace("kills = 1000", "kills = 50")
+        .replace("length_s = 75.0", "length_s = 12.0")
+        .replace("rate = 900.0", "rate = 450.0")
+        .replace("count = 4", "count = 2")
+        .replace("slack_ms = 50", "slack_ms = 500");
+    assert_ne!(text_of, shorter);
+    let output = program(&["lab", "run", &file("kills.toml", &shorter)]);
+    let all = text(&output);
+    let line = all.lines().find(|line| line.contains(" kills, ")).unwrap_or_default();
+    let figures: Vec<usize> =
+        line.split(|c: char| !c.is_ascii_digit()).filter_map(|f| f.parse().ok()).collect();
+    let [kills, compacting, _, damaged] = figures[..] else { panic!("no line of kills: {all}") };
+    assert!((25..=50).contains(&kills), "{line}");
+    assert!(compacting >= 10, "too few inside compaction: {line}");
+    println!("{line}");
+    assert_eq!(damaged, 0, "{line}");
+    assert_eq!(output.status.code(), Some(0), "{all}");
+}
--- a/crates/journal/src/survey.rs
+++ b/crates/journal/src/survey.rs
@@ -126,6 +126,12 @@
 }
 
 impl Survey {
+    /// Whether the last life ended while it won room back: a segment is half emptied, or emptied and there still, or
+    /// one was being begun.
+    pub fn compacting(&self) -> bool {
+        self.ledger.unfinished().is_some() || self.remove.iter().any(|name| file_number(name).is_some())
+    }
+
     fn headers<F: Files>(&mut self, files: &F) -> Result<Headers, OpenError> {
         let mut headers = Headers { found: BTreeMap::new(), unfinished: Vec::new(), is_old: false };
         for (name, length) in files.list()? {
--- a/crates/lab/src/command.rs
+++ b/crates/lab/src/command.rs
@@ -1,6 +1,7 @@
 //! The lab's subcommands.
 
 use crate::auditor::{Verdict, audit as judge};
+use crate::killer::Kills;
 use crate::process::Program;
 use crate::record;
 use crate::run::{self, Options};
@@ -199,6 +200,13 @@
     let memory: Vec<String> =
         outcome.resident_kb.iter().map(|kb| format!("{:.1}", *kb as f64 / 1024.0)).collect();
     println!("resident memory of the dispatchers at most: {} MB", memory.join(", "));
+    let Kills { count, compacting, found, damaged } = outcome.kills;
+    if count > 0 {
+        println!(
+            "{count} kills, {compacting} of them while the journal was winning room back; {found} messages found by \
+             the next lives; {damaged} folders damaged"
+        );
+    }
     if outcome.never > 0 {
         println!("{} messages found no dispatcher that would listen", outcome.never);
     }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod command;
 pub mod endpoint;
 pub mod http;
+pub mod killer;
 pub mod ledger;
 pub mod naive;
 pub mod partner;
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -57,6 +57,11 @@
         Ok(Process { index, program, listen, folder, log, recorder, asked, running })
     }
 
+    /// The folder that outlasts its processes.
+    pub fn state(&self) -> PathBuf {
+        self.folder.join("state")
+    }
+
     /// Where clients connect.
     pub fn listen(&self) -> SocketAddr {
         self.listen
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -2,6 +2,7 @@
 
 use crate::clients::Crowd;
 use crate::endpoint::{Door as Sockets, Endpoint, Traits};
+use crate::killer::{Counter, Kills};
 use crate::ledger::Ledger;
 use crate::partner::{Door, Partner, Trouble};
 use crate::platform::{Host, Platform};
@@ -49,6 +50,8 @@
     pub never: usize,
     /// Partners that were pushed over while they were cold.
     pub fallen: Vec<String>,
+    /// Kills by the scenario's killer.
+    pub kills: Kills,
 }
 
 /// Addresses of one run: a network of its own in 127.0.0.0/8, so that two runs at once do not meet.
@@ -201,6 +204,23 @@
             }
         }));
     }
+    let counter = Arc::new(Counter::default());
+    let stop = stage.recorder.instant(began + micros(scenario.length_s * 0.9));
+    for index in 0..stage.processes.len() {
+        let (stage, counter) = (stage.clone(), counter.clone());
+        let mut rng = fastrand::Rng::with_seed(script.seed ^ (index as u64 + 1) << 32);
+        turning.push(tokio::spawn(async move {
+            let killer = &stage.scenario.killer;
+            while std::time::Instant::now() < stop
+                && counter.kill(killer, &stage.processes[index], &mut rng).await
+            {
+                if let Err(error) = stage.restart(index).await {
+                    eprintln!("dispatcher {index} after a kill: {error}");
+                    return;
+                }
+            }
+        }));
+    }
     let _ = arriving.await;
     for turn in turning {
         let _ = turn.await;
@@ -233,7 +253,8 @@
     }
     let fallen = stage.partners.iter().zip(&scenario.partners).filter(|(partner, _)| partner.fallen());
     let fallen = fallen.map(|(_, spec)| spec.name.clone()).collect();
-    Ok(Outcome { entries, resident_kb, never: stage.crowd.never(), fallen })
+    let kills = counter.kills();
+    Ok(Outcome { entries, resident_kb, never: stage.crowd.never(), fallen, kills })
 }
 
 async fn set_up(
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -37,6 +37,9 @@
     /// What goes wrong by chance.
     #[serde(default)]
     pub random: Random,
+    /// Kills over and over.
+    #[serde(default)]
+    pub killer: Killer,
     /// The figures of returning destinations.
     #[serde(default)]
     pub returning: Returning,
@@ -386,6 +389,24 @@
     pub platform: usize,
 }
 
+/// Kills of dispatchers, one after the other, each a while after it has become ready again.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Killer {
+    /// How many, all dispatchers together; those that find no time before the last tenth of the run are left out.
+    pub kills: usize,
+    /// A ready dispatcher is killed after a time between these, in milliseconds.
+    pub every_ms: [u64; 2],
+    /// For so long, in milliseconds, it waits for a moment at which the journal is half-way through winning room back.
+    pub aim_ms: u64,
+}
+
+impl Default for Killer {
+    fn default() -> Killer {
+        Killer { kills: 0, every_ms: [50, 500], aim_ms: 0 }
+    }
+}
+
 /// The figures of returning destinations.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
