The fifty kills must meet compaction in most cases again

The issue says most. A line printed for a look was left in.

The change: more than half is asked for again.

--- a/crates/fawnspoke/tests/lab.rs
+++ b/crates/fawnspoke/tests/lab.rs
@@ -136,8 +136,7 @@
         line.split(|c: char| !c.is_ascii_digit()).filter_map(|f| f.parse().ok()).collect();
     let [kills, compacting, _, damaged] = figures[..] else { panic!("no line of kills: {all}") };
     assert!((25..=50).contains(&kills), "{line}");
-    assert!(compacting >= 10, "too few inside compaction: {line}");
-    println!("{line}");
+    assert!(compacting * 2 > kills, "most of them inside compaction: {line}");
     assert_eq!(damaged, 0, "{line}");
     assert_eq!(output.status.code(), Some(0), "{all}");
 }
