--- a/crates/drill/src/host.rs
+++ b/crates/drill/src/host.rs
@@ -154,7 +154,8 @@
                 let destination = DestinationId(reader.f32()? as u32);
                 reader.bytes(8)?;
                 let tenant = reader.u16()?.into();
-                Event::Taken(Message { id, class, destination, deadline, key, tenant })
+                let over_share = None;
+                Event::Taken(Message { id, class, destination, deadline, key, tenant, over_share })
             }
             70 => {
                 let endpoint = EndpointId(reader.endpoint()?);
--- a/crates/fawnspoke/tests/journal.rs
+++ b/crates/fawnspoke/tests/journal.rs
@@ -1,7 +1,7 @@
 //! `fawnspoke journal`, on folders that the journal's own package wrote.
 
 use fawnspoke_journal::plan::Limits;
-use fawnspoke_journal::{Durability, Handed, Journal, Notice, Options, Start};
+use fawnspoke_journal::{Durability, Handed, Journal, Notice, Options, Share, Start};
 use serde_json::Value;
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -54,6 +54,7 @@
             taken: 1_700_000_000_000_000 + i,
             deadline: 1_700_000_020_000_000 + i,
             key: Some(format!("key-{i}")),
+            customer: (i % 2 == 0).then(|| ("kilima".into(), Share { over: i % 4 == 2, left: 1500 })),
             body: format!("secret-{i}").repeat(20).into_bytes().into(),
         };
         let number = journal.take(&handed).unwrap().unwrap();
--- a/crates/journal/examples/measure.rs
+++ b/crates/journal/examples/measure.rs
@@ -83,7 +83,16 @@
 fn handed(i: u64) -> Handed {
     let body = vec![i as u8; 100 + (i * 37 % 400) as usize].into();
     let (id, class) = (format!("{i:016x}"), "charge-post".to_string());
-    Handed { id, class, dest: 1 + i as u32 % 20, taken: i, deadline: i + 8_000_000, key: None, body }
+    Handed {
+        id,
+        class,
+        dest: 1 + i as u32 % 20,
+        taken: i,
+        deadline: i + 8_000_000,
+        key: None,
+        customer: None,
+        body,
+    }
 }
 
 /// Times of operations, those longest.
--- a/crates/journal/src/ended.rs
+++ b/crates/journal/src/ended.rs
@@ -94,7 +94,7 @@
 
     fn handed(id: u64) -> Handed {
         let (class, key, body) = ("c".to_string(), Some(format!("k{id}")), "b".into());
-        Handed { id: id.to_string(), class, dest: 1, taken: 1, deadline: 2, key, body }
+        Handed { id: id.to_string(), class, dest: 1, taken: 1, deadline: 2, key, customer: None, body }
     }
 
     #[test]
--- a/crates/journal/src/format.rs
+++ b/crates/journal/src/format.rs
@@ -9,8 +9,8 @@
 
 /// The first bytes of every segment.
 pub const MAGIC: [u8; 8] = *b"FSPKJRNL";
-/// The version of the format that this program writes, and the only one with this magic that it reads.
-pub const VERSION: u16 = 1;
+/// The version of the format that this program writes. Segments of version 1 are read, too.
+pub const VERSION: u16 = 2;
 /// Length of a segment's header in bytes.
 pub const HEADER: usize = 48;
 /// Bytes before a record's payload: marker, length, checksum.
@@ -44,6 +44,26 @@
     },
 }
 
+/// How a message stood with its customer's share when it was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Share {
+    /// It came beyond it.
+    pub over: bool,
+    /// What the customer could still hand in within it from then on, in thousandths of a message.
+    pub left: u32,
+}
+
+/// What a customer could still hand in within its share, and when that was.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Level {
+    /// The customer's name.
+    pub customer: String,
+    /// In thousandths of a message.
+    pub left: u32,
+    /// When.
+    pub at: UnixMicros,
+}
+
 /// A message as it was handed in.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Handed {
@@ -59,6 +79,8 @@
     pub deadline: UnixMicros,
     /// The idempotency key.
     pub key: Option<String>,
+    /// Its customer by name, where that one has a share.
+    pub customer: Option<(String, Share)>,
     /// The body; empty once a notice is owed.
     pub body: Bytes,
 }
@@ -88,9 +110,9 @@
 /// One fact.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Record<'a> {
-    /// A message was taken on.
-    Taken {
-        /// The journal's number of it, never used again.
+    /// A message was taken on, as version 1 has it. Read as [`Record::Taken`], never written.
+    Taken1 {
+        /// See [`Record::Taken`].
         number: u64,
         /// See [`Handed`].
         id: &'a str,
@@ -151,8 +173,8 @@
         /// Whether it is out or cold.
         out: bool,
     },
-    /// The first record of a segment: what stood when it was begun.
-    Opening {
+    /// The first record of a segment, as version 1 has it. Read as [`Record::Opening`], never written.
+    Opening1 {
         /// All earlier segments that are there.
         sealed: Vec<Sealed>,
         /// Destinations that are out or cold.
@@ -165,6 +187,56 @@
         /// Its sequence number.
         segment: u64,
     },
+    /// A message was taken on.
+    Taken {
+        /// The journal's number of it, never used again.
+        number: u64,
+        /// See [`Handed`].
+        id: &'a str,
+        /// See [`Handed`].
+        class: &'a str,
+        /// See [`Handed`].
+        dest: u32,
+        /// See [`Handed`].
+        taken: UnixMicros,
+        /// See [`Handed`].
+        deadline: UnixMicros,
+        /// See [`Handed`].
+        key: Option<&'a str>,
+        /// See [`Handed`].
+        customer: Option<(&'a str, Share)>,
+        /// See [`Handed`].
+        body: &'a [u8],
+        /// How far it had come when this copy was made; a first record has none.
+        progress: Option<Progress>,
+    },
+    /// The first record of a segment: what stood when it was begun.
+    Opening {
+        /// All earlier segments that are there.
+        sealed: Vec<Sealed>,
+        /// Destinations that are out or cold.
+        outages: Vec<u32>,
+        /// The next message's number.
+        next: u64,
+        /// Where customers stood with their shares.
+        levels: Vec<Level>,
+    },
+}
+
+impl Record<'_> {
+    /// The record as this version has it.
+    fn current(self) -> Self {
+        match self {
+            Record::Taken1 { number, id, class, dest, taken, deadline, key, body, progress } => {
+                let customer = None;
+                Record::Taken { number, id, class, dest, taken, deadline, key, customer, body, progress }
+            }
+            Record::Opening1 { sealed, outages, next } => {
+                Record::Opening { sealed, outages, next, levels: Vec::new() }
+            }
+            other => other,
+        }
+    }
 }
 
 /// The head of a segment.
@@ -278,7 +350,7 @@
         return None;
     }
     match postcard::take_from_bytes(payload) {
-        Ok((record, [])) => Some((record, FRAME + length)),
+        Ok((record, [])) => Some((Record::current(record), FRAME + length)),
         _ => None,
     }
 }
--- a/crates/journal/src/inspect.rs
+++ b/crates/journal/src/inspect.rs
@@ -240,6 +240,9 @@
         "attempts": kept.attempts, "may_have_run": start(kept.may_have_run), "out": start(kept.out),
         "notice": notice(kept.notice), "body_bytes": handed.body.len(),
     });
+    if let Some((name, share)) = &handed.customer {
+        (value["customer"], value["over_share"]) = (name.as_str().into(), share.over.into());
+    }
     if bodies {
         value["body_base64"] = STANDARD.encode(&handed.body).into();
     }
@@ -248,9 +251,13 @@
 
 fn record(segment: u64, offset: u64, record: &Record, bodies: bool) -> Value {
     let mut value = match record {
-        Record::Taken { number, id, class, dest, taken, deadline, key, body, progress } => {
+        Record::Taken { number, id, class, dest, taken, deadline, key, customer, body, progress } => {
             let mut value = json!({"record": "taken", "number": number, "id": id, "class": class, "dest": dest,
                 "taken": when(*taken), "deadline": when(*deadline), "key": key, "body_bytes": body.len()});
+            if let Some((name, share)) = customer {
+                (value["customer"], value["over_share"]) = ((*name).into(), share.over.into());
+                value["share_left"] = (f64::from(share.left) / 1000.0).into();
+            }
             if let Some(progress) = progress {
                 value["attempts"] = progress.attempts.into();
                 value["may_have_run"] = start(progress.may_have_run);
@@ -276,10 +283,13 @@
             "attempts": progress.attempts, "may_have_run": start(progress.may_have_run),
             "out": start(progress.out), "notice": notice(progress.notice)}),
         Record::Outage { dest, out } => json!({"record": "outage", "dest": dest, "out": out}),
-        Record::Opening { sealed, outages, next } => {
+        Record::Opening { sealed, outages, next, levels } => {
             let sealed: Vec<Value> = sealed.iter().map(|s| json!([s.segment, s.length])).collect();
-            json!({"record": "opening", "sealed": sealed, "outages": outages, "next": next})
+            let levels = levels.iter().map(|l| json!([l.customer, f64::from(l.left) / 1000.0, when(l.at)]));
+            let levels: Vec<Value> = levels.collect();
+            json!({"record": "opening", "sealed": sealed, "outages": outages, "next": next, "levels": levels})
         }
+        Record::Taken1 { .. } | Record::Opening1 { .. } => json!({"record": "of version 1"}),
         Record::Removed { segment } => json!({"record": "removed", "removed": segment}),
     };
     value["segment"] = segment.into();
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -279,7 +279,7 @@
         }
         for (number, handed, progress) in messages {
             let segment = self.append(&[ledger::taken(number, &handed, Some(progress))])?;
-            self.ledger.insert(segment, number, handed, progress);
+            self.ledger.insert(segment, number, handed, Some(progress));
         }
         if let Some(head) = &self.head {
             self.files.sync(&head.handle)?;
@@ -312,6 +312,11 @@
         self.ledger.outages().iter().copied()
     }
 
+    /// Where customers stood with their shares when they last handed something in.
+    pub fn levels(&self) -> impl Iterator<Item = format::Level> {
+        self.ledger.levels()
+    }
+
     /// Messages that are neither delivered nor ended.
     pub fn open_messages(&self) -> usize {
         self.ledger.len() - self.ledger.owed().len()
@@ -373,7 +378,7 @@
         }
         let number = self.ledger.next();
         let segment = self.append(&[ledger::taken(number, handed, None)])?;
-        self.ledger.insert(segment, number, handed.clone(), Progress::default());
+        self.ledger.insert(segment, number, handed.clone(), None);
         Ok(Some(number))
     }
 
@@ -674,6 +679,7 @@
             sealed: ledger::sealed(sealed),
             outages: self.ledger.outages().iter().copied().collect(),
             next: self.ledger.next(),
+            levels: self.ledger.levels().collect(),
         };
         let header = Header { identity: self.identity, segment, created: self.started };
         let mut bytes = header.bytes().to_vec();
--- a/crates/journal/src/ledger.rs
+++ b/crates/journal/src/ledger.rs
@@ -2,7 +2,7 @@
 //! I/O: records go in, sums come out.
 
 use crate::ended::{End, Ended};
-use crate::format::{Handed, Notice, Progress, Record, Sealed, Start, UNKNOWN_ZONE, UnixMicros};
+use crate::format::{Handed, Level, Notice, Progress, Record, Sealed, Start, UNKNOWN_ZONE, UnixMicros};
 use bytes::Bytes;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -16,6 +16,9 @@
 /// What a copy of a message's progress takes.
 const PROGRESS: u64 = 48;
 
+/// Customers whose shares are remembered: names come from settings, which change; the oldest goes.
+const LEVELS: usize = 1024;
+
 /// A message that is not over.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Kept {
@@ -72,7 +75,8 @@
 /// See [`Kept::size`].
 pub fn size(handed: &Handed) -> u64 {
     let key = handed.key.as_ref().map_or(0, String::len);
-    (handed.id.len() + handed.class.len() + key + handed.body.len()) as u64 + OVERHEAD
+    let customer = handed.customer.as_ref().map_or(0, |(name, _)| name.len());
+    (handed.id.len() + handed.class.len() + key + customer + handed.body.len()) as u64 + OVERHEAD
 }
 
 /// The first record of a message, or a copy of it with how far it has come.
@@ -85,6 +89,7 @@
         taken: handed.taken,
         deadline: handed.deadline,
         key: handed.key.as_deref(),
+        customer: handed.customer.as_ref().map(|(name, share)| (name.as_str(), *share)),
         body: &handed.body,
         progress,
     }
@@ -136,6 +141,8 @@
     numbers: HashMap<String, u64>,
     owed: BTreeSet<u64>,
     outages: BTreeSet<u32>,
+    /// What customers had left of their shares, and when: one for each name.
+    levels: BTreeMap<String, (u32, UnixMicros)>,
     segments: BTreeMap<u64, Facts>,
     /// Segments of which copies were begun and not ended.
     unfinished: BTreeSet<u64>,
@@ -235,7 +242,9 @@
     /// The writer empties one segment at a time to its end and removes it before it empties another: so a record
     /// that ends a message has to outlast only the segment with the last copy of it.
     pub fn replay(&mut self, segment: u64, record: &Record) {
-        if let Record::Taken { number, id, class, dest, taken, deadline, key, body, progress } = record {
+        if let Record::Taken { number, id, class, dest, taken, deadline, key, customer, body, progress } =
+            record
+        {
             let handed = Handed {
                 id: (*id).into(),
                 class: (*class).into(),
@@ -243,12 +252,13 @@
                 taken: *taken,
                 deadline: *deadline,
                 key: key.map(Into::into),
+                customer: customer.map(|(name, share)| (name.into(), share)),
                 body: Bytes::copy_from_slice(body),
             };
             if let Some(stale) = self.base(*number).filter(|base| *base != segment) {
                 self.unfinished.insert(stale);
             }
-            self.insert(segment, *number, handed, progress.unwrap_or_default());
+            self.insert(segment, *number, handed, *progress);
             return;
         }
         self.happened(record);
@@ -284,9 +294,12 @@
             }
             Record::Outage { dest, out: true } => _ = self.outages.insert(*dest),
             Record::Outage { dest, out: false } => _ = self.outages.remove(dest),
-            Record::Opening { outages, next, .. } => {
+            Record::Opening { outages, next, levels, .. } => {
                 self.outages = outages.iter().copied().collect();
                 self.next = self.next.max(*next);
+                for Level { customer, left, at } in levels {
+                    self.level(customer, *left, *at);
+                }
             }
             Record::Removed { segment } => {
                 // What it held that was not copied was over: the record of that may be gone already.
@@ -294,7 +307,7 @@
                 stale.into_iter().flatten().for_each(|number| self.forget(number));
                 self.remove_segment(*segment);
             }
-            Record::Taken { .. } => {}
+            Record::Taken { .. } | Record::Taken1 { .. } | Record::Opening1 { .. } => {}
         }
     }
 
@@ -319,14 +332,18 @@
         }
     }
 
-    /// Takes note of a message whose first record, or a copy of it, stands in a segment.
-    pub fn insert(&mut self, segment: u64, number: u64, handed: Handed, progress: Progress) {
+    /// Takes note of a message whose first record, or a copy of it with how far it had come, stands in a segment.
+    pub fn insert(&mut self, segment: u64, number: u64, handed: Handed, progress: Option<Progress>) {
         self.next = self.next.max(number.saturating_add(1));
         self.latest = self.latest.max(handed.taken);
         self.forget(number);
         self.segments.entry(segment).or_default();
+        // A copy tells what stood long ago.
+        if let (Some((customer, share)), None) = (&handed.customer, progress) {
+            self.level(customer, share.left, handed.taken);
+        }
         let mut kept = Kept { handed, attempts: 0, may_have_run: None, out: None, notice: None };
-        kept.set(progress);
+        kept.set(progress.unwrap_or_default());
         if kept.notice.is_some() {
             self.owed.insert(number);
         }
@@ -339,6 +356,26 @@
         self.entries.insert(number, Entry { kept, base: segment, touched: None });
     }
 
+    /// Takes note of what a customer had left of its share.
+    fn level(&mut self, customer: &str, left: u32, at: UnixMicros) {
+        match self.levels.get_mut(customer) {
+            Some(level) if at >= level.1 => *level = (left, at),
+            Some(_) => {}
+            None => _ = self.levels.insert(customer.into(), (left, at)),
+        }
+        if self.levels.len() > LEVELS
+            && let Some(oldest) =
+                self.levels.iter().min_by_key(|(_, (_, at))| *at).map(|(name, _)| name.clone())
+        {
+            self.levels.remove(&oldest);
+        }
+    }
+
+    /// Where customers stood with their shares when they last handed something in.
+    pub fn levels(&self) -> impl Iterator<Item = Level> {
+        self.levels.iter().map(|(name, (left, at))| Level { customer: name.clone(), left: *left, at: *at })
+    }
+
     /// Moves a message to the copy that was made of it. Its body is not touched.
     pub fn moved(&mut self, segment: u64, number: u64) {
         self.untouch(number);
@@ -483,8 +520,9 @@
 /// What a record takes with its frame, in bytes, more or less.
 pub fn record_size(record: &Record) -> u64 {
     match record {
-        Record::Taken { id, class, key, body, .. } => {
-            (id.len() + class.len() + key.map_or(0, str::len) + body.len()) as u64 + COPY
+        Record::Taken { id, class, key, customer, body, .. } => {
+            let customer = customer.map_or(0, |(name, _)| name.len());
+            (id.len() + class.len() + key.map_or(0, str::len) + customer + body.len()) as u64 + COPY
         }
         _ => PROGRESS,
     }
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -26,6 +26,6 @@
 
 pub use ended::End;
 pub use files::{Disk, Files};
-pub use format::{Handed, Notice, Start, UNKNOWN_ZONE, UnixMicros};
+pub use format::{Handed, Level, Notice, Share, Start, UNKNOWN_ZONE, UnixMicros};
 pub use journal::{Damage, Durability, Journal, OpenError, Options, Recovery};
 pub use ledger::Kept;
--- a/crates/journal/src/old.rs
+++ b/crates/journal/src/old.rs
@@ -87,6 +87,7 @@
                     taken,
                     deadline,
                     key: key.map(Into::into),
+                    customer: None,
                     body: Bytes::copy_from_slice(body),
                 };
                 old.messages.insert(number, (handed, Progress::default()));
--- a/crates/journal/tests/old_format.rs
+++ b/crates/journal/tests/old_format.rs
@@ -2,9 +2,11 @@
 
 mod common;
 
+use bytes::Bytes;
 use common::model::*;
 use common::*;
-use fawnspoke_journal::{Durability, Journal, Notice, OpenError, Start};
+use fawnspoke_journal::format::{Header, Record, frame as frame_of};
+use fawnspoke_journal::{Durability, Handed, Journal, Notice, OpenError, Share, Start};
 use serde::Serialize;
 
 /// The records of the format before.
@@ -149,3 +151,115 @@
     assert!(matches!(Journal::recover(files.clone(), options(Durability::None)), Err(OpenError::Both)));
     assert!(all(&files) == before);
 }
+
+/// A segment as version 1 wrote it: its first record has no shares, its messages no customers.
+fn version_1() -> Vec<u8> {
+    let mut bytes = Header { identity: 7, segment: 1, created: 5 }.bytes().to_vec();
+    bytes[8..10].copy_from_slice(&1u16.to_le_bytes());
+    let sum = crc32fast::hash(&bytes[..44]);
+    bytes[44..].copy_from_slice(&sum.to_le_bytes());
+    let taken = |number, id| Record::Taken1 {
+        number,
+        id,
+        class: "c",
+        dest: 3,
+        taken: 10,
+        deadline: 99,
+        key: None,
+        body: b"body",
+        progress: None,
+    };
+    let records = [
+        Record::Opening1 { sealed: vec![], outages: vec![4], next: 1 },
+        taken(1, "m1"),
+        taken(2, "m2"),
+        Record::Over { number: 1, base: 1 },
+        Record::Started { number: 2, start: Start { at: 20, zone: 1 } },
+    ];
+    records.iter().for_each(|record| _ = frame_of(&mut bytes, 1, record).unwrap());
+    bytes
+}
+
+#[test]
+fn a_journal_of_version_1_goes_on_in_this_one() {
+    let files = Memory::new(4);
+    files.put("0000000000000001.journal", version_1());
+    let (mut journal, recovery) = Journal::recover(files.clone(), options(Durability::None)).unwrap();
+    assert_eq!((recovery.damage.len(), recovery.torn), (0, 0));
+    let kept: Vec<_> = journal.iter().map(|(number, k)| (number, k.handed.customer.clone())).collect();
+    assert_eq!(kept, [(2, None)]);
+    assert_eq!(journal.get(2).unwrap().may_have_run, Some(Start { at: 20, zone: 1 }));
+    assert_eq!(journal.outages().collect::<Vec<_>>(), [4]);
+    let mut handed = journal.get(2).unwrap().handed.clone();
+    (handed.id, handed.taken) = ("m3".into(), 30);
+    handed.customer = Some(("kilima".into(), Share { over: true, left: 250 }));
+    assert_eq!(journal.take(&handed).unwrap(), Some(3));
+    // Segments of both versions stand side by side, and the next life reads them.
+    let (next, recovery) = Journal::recover(files.revived(), options(Durability::None)).unwrap();
+    assert!(recovery.damage.is_empty(), "{:?}", recovery.damage);
+    assert_eq!(next.iter().count(), 2);
+    assert_eq!(next.get(3).unwrap().handed, handed);
+    let levels: Vec<_> = next.levels().map(|level| (level.customer, level.left, level.at)).collect();
+    assert_eq!(levels, [("kilima".to_string(), 250, 30)]);
+}
+
+/// What a customer had left outlasts the message that told it, and one that is copied later tells nothing new.
+#[test]
+fn what_is_left_of_a_share_outlasts_its_messages() {
+    let files = Memory::new(5);
+    let (mut journal, _) = Journal::recover(files.clone(), options(Durability::None)).unwrap();
+    let mut handed = Handed {
+        id: "a".into(),
+        class: "c".into(),
+        dest: 1,
+        taken: 10,
+        deadline: 99,
+        key: None,
+        customer: Some(("kilima".into(), Share { over: false, left: 9000 })),
+        body: vec![1; 300].into(),
+    };
+    journal.take(&handed).unwrap();
+    (handed.id, handed.taken) = ("b".into(), 20);
+    handed.customer = Some(("kilima".into(), Share { over: true, left: 400 }));
+    let last = journal.take(&handed).unwrap().unwrap();
+    journal.over(last).unwrap();
+    for life in 0..3 {
+        // Segments fill and are emptied: the records of both are copied or go.
+        handed.customer = None;
+        for i in 0..60 {
+            handed.id = format!("{life}-{i}");
+            let number = journal.take(&handed).unwrap().unwrap();
+            journal.over(number).unwrap();
+            journal.step().unwrap();
+        }
+        let levels: Vec<_> = journal.levels().map(|level| (level.left, level.at)).collect();
+        assert_eq!(levels, [(400, 20)], "life {life}");
+        journal = Journal::recover(files.revived(), options(Durability::None)).unwrap().0;
+    }
+    assert!(journal.counts().removed > 0 || !files.names().contains(&"0000000000000001.journal".to_string()));
+}
+
+#[test]
+fn names_of_customers_without_end_are_bounded() {
+    let files = Memory::new(6);
+    let mut limits = options(Durability::None);
+    limits.limits = fawnspoke_journal::plan::Limits::of(10_000_000);
+    let (mut journal, _) = Journal::recover(files, limits).unwrap();
+    for i in 0..3000u64 {
+        let handed = Handed {
+            id: i.to_string(),
+            class: "c".into(),
+            dest: 1,
+            taken: i,
+            deadline: 99_999,
+            key: None,
+            customer: Some((format!("customer {i}"), Share { over: false, left: 1 })),
+            body: Bytes::new(),
+        };
+        let number = journal.take(&handed).unwrap().unwrap();
+        journal.over(number).unwrap();
+    }
+    let levels: Vec<_> = journal.levels().collect();
+    assert_eq!(levels.len(), 1024);
+    assert!(levels.iter().all(|level| level.at >= 3000 - 1024), "the latest stay");
+}
--- a/crates/lab/src/clients.rs
+++ b/crates/lab/src/clients.rs
@@ -237,6 +237,9 @@
             if let Some(key) = &key {
                 head.push_str(&format!("Idempotency-Key: {key}\r\n"));
             }
+            if let Some(customer) = &self.scenario.partners[arrival.partner].customer {
+                head.push_str(&format!("Tenant: {customer}\r\n"));
+            }
             if errand.hand_ins > 1 {
                 head.push_str("Client-Retry: 1\r\n");
             }
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -8,7 +8,7 @@
 use crate::platform::{Host, Platform};
 use crate::process::{Process, Program};
 use crate::record::{self, Effect, End, Entry, Listed, Micros, Recorder, Rules, Sig, What};
-use crate::scenario::{Kind, Limit, Scenario};
+use crate::scenario::{Decay, Kind, Limit, Scenario};
 use crate::script::{Script, Turn, whom};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap};
@@ -156,10 +156,13 @@
         "balancers": d.count, "discovery": "automatic", "tick": d.tick_ms / 1000.0, "weights": "nominal",
         "zone": 0, "zones": ["lab"], "kinds": batches.iter().map(|batch| kind_name(*batch)).collect::<Vec<_>>(),
         "family_info": {"call_slots": d.slots, "kind_apart": vec![false; batches.len()], "kind_batch": batches,
-            "loses_worth": "by_half"},
+            "loses_worth": match scenario.decay { Decay::ByHalf => "by_half", Decay::Even => "even" }},
         "grades": grades,
+        "orgs": scenario.customers.iter().map(|customer| json!({"name": customer.name,
+            "quota_per_s": customer.quota_per_s})).collect::<Vec<_>>(),
+        "over_share_worth": 0.05,
         "limits": {"connect_timeout": 1.5, "keepalive": shortest_idle(scenario), "max_retry_after": 3.0,
-            "open_cap": d.room, "probes": true, "send_cap": d.attempts},
+            "open_cap": d.room, "probes": scenario.probes, "send_cap": d.attempts},
         "report": {"fields": ["x0", "x1"], "source": "inline"},
         "safety": {"cold": returning.cold_s, "cold_share": returning.cold_share, "fall": returning.fall_s,
             "must_ask_in": 10.0, "tip_multiple": returning.multiple},
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -31,6 +31,15 @@
     /// Partners: each is one destination, numbered from 1.
     #[serde(rename = "partner")]
     pub partners: Vec<Partner>,
+    /// Customers with a share; messages of a partner without one have none.
+    #[serde(default, rename = "customer")]
+    pub customers: Vec<Customer>,
+    /// How worth falls once the aim has passed.
+    #[serde(default)]
+    pub decay: Decay,
+    /// Whether dispatchers may probe.
+    #[serde(default = "yes")]
+    pub probes: bool,
     /// What goes wrong, and when.
     #[serde(default, rename = "fault")]
     pub faults: Vec<Fault>,
@@ -52,6 +61,31 @@
     50
 }
 
+fn yes() -> bool {
+    true
+}
+
+/// How worth falls once the aim has passed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Decay {
+    /// By half with each further aim.
+    #[default]
+    ByHalf,
+    /// Evenly, to the deadline.
+    Even,
+}
+
+/// A customer.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Customer {
+    /// Its name.
+    pub name: String,
+    /// Messages a second within its share, at all dispatchers together.
+    pub quota_per_s: f64,
+}
+
 fn unnamed() -> String {
     "unnamed".into()
 }
@@ -218,6 +252,9 @@
     pub endpoints: usize,
     /// Its part of the messages, against the others'.
     pub share: f64,
+    /// The customer whose messages it gets.
+    #[serde(default)]
+    pub customer: Option<String>,
     /// Calls a second that it serves once warm, all endpoints together.
     pub capacity: f64,
     /// Time that a call takes, least and most, in milliseconds.
@@ -542,6 +579,8 @@
             {
                 expect(above(x), "partner", i, key, ABOVE)?;
             }
+            let known = p.customer.iter().all(|name| self.customers.iter().any(|c| c.name == *name));
+            expect(known, "partner", i, "customer", "there is no [[customer]] of this name")?;
             expect((1..=64).contains(&p.endpoints), "partner", i, "endpoints", "must lie between 1 and 64")?;
             expect((1..=100).contains(&p.batch), "partner", i, "batch", "must lie between 1 and 100")?;
             expect(p.connections > 0, "partner", i, "connections", ABOVE)?;
@@ -582,6 +621,9 @@
                 "errors, resets, cuts, spoilt and extras are more than all calls",
             )?;
         }
+        for (i, customer) in self.customers.iter().enumerate() {
+            expect(above(customer.quota_per_s), "customer", i, "quota_per_s", ABOVE)?;
+        }
         for (i, fault) in self.faults.iter().enumerate() {
             self.check_fault(i, fault)?;
         }
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -2,7 +2,7 @@
 
 use crate::intake;
 use crate::wire::{Head, Unread, Wire};
-use crate::{Input, NO_TENANT, Node, log};
+use crate::{Input, Node, log};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -245,8 +245,8 @@
         if written > 0
             && let Some(number) = client.unheard.take()
         {
-            let tenant = self.node.unheard.borrow_mut().remove(&number).unwrap_or(NO_TENANT);
-            self.node.send(Input::Taken { number, tenant });
+            self.node.unheard.borrow_mut().remove(&number);
+            self.node.send(Input::Taken { number });
         }
         Poll::Ready(Ok(written))
     }
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -1,14 +1,14 @@
 //! Clients' requests: takes messages on, once they stand in the journal, and answers.
 
 use crate::clients::Client;
-use crate::{NO_TENANT, Node, log};
+use crate::{Node, log};
 use fawnspoke_journal::{End, Handed, UnixMicros};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode};
 use std::convert::Infallible;
-use waydoor::{DestinationId, Effect};
+use waydoor::{DestinationId, Effect, Event, Share};
 
 /// The protocol's limit of a body.
 pub const BODY_MOST: usize = 64 * 1024;
@@ -64,8 +64,7 @@
         return plain(StatusCode::LENGTH_REQUIRED, "Content-Length alone tells the length\n");
     }
     let tenant = head.headers.get("Tenant").and_then(|name| name.to_str().ok()).map(str::trim);
-    let tenant = tenant.and_then(|name| node.config.tenants.iter().position(|known| known == name));
-    let tenant = tenant.unwrap_or(NO_TENANT);
+    let tenant = tenant.and_then(|name| node.tenant(name));
     let handed = match read_head(node, class, &head.headers, received) {
         Ok(handed) => handed,
         Err(problem) => return plain(StatusCode::BAD_REQUEST, format!("{problem}\n")),
@@ -87,7 +86,7 @@
     let mut journal = node.journal.borrow_mut();
     match journal.number(&handed.id) {
         // Still to be heard on another connection, which may yet fail.
-        Some(number) if node.unheard.borrow().contains_key(&number) => return refuse(node, dest),
+        Some(number) if node.unheard.borrow().contains(&number) => return refuse(node, dest),
         // The same message once more: it is owed already.
         Some(number) if journal.get(number).is_some_and(|kept| kept.is(&handed)) => {
             return plain(StatusCode::ACCEPTED, "taken\n");
@@ -106,9 +105,20 @@
     if journal.open_messages() >= node.config.settings.room {
         return refuse(node, dest);
     }
+    let now = node.now();
+    let share = tenant.and_then(|tenant| Some((tenant, node.dispatcher.borrow().share(now, tenant)?)));
+    let customer = share.map(|(tenant, Share { over, left })| {
+        let left = (left * 1000.0) as u32;
+        (node.config.tenants[tenant].clone(), fawnspoke_journal::Share { over, left })
+    });
+    let handed = Handed { customer, ..handed };
     match journal.take(&handed) {
         Ok(Some(number)) => {
-            node.unheard.borrow_mut().insert(number, tenant);
+            if let Some((tenant, Share { left, .. })) = share {
+                let counted = Event::Counted { tenant, left, at: now };
+                node.dispatcher.borrow_mut().handle(now, counted);
+            }
+            node.unheard.borrow_mut().insert(number);
             client.unheard.set(Some(number));
             plain(StatusCode::ACCEPTED, "taken\n")
         }
@@ -169,6 +179,7 @@
         taken: received,
         deadline: received + u64::from(span) * 1000,
         key,
+        customer: None,
         body: Bytes::new(),
     })
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,9 +19,11 @@
 use config::Config;
 use directory::Directory;
 use fawnspoke_journal::plan::{self, Limits};
-use fawnspoke_journal::{Durability, Journal, Notice, Options, Recovery, Start, UNKNOWN_ZONE, UnixMicros};
+use fawnspoke_journal::{
+    Durability, Journal, Level, Notice, Options, Recovery, Start, UNKNOWN_ZONE, UnixMicros,
+};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
@@ -48,7 +50,7 @@
 /// Less is no clock that was set back, but one that is read by two processes; in microseconds.
 const CLOCK_SLACK: u64 = 1000;
 
-/// The customer of a message is not told, not known, or was told to an earlier life: no share binds it.
+/// The customer of a message is not told or has no share.
 const NO_TENANT: usize = usize::MAX;
 
 /// Messages that are over and remembered as such, some 200 KB: a client that comes again does so within seconds.
@@ -60,7 +62,6 @@
     /// The client was told that the message is taken.
     Taken {
         number: u64,
-        tenant: usize,
     },
     Ended {
         endpoint: EndpointId,
@@ -82,8 +83,8 @@
     pool: Pool,
     /// Where discovery is now; a new configuration may move it.
     discovery: watch::Sender<SocketAddr>,
-    /// Taken in the journal, but the 202 is not written yet; with the index of its customer.
-    unheard: RefCell<HashMap<u64, usize>>,
+    /// Taken in the journal, but the 202 is not written yet.
+    unheard: RefCell<HashSet<u64>>,
     clients: Clients,
     calls_out: Cell<usize>,
     closing: Cell<bool>,
@@ -137,18 +138,25 @@
         at.min(self.config.max_retry_after)
     }
 
+    /// The customer of a name, where that one has a share.
+    fn tenant(&self, name: &str) -> Option<usize> {
+        self.config.tenants.iter().position(|known| known == name)
+    }
+
     fn message(&self, number: u64) -> Option<Message> {
         let journal = self.journal.borrow();
         let handed = &journal.get(number)?.handed;
         // A class that is no longer configured is one that the decisions do not know either.
         let class = self.config.classes.iter().position(|class| *class == handed.class);
+        let customer = handed.customer.as_ref();
         Some(Message {
             id: MessageId(number),
             class: class.unwrap_or(usize::MAX),
             destination: DestinationId(handed.dest),
             deadline: self.seconds(handed.deadline),
             key: None,
-            tenant: NO_TENANT,
+            tenant: customer.and_then(|(name, _)| self.tenant(name)).unwrap_or(NO_TENANT),
+            over_share: Some(customer.is_some_and(|(_, share)| share.over)),
         })
     }
 
@@ -168,6 +176,10 @@
         for destination in journal.outages() {
             self.tell(Event::Remembered(DestinationId(destination)));
         }
+        for Level { customer, left, at } in journal.levels() {
+            let Some(tenant) = self.tenant(&customer) else { continue };
+            self.tell(Event::Counted { tenant, left: f64::from(left) / 1000.0, at: self.seconds(at) });
+        }
         for (number, kept) in open {
             let Some(message) = self.message(number) else { continue };
             self.tell(Event::Resumed {
@@ -185,9 +197,9 @@
     let mut dispatcher = node.dispatcher.borrow_mut();
     match input {
         Input::Event(event) => dispatcher.handle(now, event),
-        Input::Taken { number, tenant } => {
+        Input::Taken { number } => {
             if let Some(message) = node.message(number) {
-                dispatcher.handle(now, Event::Taken(Message { tenant, ..message }));
+                dispatcher.handle(now, Event::Taken(message));
             }
         }
         Input::Ended { endpoint, sent_at, end } => {
@@ -241,8 +253,9 @@
 #[derive(Default)]
 struct Calls {
     calls: Vec<Call>,
-    /// The call with room for more, by endpoint.
-    open: BTreeMap<EndpointId, usize>,
+    /// The call with room for more, by endpoint and by whether its messages may never run twice: those are waited
+    /// for, and a call has one time-out.
+    open: BTreeMap<(EndpointId, bool), usize>,
 }
 
 impl Calls {
@@ -263,8 +276,12 @@
             return;
         };
         let batch = node.config.settings.kinds.get(place.kind).map_or(1, |kind| kind.batch);
+        let class = node.config.classes.iter().position(|class| *class == item.handed.class);
+        let effect =
+            class.and_then(|class| node.config.settings.classes.get(class)).map(|class| class.effect);
+        let alike = (endpoint, effect == Some(Effect::Unsafe));
         if !alone
-            && let Some(call) = self.open.get(&endpoint).and_then(|at| self.calls.get_mut(*at))
+            && let Some(call) = self.open.get(&alike).and_then(|at| self.calls.get_mut(*at))
             && call.items.len() < batch
         {
             call.items.push(item);
@@ -272,7 +289,7 @@
             return;
         }
         if !alone {
-            self.open.insert(endpoint, self.calls.len());
+            self.open.insert(alike, self.calls.len());
         }
         self.calls.push(Call { endpoint, at: place.dial, dest: place.dest, items: vec![item], timeout });
     }
--- a/crates/waydoor/src/choice.rs
+++ b/crates/waydoor/src/choice.rs
@@ -34,8 +34,15 @@
 const SILENT_MEANS: f64 = 5.0;
 /// And not before this time, for the same reason as `TIMEOUT_LEAST`.
 const SILENT_LEAST: f64 = 1.2;
-/// Failures in a row that shut a destination: one may be chance.
+/// Failures in a row that shut a destination: one may be chance ...
 const FAILS_TO_SHUT: u32 = 2;
+/// ... and so may more, at a place that always loses some calls: the row is to have less than this chance
+/// there.
+const ROW_CHANCE: f64 = 0.002;
+/// Weight of a call in the share that a place loses on usual days: fifty calls count, an outage hardly.
+const USUAL_SAMPLE: f64 = 0.02;
+/// A place that is not known to lose calls may lose this share.
+const USUAL_LEAST: f64 = 0.02;
 /// A gap between two served calls that is shorter is no outage: nothing restarts and goes cold so fast. Where
 /// calls failed in a longer one, it may have been: a ramp too many costs little, one too few a place.
 const OUTAGE_LEAST: f64 = 1.0;
@@ -81,6 +88,8 @@
 const DEMAND_TIME: f64 = 10.0;
 /// The own part of a shared capacity is never taken to be below this share of an even split.
 const PART_LEAST: f64 = 0.5;
+/// What has less time left than this many means of a call may well not end in it.
+const LAST_CALL: f64 = 2.0;
 /// Time kept before the deadline for the final answer.
 const ANSWER_MARGIN: f64 = 0.03;
 /// Time that a send takes to arrive, kept before the end of a key's memory.
@@ -195,8 +204,11 @@
                 self.sample(now, Some(latency), 0.0);
                 // A short gap was a limit, lost calls or a full table of connections, not an outage.
                 let out = now - self.served_at > OUTAGE_LEAST || self.failing > SICK_SHARE;
+                self.usual(0.0);
                 (self.fails, self.fulls, self.trials, self.served_at) = (0, 0, 0, now);
                 self.health = match self.health {
+                    // It was sent before the place told that it is shut.
+                    Health::Shut if now < self.wait_until => Health::Shut,
                     Health::Shut if out => Health::Returning(now),
                     Health::Shut | Health::Suspect => Health::Healthy,
                     other => other,
@@ -242,7 +254,12 @@
                 let stale = self.served_at > now - latency;
                 self.fails += u32::from(!stale);
                 let doubted = self.health == Health::Shut && !stale;
-                if self.fails >= FAILS_TO_SHUT || self.failing > SICK_SHARE || doubted {
+                // Guards against ramps after outages that were none, where connections break now and then.
+                // Harm: an outage there costs a call or two more.
+                let lost = self.lost.max(USUAL_LEAST);
+                let row = (FAILS_TO_SHUT as f64).max((ROW_CHANCE.ln() / lost.ln()).ceil());
+                self.usual(1.0);
+                if f64::from(self.fails) >= row || self.failing > SICK_SHARE + self.lost || doubted {
                     self.shut(now, rule, rng);
                 } else if self.fails > 0 && self.crowded() && self.health == Health::Healthy {
                     // One try more of each of a crowd is too much for a place that comes back cold.
@@ -256,6 +273,13 @@
         }
     }
 
+    /// Learns what share of calls a place loses while it is in service.
+    fn usual(&mut self, failed: f64) {
+        if self.health == Health::Healthy {
+            self.lost += USUAL_SAMPLE * (failed - self.lost);
+        }
+    }
+
     fn pace(&self, now: Seconds) -> f64 {
         self.pace.map_or(f64::INFINITY, |(rate, at)| rate * (1.0 + PACE_GROWTH).powf(now - at))
     }
@@ -283,6 +307,14 @@
         }
     }
 
+    /// A trial whose message was over told nothing of the place, and cost it nothing: the next one need not
+    /// wait. Guards against a place that stays shut while what is held for it is withdrawn. Harm: none.
+    fn try_again(&mut self, now: Seconds) {
+        if matches!(self.health, Health::Suspect | Health::Shut) {
+            (self.trial_at, self.trials) = (now, self.trials.saturating_sub(1));
+        }
+    }
+
     fn at_once(&self, now: Seconds) -> Option<f64> {
         self.at_once.map(|(calls, at)| calls * (1.0 + PACE_GROWTH).powf(now - at))
     }
@@ -306,7 +338,8 @@
         }
         let trial = matches!(self.health, Health::Suspect | Health::Shut);
         if trial {
-            open_at = open_at.max(if self.out < TRIALS_OUT { self.trial_at } else { f64::INFINITY });
+            let tries = self.out.saturating_sub(self.overdue);
+            open_at = open_at.max(if tries < TRIALS_OUT { self.trial_at } else { f64::INFINITY });
         }
         match (now < open_at, trial) {
             (true, _) => Gate::Closed(open_at),
@@ -364,6 +397,7 @@
                 self.recalled.insert(destination);
                 self.recall(now, destination);
             }
+            Event::Counted { tenant, left, at } => self.counted(now, tenant, left, at),
             Event::Closing(at) => self.closing_at = at,
             Event::Ended(end) => self.attempt_ended(now, end),
             Event::Withdrawn(id) => {
@@ -383,7 +417,7 @@
                 self.timer = self.timer.filter(|(set, _)| *set != token);
             }
             Event::Probed { endpoint, outcome, latency, allowance } => {
-                self.observe(now, endpoint, outcome, latency, None, allowance, true);
+                self.observe(now, endpoint, outcome, latency, allowance, true);
             }
         }
     }
@@ -414,6 +448,7 @@
                 self.endpoints.entry(*id).and_modify(|e| e.lane.chance(now, rule, &mut self.rng));
             }
         }
+        let over_share = message.over_share.unwrap_or_else(|| new && self.counts_over(now, message.tenant));
         let parcel = Parcel {
             message,
             taken: now,
@@ -423,23 +458,33 @@
             over: false,
             alone: false,
             unusable: false,
-            over_share: new && self.over_its_share(now, message.tenant),
+            over_share,
         };
         self.parcels.insert(message.id, parcel);
         self.hold(&message);
     }
 
-    /// Counts a message against its customer's share, of which each dispatcher has an even part.
-    fn over_its_share(&mut self, now: Seconds, tenant: usize) -> bool {
-        let Some(quota) = self.settings.tenants.get(tenant).map(|tenant| tenant.quota) else { return false };
-        let own = quota / f64::from(self.settings.dispatchers);
+    /// How a message that comes now would stand with its customer's share, of which each dispatcher has an
+    /// even part; none where no share binds.
+    pub fn share(&self, now: Seconds, tenant: usize) -> Option<Share> {
+        let own = self.settings.tenants.get(tenant)?.quota / f64::from(self.settings.dispatchers);
         let most = (own * SHARE_TIME).max(1.0);
-        self.purses.resize(self.settings.tenants.len(), Purse { left: most, at: now });
-        let Some(purse) = self.purses.get_mut(tenant) else { return false };
-        *purse = Purse { left: (purse.left + own * (now - purse.at)).min(most), at: now };
-        let over = purse.left < 1.0;
-        purse.left -= f64::from(u8::from(!over));
-        over
+        let purse = self.purses.get(&tenant).copied().unwrap_or(Purse { left: most, at: now });
+        let left = (purse.left + own * (now - purse.at).max(0.0)).min(most);
+        let over = left < 1.0;
+        Some(Share { over, left: left - f64::from(u8::from(!over)) })
+    }
+
+    fn counted(&mut self, now: Seconds, tenant: usize, left: f64, at: Seconds) {
+        if tenant < self.settings.tenants.len() && left >= 0.0 {
+            self.purses.insert(tenant, Purse { left, at: at.min(now) });
+        }
+    }
+
+    fn counts_over(&mut self, now: Seconds, tenant: usize) -> bool {
+        let Some(share) = self.share(now, tenant) else { return false };
+        self.counted(now, tenant, share.left, now);
+        share.over
     }
 
     fn attempt_ended(&mut self, now: Seconds, end: AttemptEnd) {
@@ -467,17 +512,21 @@
         } else {
             self.hold(&message)
         }
+        // It binds from the first message of a call on that tells it.
+        self.heed(now, flight.endpoint, end.wait.unwrap_or(0.0));
         let Some(call) = self.calls.get_mut(&flight.call) else { return };
         call.pending -= 1;
         if call.pending > 0 {
             return;
         }
-        let idle = call.idle;
+        let (idle, cut, overdue) = (call.idle, call.cut, usize::from(call.overdue));
         self.calls.remove(&flight.call);
         if let Some(endpoint) = self.endpoints.get_mut(&flight.endpoint) {
             endpoint.lane.out = endpoint.lane.out.saturating_sub(1);
+            endpoint.lane.overdue = endpoint.lane.overdue.saturating_sub(overdue);
             if let Some(destination) = self.destinations.get_mut(&endpoint.destination) {
                 destination.lane.out = destination.lane.out.saturating_sub(1);
+                destination.lane.overdue = destination.lane.overdue.saturating_sub(overdue);
             }
         }
         if end.outcome == Outcome::Served && self.stalled_at != now {
@@ -489,8 +538,15 @@
         if closed_idle || matches!(end.outcome, Outcome::NoConnection | Outcome::Moot) {
             self.each_lane(flight.endpoint, |lane, rule| lane.unbook(now, rule));
         }
+        if end.outcome == Outcome::Moot && end.closed {
+            self.each_lane(flight.endpoint, |lane, _| lane.try_again(now));
+        }
+        // What its message's time cut off was not given the time that the place is due. Guards a place that
+        // has come back, and gets what is about to run out, against being taken for out. Harm: none; others
+        // tell.
+        let outcome = if cut && end.outcome == Outcome::TimedOut { Outcome::Cancelled } else { end.outcome };
         if self.judge_connection(now, flight.endpoint, end.outcome, idle, end.kept) && !closed_idle {
-            self.observe(now, flight.endpoint, end.outcome, end.latency, end.wait, end.allowance, false);
+            self.observe(now, flight.endpoint, outcome, end.latency, end.allowance, false);
         }
         self.forget(flight.endpoint);
     }
@@ -531,10 +587,23 @@
         !(stale && endpoint.lane.fails == 0)
     }
 
+    /// A wait that a place tells.
+    fn heed(&mut self, now: Seconds, id: EndpointId, wait: Seconds) {
+        let Some(endpoint) = self.endpoints.get_mut(&id).filter(|_| wait > 0.0) else { return };
+        let destination = self.destinations.get_mut(&endpoint.destination).filter(|d| !d.apart);
+        let limited = destination.map_or(&mut endpoint.lane, |destination| &mut destination.lane);
+        limited.wait_until = limited.wait_until.max(now + wait);
+        // No limit tells so long a wait: the door is shut, and what was shut comes back cold. Guards a place
+        // that tells when it opens against all who waited for that. Harm: none known.
+        if wait > SHUT_FULL_TIME {
+            limited.shut(now, &self.settings.returning, &mut self.rng);
+        }
+    }
+
     /// Feeds the end of a call or probe to the lanes of the endpoint and of its destination.
     #[allow(clippy::too_many_arguments)]
     fn observe(
-        &mut self, now: Seconds, id: EndpointId, outcome: Outcome, latency: f64, wait: Option<Seconds>,
+        &mut self, now: Seconds, id: EndpointId, outcome: Outcome, latency: f64,
         allowance: Option<Allowance>, probe: bool,
     ) {
         if let Some(endpoint) = self.endpoints.get(&id) {
@@ -551,9 +620,6 @@
         if let Some(told) = allowance {
             limited.told(told);
         }
-        if let Some(wait) = wait.filter(|w| *w > 0.0) {
-            limited.wait_until = limited.wait_until.max(now + wait);
-        }
         if probe && outcome == Outcome::Served {
             // A probe shows that the process runs, not that it serves: it vouches for one real trial.
             for lane in [&mut endpoint.lane, &mut destination.lane] {
@@ -665,7 +731,11 @@
             } else if !self.over_share(now, destination) {
                 let rate = self.service(now, destination);
                 let parcels = destination.held.iter().filter_map(|id| self.parcels.get(id));
-                held.extend(parcels.map(|p| (self.rank(now, p, rate), p.taken, p.over_share, p.message)));
+                let usual = LAST_CALL * destination.lane.latency(now);
+                held.extend(parcels.map(|p| {
+                    let late = p.message.deadline - now < usual;
+                    (self.rank(now, p, rate), p.taken, (p.over_share, late), p.message)
+                }));
                 open += 1;
             }
         }
@@ -674,14 +744,15 @@
         // deadline: the first to go there goes first. Guards against a backlog whose oldest are lost at an
         // hour when all could be served. Harm: where a place stays too small, all come late.
         let spare = self.calls.len() + open < self.settings.slots && self.settings.decay == Decay::Even;
-        held.sort_by(|(rank, taken, over, message), (other, then, beyond, than)| {
-            let first = over.cmp(beyond).then(message.deadline.total_cmp(&than.deadline));
+        // What may hardly end in its time goes after the others there.
+        held.sort_by(|(rank, taken, last, message), (other, then, least, than)| {
+            let first = last.cmp(least).then(message.deadline.total_cmp(&than.deadline));
             let order = if spare { first } else { other.total_cmp(rank) };
             order.then(then.total_cmp(taken)).then(than.id.cmp(&message.id))
         });
         let mut closed: BTreeSet<DestinationId> = BTreeSet::new();
         // Calls of this round with room for more messages.
-        let mut open_calls: BTreeMap<EndpointId, u64> = BTreeMap::new();
+        let mut open_calls: BTreeMap<(EndpointId, bool), u64> = BTreeMap::new();
         for id in held.into_iter().map(|(.., message)| message.id) {
             let Some(parcel) = self.parcels.get(&id) else { continue };
             if closed.contains(&parcel.message.destination) || !self.has_turn(now, parcel, wake) {
@@ -689,13 +760,16 @@
             }
             let Some(destination) = self.destinations.get(&parcel.message.destination) else { continue };
             let batch = destination.batch;
-            let joined = open_calls.iter().find(|(endpoint, call)| {
+            let risky = self.settings.classes[parcel.message.class].effect == Effect::Unsafe;
+            // An unsafe one is waited for, and so shares its call with its like alone.
+            let joined = open_calls.iter().find(|((endpoint, alike), call)| {
                 !parcel.alone
+                    && *alike == risky
                     && destination.endpoints.contains(endpoint)
                     && self.calls.get(call).is_some_and(|c| c.pending < batch)
-                    && self.fits(parcel, **endpoint)
+                    && self.fits(parcel, *endpoint)
             });
-            let (endpoint, call) = if let Some((endpoint, call)) = joined {
+            let (endpoint, call) = if let Some(((endpoint, _), call)) = joined {
                 (*endpoint, *call)
             } else if self.calls.len() >= self.settings.slots || self.over_share(now, destination) {
                 closed.extend((batch == 1).then_some(parcel.message.destination));
@@ -703,10 +777,10 @@
             } else {
                 match self.place(now, parcel) {
                     Ok((endpoint, trial)) => {
-                        let risky = self.settings.classes[parcel.message.class].effect == Effect::Unsafe;
                         let alone = parcel.alone;
                         let call = self.open_call(now, endpoint, risky, actions);
-                        open_calls.extend((batch > 1 && !trial && !alone).then_some((endpoint, call)));
+                        open_calls
+                            .extend((batch > 1 && !trial && !alone).then_some(((endpoint, risky), call)));
                         (endpoint, call)
                     }
                     Err((until, probe)) => {
@@ -764,6 +838,7 @@
         (parcel.attempts, parcel.out) = (parcel.attempts + 1, Some(Flight { endpoint, call }));
         if let Some(call) = self.calls.get_mut(&call) {
             (call.messages, call.pending) = (call.messages + 1, call.pending + 1);
+            call.cut |= left < timeout;
         }
         actions.push(Action::Send { id, endpoint, timeout: timeout.min(left), alone: parcel.alone });
     }
@@ -788,7 +863,10 @@
         }
         self.silent_at = self.silent_at.min(now + at);
         self.counter += 1;
-        self.calls.insert(self.counter, Call { endpoint, sent_at: now, messages: 0, pending: 0, idle });
+        self.calls.insert(
+            self.counter,
+            Call { endpoint, sent_at: now, messages: 0, pending: 0, idle, cut: false, risky, overdue: false },
+        );
         self.counter
     }
 
@@ -832,6 +910,7 @@
         let never = Err((f64::INFINITY, None));
         let Some(destination) = self.destinations.get(&parcel.message.destination) else { return never };
         let risky = self.settings.classes[parcel.message.class].effect == Effect::Unsafe;
+        let alone_at = if risky { self.tried_alone_at(parcel, destination) } else { 0.0 };
         let mut whole_trial = false;
         if !destination.apart {
             match destination.lane.gate(now, rule) {
@@ -866,9 +945,10 @@
                 Gate::Open => whole_trial,
             };
             let lane = if destination.apart { &endpoint.lane } else { &destination.lane };
-            if risky && trial && !endpoint.lane.vouched {
+            if risky && trial && !endpoint.lane.vouched && now < alone_at {
                 // An unsafe message is no trial: a probe goes first.
                 probe = Some(*id).filter(|_| self.settings.probes);
+                wake = wake.min(alone_at);
                 continue;
             }
             if risky && lane.failing(now) > UNSAFE_SHARE && !endpoint.lane.vouched {
@@ -891,6 +971,16 @@
         best.map(|(trial, _, id)| (id, trial || whole_trial)).ok_or((wake, probe))
     }
 
+    /// From when on an unsafe message is a trial after all: where nothing else can be, its place would stay
+    /// shut for good. Guards a place that gets nothing else and may not be probed. Harm: it may be lost where
+    /// the place is out still; so it is one that has begun to lose its worth by waiting.
+    fn tried_alone_at(&self, parcel: &Parcel, destination: &Destination) -> Seconds {
+        let class = |parcel: &Parcel| &self.settings.classes[parcel.message.class];
+        let held = || destination.held.iter().filter_map(|id| self.parcels.get(id));
+        let only = !self.settings.probes && held().all(|other| class(other).effect == Effect::Unsafe);
+        if only { parcel.taken + class(parcel).aim } else { f64::INFINITY }
+    }
+
     /// Whether the list and the memory of keys let a message go to an endpoint.
     fn fits(&self, parcel: &Parcel, endpoint: EndpointId) -> bool {
         let Some(endpoint) = self.endpoints.get(&endpoint).filter(|e| e.ready) else { return false };
@@ -1076,11 +1166,22 @@
             return;
         }
         self.silent_at = f64::INFINITY;
-        for call in self.calls.values() {
+        for call in self.calls.values_mut() {
             let Some(endpoint) = self.endpoints.get_mut(&call.endpoint) else { continue };
             let Some(destination) = self.destinations.get_mut(&endpoint.destination) else { continue };
+            let since = call.sent_at.max(self.stalled_at);
+            let due = since + (TIMEOUT_MEANS * destination.lane.latency(now)).max(TIMEOUT_LEAST);
+            if call.risky && !call.overdue && now >= due {
+                // It is waited for, but others need not wait for it. Guards a place that is back, and lost
+                // what was out, against staying shut for as long as those messages live. Harm: slots, within
+                // the share.
+                call.overdue = true;
+                endpoint.lane.overdue += 1;
+                destination.lane.overdue += 1;
+            } else if call.risky && !call.overdue {
+                self.silent_at = self.silent_at.min(due);
+            }
             for lane in [&mut endpoint.lane, &mut destination.lane] {
-                let since = call.sent_at.max(self.stalled_at);
                 let at = since + (SILENT_MEANS * lane.latency(now)).max(SILENT_LEAST);
                 let silent = lane.health == Health::Healthy && lane.served_at < call.sent_at;
                 if silent && now >= at {
--- a/crates/waydoor/src/interface.rs
+++ b/crates/waydoor/src/interface.rs
@@ -231,6 +231,18 @@
     pub key: Option<OrderKey>,
     /// Its customer, an index of [`Settings::tenants`]; one that is not there has no share that binds.
     pub tenant: usize,
+    /// Whether it came beyond its customer's share, where that was asked when it came
+    /// ([`Dispatcher::share`](crate::Dispatcher::share)); none: it is counted now.
+    pub over_share: Option<bool>,
+}
+
+/// How a message stands with its customer's share.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Share {
+    /// It comes beyond it.
+    pub over: bool,
+    /// Messages that the customer may still hand in within it at this dispatcher, this one not among them.
+    pub left: f64,
 }
 
 /// How a call or a probe ended.
@@ -344,6 +356,16 @@
     /// When an earlier life of this dispatcher ended, the destination was out or had just come back
     /// ([`Action::Remember`] was the last word on it).
     Remembered(DestinationId),
+    /// What a customer had left of its share: told by [`Dispatcher::share`](crate::Dispatcher::share) for a
+    /// message that was taken then, in this life or an earlier one.
+    Counted {
+        /// The customer, an index of [`Settings::tenants`].
+        tenant: usize,
+        /// Messages that it may still hand in.
+        left: f64,
+        /// When the message came.
+        at: Seconds,
+    },
     /// The dispatcher stops then: no attempt may be out any more.
     Closing(Seconds),
     /// An attempt ended.
--- a/crates/waydoor/src/lib.rs
+++ b/crates/waydoor/src/lib.rs
@@ -42,7 +42,8 @@
 //!     0.0,
 //!     Event::ListWhole(vec![Entry { endpoint, destination, kind: 0, zone: 0, rate: 5.0, listed }]),
 //! );
-//! let message = Message { id: MessageId(1), class: 0, destination, deadline: 20.0, key: None, tenant: 0 };
+//! let message = Message { id: MessageId(1), class: 0, destination, deadline: 20.0, key: None,
+//!     tenant: 0, over_share: None };
 //! dispatcher.handle(0.0, Event::Taken(message));
 //! dispatcher.decide(0.0, &mut actions);
 //! let sent = actions.iter().any(|a| matches!(a, Action::Send { id: MessageId(1), .. }));
--- a/crates/waydoor/src/state.rs
+++ b/crates/waydoor/src/state.rs
@@ -44,6 +44,8 @@
     pub(crate) capacity: Option<f64>,
     pub(crate) latency: f64,
     pub(crate) failing: f64,
+    /// Share of calls that is lost while it is in service.
+    pub(crate) lost: f64,
     pub(crate) learned_at: Seconds,
     pub(crate) served_at: Seconds,
     pub(crate) fails: u32,
@@ -67,6 +69,8 @@
     /// It told that it has no limit but its capacity.
     pub(crate) uncounted: bool,
     pub(crate) out: usize,
+    /// Those of them that are waited for beyond the usual time-out.
+    pub(crate) overdue: usize,
 }
 
 impl Lane {
@@ -140,6 +144,12 @@
     pub(crate) pending: usize,
     /// How long its connection had been idle; 0 for a new one.
     pub(crate) idle: Seconds,
+    /// A message's time ends before the time that the call would get.
+    pub(crate) cut: bool,
+    /// It is waited for as long as its message lives ...
+    pub(crate) risky: bool,
+    /// ... and any other call would have been given up by now.
+    pub(crate) overdue: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -175,7 +185,7 @@
     pub(crate) endpoints: BTreeMap<EndpointId, Endpoint>,
     pub(crate) lines: BTreeMap<OrderKey, Line>,
     /// By customer.
-    pub(crate) purses: Vec<Purse>,
+    pub(crate) purses: BTreeMap<usize, Purse>,
     /// Destinations with held messages; messages to look at this round; idle connections to close, when.
     pub(crate) waiting: BTreeSet<DestinationId>,
     pub(crate) review: Vec<MessageId>,
@@ -213,7 +223,7 @@
             destinations: BTreeMap::new(),
             endpoints: BTreeMap::new(),
             lines: BTreeMap::new(),
-            purses: Vec::new(),
+            purses: BTreeMap::new(),
             waiting: BTreeSet::new(),
             review: Vec::new(),
             closing: Vec::new(),
--- a/crates/waydoor/tests/common/mod.rs
+++ b/crates/waydoor/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A small stage for the dispatcher: settings, a list, and helpers that play rounds.
 #![allow(dead_code)]
 
+pub mod world;
+
 use waydoor::*;
 
 pub const HOME: DestinationId = DestinationId(1);
@@ -84,6 +86,7 @@
             deadline,
             key: key.map(OrderKey),
             tenant: 0,
+            over_share: None,
         }));
     }
 
--- a/crates/waydoor/tests/crowd.rs
+++ b/crates/waydoor/tests/crowd.rs
@@ -42,6 +42,7 @@
                 deadline: now + 20.0,
                 key: None,
                 tenant: 0,
+                over_share: None,
             };
             crowd[to].handle(now, Event::Taken(message));
         }
--- a/crates/waydoor/tests/robust.rs
+++ b/crates/waydoor/tests/robust.rs
@@ -232,6 +232,7 @@
                     deadline,
                     key: key.map(OrderKey),
                     tenant: 0,
+                    over_share: None,
                 };
                 let (attempts, answers) = (0, 0);
                 let seen = Seen {
