--- a/crates/waydoor/tests/common/world.rs
+++ b/crates/waydoor/tests/common/world.rs
@@ -200,6 +200,8 @@
     calls: Vec<(f64, usize)>,
     /// Who was told of a failure or refusal in an outage, and when first.
     informed: BTreeMap<usize, f64>,
+    /// Who saw a call fail there, in an outage or not: to them it may have looked like one.
+    doubted: BTreeSet<usize>,
 }
 
 #[derive(Clone, Debug)]
@@ -544,6 +546,7 @@
         } else {
             self.nodes[node].refused.remove(&place);
             if end.outcome != Outcome::Served {
+                self.places[place].doubted.insert(node);
                 self.inform(node, end.endpoint.0);
             }
         }
@@ -688,9 +691,9 @@
         // Where no rate is listed a place is taken to be small.
         let rate = if self.plan.rates_listed { rate } else { rate.min(1.0) };
         let rounds = f64::from(self.plan.dispatchers) / rate;
-        // A place that was seen to be out is tried by turns, so that all of them together stay inside its cold budget.
+        // A place that looked out is tried by turns, so that all of them together stay inside its cold budget.
         let rule = self.settings.returning;
-        let knew = place.is_some_and(|door| self.places[door.place].informed.contains_key(&node));
+        let knew = place.is_some_and(|door| self.places[door.place].doubted.contains(&node));
         let turn = if knew { rounds / (rule.multiple * rule.cold_share) } else { 0.0 };
         let most = CHANCE + CHANCE_ROUNDS * rounds.max(turn);
         let spent = was.ran.is_some() || was.attempts >= self.settings.attempts;
@@ -908,6 +911,7 @@
             busy: BTreeSet::new(),
             calls: Vec::new(),
             informed: BTreeMap::new(),
+            doubted: BTreeSet::new(),
         }
     }
 }
--- a/crates/waydoor/tests/rules.rs
+++ b/crates/waydoor/tests/rules.rs
@@ -675,8 +675,10 @@
         stage.take(id, 2, 1);
     }
     assert_eq!(stage.round().len(), 3, "they are never answered");
+    // By now the place is suspect, and they hold all the trials that it may have out.
+    assert!(stage.until(stage.now + 1.5).is_empty());
     stage.take(4, 0, 1);
-    let sent = stage.until(stage.now + 12.0);
+    let sent = stage.until(stage.now + 6.0);
     assert!(sent.iter().any(|(_, sent)| sent.id == 4), "the place is tried once they are overdue: {sent:?}");
 }
 
@@ -813,3 +815,20 @@
     assert!(stage.until(told + 1.95).is_empty());
     assert!(!stage.until(told + 4.0).is_empty());
 }
+
+#[test]
+fn what_can_hardly_end_in_its_time_goes_after_the_others() {
+    let mut stage = Stage::new(Settings { decay: Decay::Even, ..settings() });
+    stage.take(100, 0, 1);
+    assert_eq!(stage.round().len(), 1);
+    stage.end_waiting(100, 1, 0, Outcome::Full, 0.05, Some(1.0));
+    stage.event(Event::Withdrawn(MessageId(100)));
+    let opens = stage.now + 1.0;
+    for (id, left) in [(1, 0.4), (2, 3.0), (3, 2.0)] {
+        let (id, class, destination, deadline) = (MessageId(id), 0, HOME, opens + left);
+        let (key, tenant, over_share) = (None, 0, None);
+        stage.event(Event::Taken(Message { id, class, destination, deadline, key, tenant, over_share }));
+    }
+    let sent: Vec<_> = stage.until(opens + 0.5).into_iter().map(|(_, sent)| sent.id).collect();
+    assert_eq!(sent.first(), Some(&3), "the first of those that have the time: {sent:?}");
+}
