--- /dev/null
+++ b/crates/waydoor/src/choice/order.rs
@@ -0,0 +1,212 @@
+//! The order of release: the paper's rank among held messages, and what may not go by it.
+//! Guards slots and room against what earns little: a freed slot goes to the highest worth x decayed
+//! freshness x service rate, a sick or greedy destination is passed over, who is over a share comes last.
+//! Harm: what ranks low waits, and is refused where room runs out.
+
+use super::outage::SICK_SHARE;
+use super::*;
+
+/// Weight of a new sample in a decayed mean: about the last five calls count.
+pub(super) const SAMPLE: f64 = 0.2;
+/// Learned latency and failure shares fall back by half in this time: no old reading freezes anyone out.
+pub(super) const FORGET: f64 = 8.0;
+/// A destination is skipped once it holds this share of the slots (design page) ...
+const SLOT_SHARE: f64 = 0.75;
+/// ... or this one, if it fails or is slow.
+const SICK_SLOT_SHARE: f64 = 0.5;
+/// Slow is this many times the mean of all destinations: well outside the spread of healthy ones.
+const SLOW_TIMES: f64 = 3.0;
+/// What has less time left than this many means of a call may well not end in it.
+const LAST_CALL: f64 = 2.0;
+/// Places kept free for new messages: those refused at the door are not chosen by rank.
+const ROOM_KEPT: usize = 1;
+/// A customer's share is counted over this time: clumps that are no more than that are inside it.
+const SHARE_TIME: f64 = 10.0;
+
+impl Service {
+    fn aged(&self, now: Seconds) -> f64 {
+        0.5f64.powf((now - self.learned_at).max(0.0) / FORGET)
+    }
+
+    /// Expected service time; old readings age back to the unknown one.
+    pub(super) fn latency(&self, now: Seconds) -> f64 {
+        UNKNOWN_LATENCY + (self.latency - UNKNOWN_LATENCY) * self.aged(now)
+    }
+
+    pub(super) fn failing(&self, now: Seconds) -> f64 {
+        self.failing * self.aged(now)
+    }
+
+    pub(super) fn sample(&mut self, now: Seconds, latency: Option<f64>, failed: f64) {
+        let (old, share) = (self.latency(now), self.failing(now));
+        self.latency = latency.map_or(old, |l| old + SAMPLE * (l - old));
+        self.failing = share + SAMPLE * (failed - share);
+        self.learned_at = now;
+    }
+}
+
+impl Dispatcher {
+    /// The rank of a held message: worth x decayed freshness x expected rate of (successful) service.
+    fn rank(&self, now: Seconds, parcel: &Parcel, rate: f64) -> f64 {
+        let Some(class) = self.settings.classes.get(parcel.message.class) else { return 0.0 };
+        let decay = match self.settings.decay {
+            Decay::ByHalf => std::f64::consts::LN_2 / class.aim,
+            Decay::Even => {
+                std::f64::consts::LN_2 * (1.0 - class.late_share)
+                    / (class.deadline - class.aim).max(class.aim)
+            }
+        };
+        let life = parcel.message.deadline - parcel.taken;
+        let worth = class.worth * if parcel.over_share { self.settings.over_share_worth } else { 1.0 };
+        worth * (-decay.max(std::f64::consts::LN_2 / life) * (now - parcel.taken)).exp() * rate
+    }
+
+    /// The expected rate of successful service.
+    fn service(&self, now: Seconds, destination: &Destination) -> f64 {
+        (1.0 - destination.lane.service.failing(now)) / destination.lane.service.latency(now)
+    }
+
+    /// Gives free slots to the held messages of highest rank that may go.
+    pub(super) fn release(&mut self, now: Seconds, actions: &mut Vec<Action>, wake: &mut Seconds) {
+        if self.calls.len() >= self.settings.slots {
+            return;
+        }
+        let (mut held, mut open) = (Vec::new(), 0);
+        for number in self.waiting.clone() {
+            self.refresh(now, number);
+            let Some(destination) = self.destinations.get(&number) else { continue };
+            let gate = destination.lane.gate(now, &self.settings.returning);
+            if let Gate::Closed(until) = gate
+                && !destination.apart
+            {
+                *wake = wake.min(until);
+            } else if !self.over_share(now, destination) {
+                let rate = self.service(now, destination);
+                let parcels = destination.held.iter().filter_map(|id| self.parcels.get(id));
+                let usual = LAST_CALL * destination.lane.service.latency(now);
+                held.extend(parcels.map(|p| {
+                    let late = p.message.deadline - now < usual;
+                    (self.rank(now, p, rate), p.taken, (p.over_share, late), p.message)
+                }));
+                open += 1;
+            }
+        }
+        // With a slot to spare for each, limits hold them, not the slots that the rank is for. Where worth
+        // falls evenly all lose alike by waiting: the first to run out goes first. Guards a backlog whose
+        // oldest are lost when all could be served. Harm: where a place stays small, all are late.
+        let spare = self.calls.len() + open < self.settings.slots && self.settings.decay == Decay::Even;
+        // What may hardly end in its time goes after the others there.
+        held.sort_by(|(rank, taken, last, message), (other, then, least, than)| {
+            let first = last.cmp(least).then(message.deadline.total_cmp(&than.deadline));
+            let order = if spare { first } else { other.total_cmp(rank) };
+            order.then(then.total_cmp(taken)).then(than.id.cmp(&message.id))
+        });
+        let mut closed: BTreeSet<DestinationId> = BTreeSet::new();
+        let mut open_calls: BTreeMap<(EndpointId, bool), u64> = BTreeMap::new();
+        for id in held.into_iter().map(|(.., message)| message.id) {
+            let Some(parcel) = self.parcels.get(&id) else { continue };
+            if closed.contains(&parcel.message.destination) || !self.has_turn(now, parcel, wake) {
+                continue;
+            }
+            let Some(destination) = self.destinations.get(&parcel.message.destination) else { continue };
+            let batch = destination.batch;
+            let effect = self.settings.classes[parcel.message.class].effect;
+            let risky = effect == Effect::Unsafe;
+            // An unsafe one is waited for, and so shares its call with its like alone.
+            let joined = open_calls.iter().find(|((endpoint, alike), call)| {
+                !parcel.alone
+                    && *alike == risky
+                    && destination.endpoints.contains(endpoint)
+                    && self.calls.get(call).is_some_and(|c| c.pending < batch)
+                    && self.fits(parcel, *endpoint)
+            });
+            let (endpoint, call) = if let Some(((endpoint, _), call)) = joined {
+                (*endpoint, *call)
+            } else if self.calls.len() >= self.settings.slots || self.over_share(now, destination) {
+                closed.extend((batch == 1).then_some(parcel.message.destination));
+                continue;
+            } else {
+                match self.place(now, parcel) {
+                    Ok((endpoint, trial)) => {
+                        let alone = parcel.alone;
+                        let call = self.open_call(now, endpoint, risky, actions);
+                        open_calls
+                            .extend((batch > 1 && !trial && !alone).then_some(((endpoint, risky), call)));
+                        (endpoint, call)
+                    }
+                    Err((until, probe)) => {
+                        *wake = wake.min(until);
+                        let all = effect == Effect::Safe && batch == 1;
+                        closed.extend(all.then_some(parcel.message.destination));
+                        if let Some(endpoint) = probe {
+                            self.book(now, endpoint);
+                            actions.push(Action::Probe(endpoint));
+                        }
+                        continue;
+                    }
+                }
+            };
+            self.send(now, id, endpoint, call, actions);
+        }
+    }
+
+    /// The share rule: a destination holds at most so many of the slots.
+    fn over_share(&self, now: Seconds, destination: &Destination) -> bool {
+        let lane = &destination.lane;
+        let slots = self.settings.slots as f64;
+        let slow = lane.service.latency(now) > SLOW_TIMES * self.usual_latency.max(UNKNOWN_LATENCY);
+        if slow || lane.service.failing(now) > SICK_SHARE || lane.outage.health != Health::Healthy {
+            lane.out > 0 && (lane.out + 1) as f64 > SICK_SLOT_SHARE * slots
+        } else {
+            lane.out as f64 >= SLOT_SHARE * slots
+        }
+    }
+
+    /// Order by key: one at a time, in the order taken, with a rest after what may still run.
+    fn has_turn(&self, now: Seconds, parcel: &Parcel, wake: &mut Seconds) -> bool {
+        if !self.settings.classes[parcel.message.class].ordered {
+            return true;
+        }
+        let Some(line) = parcel.message.key.and_then(|key| self.lines.get(&key)) else { return true };
+        if line.queue.front() != Some(&parcel.message.id) {
+            return false;
+        }
+        let resting = parcel.attempts == 0 && now < line.rest_until;
+        *wake = if resting { wake.min(line.rest_until) } else { *wake };
+        !resting
+    }
+
+    /// When the room is almost full, the held message of lowest rank makes place: what is turned away at the
+    /// door is not chosen by rank. Harm: none while there is room.
+    pub(super) fn keep_room(&mut self, now: Seconds, actions: &mut Vec<Action>) {
+        let excess = (self.parcels.len() + ROOM_KEPT).saturating_sub(self.settings.room);
+        let mut ranked = Vec::new();
+        for number in self.waiting.iter().filter(|_| excess > 0) {
+            let Some(destination) = self.destinations.get(number) else { continue };
+            let rate = self.service(now, destination);
+            let parcels = destination.held.iter().filter_map(|id| self.parcels.get(id));
+            ranked.extend(parcels.map(|p| (self.rank(now, p, rate), p.message.id)));
+        }
+        ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        for (_, id) in ranked.into_iter().take(excess) {
+            self.end(id, actions);
+        }
+    }
+
+    /// How a message that comes now would stand with its customer's share, of which each dispatcher has an
+    /// even part; none where no share binds.
+    pub fn share(&self, now: Seconds, tenant: usize) -> Option<Share> {
+        let own = self.settings.tenants.get(tenant)?.quota / f64::from(self.settings.dispatchers);
+        let most = (own * SHARE_TIME).max(1.0);
+        let purse = self.purses.get(&tenant).copied().unwrap_or(Purse { left: most, at: now });
+        let left = (purse.left + own * (now - purse.at).max(0.0)).min(most);
+        let over = left < 1.0;
+        Some(Share { over, left: left - f64::from(u8::from(!over)) })
+    }
+
+    pub(super) fn counts_over(&mut self, now: Seconds, tenant: usize) -> bool {
+        let Some(share) = self.share(now, tenant) else { return false };
+        self.counted(now, tenant, share.left, now);
+        share.over
+    }
+}
--- a/crates/waydoor/src/interface.rs
+++ b/crates/waydoor/src/interface.rs
@@ -91,6 +91,16 @@
     },
 }
 
+impl Listing {
+    /// Longest time without asking; without end where the list comes by itself.
+    pub(crate) fn ask_within(self) -> Seconds {
+        match self {
+            Listing::OnRequest { ask_within } => ask_within,
+            Listing::Pushed => f64::INFINITY,
+        }
+    }
+}
+
 /// How a destination that was out must be treated.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReturnRule {
--- a/crates/waydoor/src/state.rs
+++ b/crates/waydoor/src/state.rs
@@ -1,5 +1,6 @@
-//! What a dispatcher holds in mind: plain data, no decision and no tuned value. `src/choice.rs` fills it.
+//! What a dispatcher holds in mind: plain data, no decision and no tuned value. `src/choice.rs` and its rooms fills it.
 
+use crate::choice::UNKNOWN_LATENCY;
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -38,19 +39,40 @@
     }
 }
 
-/// What was learned of a destination as a whole, or of one endpoint.
+/// The own pace at a place's limit.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Lane {
+pub(crate) struct Pace {
+    /// What the place takes from all dispatchers, calls a second, where that is listed or told.
     pub(crate) capacity: Option<f64>,
     /// The place's limit is counted here: at a destination, or at each of its endpoints where they are apart.
     pub(crate) limited: bool,
-    pub(crate) latency: f64,
-    pub(crate) failing: f64,
-    /// Share of calls that is lost while it is in service.
-    pub(crate) lost: f64,
-    pub(crate) learned_at: Seconds,
+    /// It told that it has no limit but its capacity.
+    pub(crate) uncounted: bool,
+    /// Share of the capacity that this dispatcher takes to be its own.
+    pub(crate) part: f64,
+    pub(crate) even: f64,
+    /// Calls a second, learned then.
+    pub(crate) rate: Option<(f64, Seconds)>,
+    pub(crate) due: Seconds,
+    pub(crate) sent: Rate,
+}
+
+/// Whether a place serves, and how it comes back where it does not.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Outage {
+    pub(crate) health: Health,
     pub(crate) served_at: Seconds,
     pub(crate) fails: u32,
+    /// Share of calls that is lost while it is in service.
+    pub(crate) lost: f64,
+    pub(crate) trial_at: Seconds,
+    pub(crate) trials: u32,
+    pub(crate) vouched: bool,
+}
+
+/// What refusals told.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Refusals {
     pub(crate) fulls: u32,
     pub(crate) full_since: Seconds,
     pub(crate) full_at: Seconds,
@@ -58,18 +80,23 @@
     pub(crate) at_once: Option<(f64, Seconds)>,
     pub(crate) wait_until: Seconds,
     pub(crate) pause_until: Seconds,
-    pub(crate) due: Seconds,
-    pub(crate) pace: Option<(f64, Seconds)>,
-    pub(crate) sent: Rate,
-    /// Share of the capacity that this dispatcher takes to be its own.
-    pub(crate) part: f64,
-    pub(crate) even: f64,
-    pub(crate) health: Health,
-    pub(crate) trial_at: Seconds,
-    pub(crate) trials: u32,
-    pub(crate) vouched: bool,
-    /// It told that it has no limit but its capacity.
-    pub(crate) uncounted: bool,
+}
+
+/// Decayed means of the time of a call and of the share that fails.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Service {
+    pub(crate) latency: f64,
+    pub(crate) failing: f64,
+    pub(crate) learned_at: Seconds,
+}
+
+/// What was learned of a destination as a whole, or of one endpoint.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Lane {
+    pub(crate) pace: Pace,
+    pub(crate) outage: Outage,
+    pub(crate) refusals: Refusals,
+    pub(crate) service: Service,
     pub(crate) out: usize,
     /// Those of them that are waited for beyond the usual time-out.
     pub(crate) overdue: usize,
@@ -77,8 +104,18 @@
 
 impl Lane {
     pub(crate) fn new(capacity: Option<f64>, latency: f64) -> Self {
-        let (learned_at, served_at) = (f64::NEG_INFINITY, f64::NEG_INFINITY);
-        Lane { capacity, latency, part: 1.0, even: 1.0, learned_at, served_at, ..Default::default() }
+        let never = f64::NEG_INFINITY;
+        Lane {
+            pace: Pace { capacity, part: 1.0, even: 1.0, ..Default::default() },
+            outage: Outage { served_at: never, ..Default::default() },
+            service: Service { latency, learned_at: never, ..Default::default() },
+            ..Default::default()
+        }
+    }
+
+    fn landed(&mut self, call: &Call) {
+        self.out = self.out.saturating_sub(1);
+        self.overdue = self.overdue.saturating_sub(usize::from(call.overdue));
     }
 }
 
@@ -138,6 +175,14 @@
     pub(crate) over_share: bool,
 }
 
+impl Parcel {
+    pub(crate) fn new(message: Message, taken: Seconds, over_share: bool) -> Self {
+        let (attempts, out, may_have_run) = (0, None, None);
+        let (over, alone, unusable) = (false, false, false);
+        Parcel { message, taken, attempts, out, may_have_run, over, alone, unusable, over_share }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub(crate) struct Call {
     pub(crate) endpoint: EndpointId,
@@ -154,6 +199,13 @@
     pub(crate) overdue: bool,
 }
 
+impl Call {
+    pub(crate) fn new(endpoint: EndpointId, sent_at: Seconds, idle: Seconds, risky: bool) -> Self {
+        let (messages, pending, cut, overdue) = (0, 0, false, false);
+        Call { endpoint, sent_at, messages, pending, idle, cut, risky, overdue }
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Line {
     pub(crate) queue: VecDeque<MessageId>,
@@ -161,6 +213,11 @@
 }
 
 impl Destination {
+    /// One that no list has told of.
+    pub(crate) fn unlisted() -> Self {
+        Destination::new(None, UNKNOWN_LATENCY, usize::MAX, Kind { routes_apart: false, batch: 1 })
+    }
+
     pub(crate) fn new(rate: Option<f64>, latency: f64, kind: usize, traits: Kind) -> Self {
         Destination {
             lane: Lane::new(rate, latency),
@@ -215,7 +272,17 @@
 }
 
 impl Dispatcher {
-    pub(crate) fn empty(settings: Settings, seed: u64, latency: Seconds) -> Self {
+    /// A dispatcher that knows nothing yet; `seed` feeds its jitter.
+    ///
+    /// # Errors
+    ///
+    /// If a setting makes no sense; the error names it.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        settings.check()?;
+        Ok(Dispatcher::empty(settings, seed, UNKNOWN_LATENCY))
+    }
+
+    fn empty(settings: Settings, seed: u64, latency: Seconds) -> Self {
         Dispatcher {
             settings,
             rng: fastrand::Rng::with_seed(seed),
@@ -248,6 +315,78 @@
         }
     }
 
+    /// Takes a message out of its call; gives the call once it was the last one in it.
+    pub(crate) fn landed(&mut self, flight: Flight) -> Option<Call> {
+        let call = self.calls.get_mut(&flight.call)?;
+        call.pending -= 1;
+        if call.pending > 0 {
+            return None;
+        }
+        let call = self.calls.remove(&flight.call)?;
+        if let Some(endpoint) = self.endpoints.get_mut(&flight.endpoint) {
+            endpoint.lane.landed(&call);
+            if let Some(destination) = self.destinations.get_mut(&endpoint.destination) {
+                destination.lane.landed(&call);
+            }
+        }
+        Some(call)
+    }
+
+    /// The lanes of a destination that count a limit: its own, or those of its endpoints, where they are apart, too.
+    pub(crate) fn limited_lanes(&mut self, number: DestinationId, mut with: impl FnMut(&mut Lane)) {
+        let Some(destination) = self.destinations.get_mut(&number) else { return };
+        with(&mut destination.lane);
+        for id in destination.endpoints.iter().filter(|_| destination.apart) {
+            self.endpoints.entry(*id).and_modify(|e| with(&mut e.lane));
+        }
+    }
+
+    /// The lanes that a call to the endpoint is booked on.
+    pub(crate) fn each_lane(
+        &mut self, endpoint: EndpointId, mut with: impl FnMut(&mut Lane, &ReturnRule, &mut fastrand::Rng),
+    ) {
+        let Some(e) = self.endpoints.get_mut(&endpoint) else { return };
+        with(&mut e.lane, &self.settings.returning, &mut self.rng);
+        if let Some(destination) = self.destinations.get_mut(&e.destination).filter(|d| !d.apart) {
+            with(&mut destination.lane, &self.settings.returning, &mut self.rng);
+        }
+    }
+
+    /// A destination's own lane and those of its endpoints.
+    pub(crate) fn all_lanes(
+        &mut self, number: DestinationId, mut with: impl FnMut(&mut Lane, &ReturnRule, &mut fastrand::Rng),
+    ) {
+        let Some(destination) = self.destinations.get_mut(&number) else { return };
+        with(&mut destination.lane, &self.settings.returning, &mut self.rng);
+        for id in &destination.endpoints {
+            if let Some(endpoint) = self.endpoints.get_mut(id) {
+                with(&mut endpoint.lane, &self.settings.returning, &mut self.rng);
+            }
+        }
+    }
+
+    /// Whether a list has named the destination: what nobody has heard of can only be held for nothing.
+    pub fn knows(&self, destination: DestinationId) -> bool {
+        self.destinations.get(&destination).is_some_and(|destination| destination.kind != usize::MAX)
+    }
+
+    pub(crate) fn counted(&mut self, now: Seconds, tenant: usize, left: f64, at: Seconds) {
+        if tenant < self.settings.tenants.len() && left >= 0.0 {
+            self.purses.insert(tenant, Purse { left, at: at.min(now) });
+        }
+    }
+
+    /// A timer for that time, where none is set that comes as early.
+    pub(crate) fn wake_at(&mut self, now: Seconds, wake: Seconds) -> Option<Action> {
+        if !wake.is_finite() || self.timer.is_some_and(|(_, at)| at <= wake && at >= now) {
+            return None;
+        }
+        self.counter += 1;
+        let (token, at) = (self.counter as u32, wake.max(now + 0.001));
+        self.timer = Some((token, at));
+        Some(Action::SetTimer { token, at })
+    }
+
     /// Puts a message among the held ones of its destination.
     pub(crate) fn hold(&mut self, message: &Message) {
         self.waiting.insert(message.destination);
@@ -298,19 +437,16 @@
 
     /// Notes a change of health for the log.
     pub(crate) fn note(
-        &mut self, most: u32, apart: bool, number: u64, was: Health, is: Health, cause: Outcome,
+        &mut self, most: u32, place: &str, number: u64, was: Health, is: Health, cause: Outcome,
     ) {
         if std::mem::discriminant(&was) != std::mem::discriminant(&is) && self.noted < most {
             self.noted += 1;
-            let place = if apart { "route" } else { "destination" };
             self.notes.push(format!("{place} {number}: {was:?} -> {is:?} after {cause:?}"));
         }
     }
 
-    /// Copies lines of the list; returns the destinations that they name.
-    pub(crate) fn enrol(
-        &mut self, entries: Vec<Entry>, whole: bool, latency: Seconds,
-    ) -> BTreeSet<DestinationId> {
+    /// Copies lines of the list.
+    pub(crate) fn enrol(&mut self, entries: Vec<Entry>, whole: bool, latency: Seconds) {
         if whole {
             self.endpoints.values_mut().for_each(|endpoint| endpoint.ready = false);
         }
@@ -323,7 +459,7 @@
             (destination.kind, destination.apart, destination.batch) =
                 (entry.kind, kind.routes_apart, kind.batch.max(1));
             destination.endpoints.insert(entry.endpoint);
-            destination.lane.capacity = rate.or(destination.lane.capacity);
+            destination.lane.pace.capacity = rate.or(destination.lane.pace.capacity);
             let endpoint = self.endpoints.entry(entry.endpoint).or_insert_with(|| Endpoint {
                 lane: Lane::new(rate, latency),
                 destination: entry.destination,
@@ -338,6 +474,14 @@
         }
         let old: Vec<_> = self.endpoints.iter().filter(|(_, e)| !e.ready).map(|(id, _)| *id).collect();
         old.into_iter().for_each(|id| self.forget(id));
-        changed
+        // Endpoints that share a limit take even parts of it.
+        for number in changed {
+            let Some(destination) = self.destinations.get(&number).filter(|d| !d.apart) else { continue };
+            let endpoints = destination.endpoints.len().max(1) as f64;
+            let part = destination.lane.pace.capacity.map(|rate| rate / endpoints);
+            for id in &destination.endpoints {
+                self.endpoints.entry(*id).and_modify(|e| e.lane.pace.capacity = part);
+            }
+        }
     }
 }
