--- a/crates/waydoor/src/choice/order.rs
+++ b/crates/waydoor/src/choice/order.rs
@@ -164,10 +164,8 @@
 
     /// Order by key: one at a time, in the order taken, with a rest after what may still run.
     fn has_turn(&self, now: Seconds, parcel: &Parcel, wake: &mut Seconds) -> bool {
-        if !self.settings.classes[parcel.message.class].ordered {
-            return true;
-        }
-        let Some(line) = parcel.message.key.and_then(|key| self.lines.get(&key)) else { return true };
+        let key = parcel.message.key.filter(|_| self.settings.classes[parcel.message.class].ordered);
+        let Some(line) = key.and_then(|key| self.lines.get(&key)) else { return true };
         if line.queue.front() != Some(&parcel.message.id) {
             return false;
         }
--- a/crates/waydoor/src/choice/outage.rs
+++ b/crates/waydoor/src/choice/outage.rs
@@ -28,8 +28,10 @@
 pub(super) const TRIALS_OUT: usize = 2;
 /// Share of the returning budget that is used: parts of uneven dispatchers may add up to more than the whole.
 const RAMP_SHARE: f64 = 0.85;
-/// In a crowd less: parts in a hot place add up to more, and others know nothing of the outage.
-const CROWD_RAMP_SHARE: f64 = 0.65;
+/// The same before a crowd has found the return: new messages are trials besides.
+const CROWD_TRIALS: f64 = 0.65;
+/// A gap between failure and success that is longer than this part of the cold time dates no return.
+const DATED_MOST: f64 = 0.5;
 
 impl Lane {
     pub(super) fn shut(&mut self, now: Seconds, rule: &ReturnRule, rng: &mut fastrand::Rng) {
@@ -38,9 +40,8 @@
         self.outage.trial_at = self.outage.trial_at.max(now + self.trial_wait(now, rule, rng));
     }
 
-    /// Trials of all dispatchers together weigh on a place that comes back cold. Each of a crowd spends its
-    /// own part of the cold budget, by seeded chance; a few are covered by the slack of the rule.
-    /// Harm: quiet dispatchers see a return late; new messages bring chances of their own.
+    /// Trials of all weigh on a place that comes back cold: each of a crowd spends its own part of the cold
+    /// budget, by seeded chance; a few are covered by the slack of the rule. Harm: a return is seen late.
     pub(super) fn trial_wait(&self, now: Seconds, rule: &ReturnRule, rng: &mut fastrand::Rng) -> Seconds {
         let alone = (TRIAL * 1.2f64.powi(self.outage.trials.min(8) as i32)).min(TRIAL_MOST);
         let turn = 1.0 / self.ramp(now, rule).1;
@@ -51,14 +52,12 @@
     /// While shut or cold: the share of a warm place's traffic that may go there, and the own part in calls
     /// a second.
     pub(super) fn ramp(&self, now: Seconds, rule: &ReturnRule) -> (f64, f64) {
-        let warm = match self.outage.health {
-            Health::Returning(since) => ((now - since) / rule.cold_time).clamp(0.0, 1.0),
-            _ => 0.0,
+        let (warm, used) = match self.outage.health {
+            Health::Returning(since) => (((now - since) / rule.cold_time).clamp(0.0, 1.0), RAMP_SHARE),
+            _ => (0.0, if self.pace.crowded() { CROWD_TRIALS } else { RAMP_SHARE }),
         };
-        let used = if self.pace.crowded() { CROWD_RAMP_SHARE } else { RAMP_SHARE };
         let share = used * rule.multiple * (rule.cold_share + (1.0 - rule.cold_share) * warm);
-        let part = if self.pace.crowded() { self.pace.part } else { self.pace.part.max(self.pace.even) };
-        (share, share * part * self.pace.whole())
+        (share, share * self.pace.divided() * self.pace.whole())
     }
 
     /// A new message where the own part is under a call in a while: it may go at once with the chance that
@@ -82,11 +81,17 @@
                 let out = now - self.outage.served_at > OUTAGE_LEAST || self.service.failing > SICK_SHARE;
                 self.usual(0.0);
                 let own = &mut self.outage;
+                let out = out && (own.health == Health::Shut || own.fails > 0);
                 (own.fails, self.refusals.fulls, own.trials, own.served_at) = (0, 0, 0, now);
                 own.health = match own.health {
                     // It was sent before the place told that it is shut.
                     Health::Shut if now < self.refusals.wait_until => Health::Shut,
-                    Health::Shut if out => Health::Returning(now),
+                    // It is back since some time after the last failure, as likely early as late.
+                    Health::Shut | Health::Suspect if out => {
+                        let found = now - latency;
+                        let gap = (found - own.failed_at).clamp(0.0, DATED_MOST * rule.cold_time);
+                        Health::Returning(found - gap / 2.0)
+                    }
                     Health::Shut | Health::Suspect => Health::Healthy,
                     other => other,
                 };
@@ -96,6 +101,7 @@
                 self.service.sample(now, None, 1.0);
                 // Sent before the last served call, it tells nothing of now. Harm: none in an outage.
                 let stale = self.outage.served_at > now - latency;
+                self.outage.failed_at = self.outage.failed_at.max(now - latency);
                 self.outage.fails += u32::from(!stale);
                 let doubted = self.outage.health == Health::Shut && !stale;
                 // Guards against ramps after outages that were none. Harm: an outage costs a call more.
@@ -124,8 +130,7 @@
         }
     }
 
-    /// A trial whose message was over told nothing of the place, and cost it nothing. Guards against a place
-    /// that stays shut while what is held for it is withdrawn. Harm: none.
+    /// A trial whose message was over told nothing of the place, and cost it nothing: the next goes at once.
     pub(super) fn try_again(&mut self, now: Seconds) {
         if matches!(self.outage.health, Health::Suspect | Health::Shut) {
             (self.outage.trial_at, self.outage.trials) = (now, self.outage.trials.saturating_sub(1));
@@ -155,13 +160,13 @@
         }
         destination.remembered = true;
         self.limited_lanes(number, |lane| {
-            (lane.outage.health, lane.outage.trial_at) = (Health::Shut, now);
+            let Outage { health, trial_at, failed_at, .. } = &mut lane.outage;
+            (*health, *trial_at, *failed_at) = (Health::Shut, now, now);
         });
     }
 
-    /// Silence: a call unanswered for far longer than usual, with nothing served since, makes its lane
-    /// suspect, so that no more is lost there until something answers. Harm: a slow call delays others.
-    /// What an own stall kept from coming is no silence: the calls get as long again.
+    /// A call unanswered for far longer than usual, with nothing served since, makes its lane suspect.
+    /// What an own stall kept from coming is no silence. Harm: a slow call delays others.
     pub(super) fn suspect_silence(&mut self, now: Seconds) {
         if now < self.silent_at {
             return;
--- a/crates/waydoor/src/choice/pace.rs
+++ b/crates/waydoor/src/choice/pace.rs
@@ -11,7 +11,7 @@
 pub(super) const PACE_LEAST: f64 = 0.6;
 /// Time over which one of many may gather calls to send at once.
 const PACE_SPAN: f64 = 4.0;
-/// One of many grows by this part of it for each call that it expects to make: there every refusal cuts.
+/// One of many grows by this part of it for each call that it expects to make.
 const PACE_CROWD_GROWTH: f64 = 0.2;
 /// Calls that the pace lets through at once.
 const PACE_BURST: f64 = 2.0;
@@ -19,6 +19,8 @@
 const PACE_DRIFT: f64 = 0.1;
 /// ... what is left on the mean where a limit is all but used.
 const PACE_LEFT: f64 = 0.4;
+/// A pace that is not used tells nothing: it is no more than this times what is sent, or the fair one.
+const PACE_UNUSED: f64 = 1.5;
 /// Time over which the own sending rate is measured.
 const RATE_TIME: f64 = 3.0;
 /// So few dispatchers fill no table with unused connections, and the rule's slack covers a call of each.
@@ -44,17 +46,18 @@
         (1.0 - FEW * self.even).max(0.0)
     }
 
-    /// The pace before anything is learned: an even part, and the more above it the fewer they are. A demand
-    /// far above that is the own one, not that of all: who has it gets it less an even part, and what others
-    /// leave makes up for it.
+    /// The part taken of what all may do: an even one, or the own demand less that, which others leave.
+    pub(super) fn divided(&self) -> f64 {
+        self.even.max(self.part - self.even)
+    }
+
+    /// The pace before anything is learned: the own part, and the more above it the fewer they are.
     pub(super) fn fair(&self) -> f64 {
         let whole = self.capacity.filter(|_| self.limited && !self.uncounted).unwrap_or(f64::INFINITY);
-        let part = self.even.max(self.part - self.even);
-        whole * part * (1.0 + FEW * self.even / self.crowd())
+        whole * self.divided() * (1.0 + FEW * self.even / self.crowd())
     }
 
-    /// It grows by the calls that may be expected to have told of a refusal. Guards a limit that many share,
-    /// each by a call in a while, against settling where most calls are refused.
+    /// It grows while nothing is refused; one of many by the calls that may be expected to have told of it.
     pub(super) fn now(&self, now: Seconds) -> f64 {
         let told = |rate: f64| 1.0 - self.crowd() * (1.0 - PACE_CROWD_GROWTH * rate.min(1.0));
         let grown = |rate: f64, at| rate * (1.0 + PACE_GROWTH * told(rate)).powf(now - at);
@@ -76,7 +79,8 @@
         let pace = self.now(now);
         if let Some(left) = told.left.filter(|_| self.crowd() > 0.0 && pace.is_finite()) {
             let moved = pace * (self.crowd() * PACE_DRIFT * (left - PACE_LEFT)).exp();
-            self.rate = Some((moved.clamp(PACE_LEAST * self.even * told.rate, told.rate), now));
+            let used = self.fair().max(PACE_UNUSED * self.sent.now(now, RATE_TIME)).min(told.rate);
+            self.rate = Some((moved.min(used).max(PACE_LEAST * self.even * told.rate), now));
         }
     }
 
--- a/crates/waydoor/src/choice/refusal.rs
+++ b/crates/waydoor/src/choice/refusal.rs
@@ -43,7 +43,8 @@
     pub(super) fn refused(
         &mut self, now: Seconds, latency: f64, own_limit: bool, rule: &ReturnRule, rng: &mut fastrand::Rng,
     ) {
-        let Lane { pace, refusals, .. } = self;
+        let Lane { pace, refusals, outage, .. } = self;
+        outage.failed_at = outage.failed_at.max(now - latency);
         // What is out still once one has been refused is what a place without a limit takes at once.
         if pace.uncounted {
             let least = refusals.at_once(now).map_or(1.0, |calls| calls * PACE_CUT);
@@ -59,13 +60,10 @@
         // Many that were refused at once come back at any time in twice the pause.
         let jitter = 1.0 + (0.5 + 1.5 * pace.crowd()) * (rng.f64() - 0.5);
         refusals.pause_until = refusals.pause_until.max(now + pause * jitter);
-        // In a row they are one refusal to a few; one of many sees no more for long.
         if own_limit && again && !pace.uncounted && (refusals.fulls == 1 || pace.crowd() > 0.0) {
             let sent = pace.now(now).min(pace.sent.per_second.max(own));
             let cut = if refusals.fulls == 1 { PACE_CUT } else { PACE_CUT.powf(pace.crowd()) };
             pace.rate = Some(((sent * cut).max(PACE_LEAST * own.min(pace.fair())), now));
-            let gathered = pace.crowd() * (pace.burst(now) - 1.0) / pace.now(now);
-            pace.due = pace.due.max(now + gathered);
         }
         let long = now - refusals.full_since.max(self.outage.served_at) > SHUT_FULL_TIME;
         if refusals.fulls >= SHUT_FULLS && long {
--- a/crates/waydoor/src/state.rs
+++ b/crates/waydoor/src/state.rs
@@ -62,6 +62,8 @@
 pub(crate) struct Outage {
     pub(crate) health: Health,
     pub(crate) served_at: Seconds,
+    /// When the last call that failed was sent.
+    pub(crate) failed_at: Seconds,
     pub(crate) fails: u32,
     /// Share of calls that is lost while it is in service.
     pub(crate) lost: f64,
@@ -107,7 +109,7 @@
         let never = f64::NEG_INFINITY;
         Lane {
             pace: Pace { capacity, part: 1.0, even: 1.0, ..Default::default() },
-            outage: Outage { served_at: never, ..Default::default() },
+            outage: Outage { served_at: never, failed_at: never, ..Default::default() },
             service: Service { latency, learned_at: never, ..Default::default() },
             ..Default::default()
         }
--- a/crates/waydoor/tests/common/mod.rs
+++ b/crates/waydoor/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! A small stage for the dispatcher: settings, a list, and helpers that play rounds.
 #![allow(dead_code)]
 
+pub mod fleet;
 pub mod world;
 
 use waydoor::*;
