--- a/crates/waydoor/src/choice/attempts.rs
+++ b/crates/waydoor/src/choice/attempts.rs
@@ -175,8 +175,8 @@
                 wake = wake.min(alone_at);
                 continue;
             }
-            if risky && lane.service.failing(now) > UNSAFE_SHARE && !outage.vouched {
-                wake = wake.min(now + TRIAL);
+            if risky && lane.service.failing(now) > UNSAFE_SHARE && !outage.vouched && now < alone_at {
+                wake = wake.min(alone_at).min(now + TRIAL);
                 continue;
             }
             let idle = endpoint.idle_since.is_some() && *out == 0;
@@ -198,10 +198,8 @@
     /// From when on an unsafe message is a trial after all. Guards a place that gets nothing else and may not
     /// be probed: it would stay shut for good. Harm: it may be lost; so it is one that loses worth already.
     fn tried_alone_at(&self, parcel: &Parcel, destination: &Destination) -> Seconds {
-        let class = |parcel: &Parcel| &self.settings.classes[parcel.message.class];
-        let held = || destination.held.iter().filter_map(|id| self.parcels.get(id));
-        let only = !self.settings.probes && held().all(|other| class(other).effect == Effect::Unsafe);
-        if only { parcel.taken + class(parcel).aim } else { f64::INFINITY }
+        let only = !self.settings.probes && destination.risky == destination.held.len();
+        if only { parcel.taken + self.settings.classes[parcel.message.class].aim } else { f64::INFINITY }
     }
 
     /// Whether the list and the memory of keys let a message go to an endpoint.
--- a/crates/waydoor/src/choice/outage.rs
+++ b/crates/waydoor/src/choice/outage.rs
@@ -15,8 +15,9 @@
 const ROW_CHANCE: f64 = 0.002;
 /// Weight of a call in the share that a place loses on usual days: fifty calls count, an outage hardly.
 const USUAL_SAMPLE: f64 = 0.02;
-/// A place that is not known to lose calls may lose this share.
+/// A place that is not known to lose calls may lose this share, and no more is usual at any.
 const USUAL_LEAST: f64 = 0.02;
+const USUAL_MOST: f64 = 0.2;
 /// A gap between two served calls that is shorter is no outage: nothing restarts and goes cold so fast.
 const OUTAGE_LEAST: f64 = 1.0;
 /// Share of failures above which it is out: the rule says most calls; this errs on the safe side.
@@ -126,7 +127,8 @@
     /// Learns what share of calls a place loses while it is in service.
     fn usual(&mut self, failed: f64) {
         if self.outage.health == Health::Healthy {
-            self.outage.lost += USUAL_SAMPLE * (failed - self.outage.lost);
+            self.outage.lost =
+                (self.outage.lost + USUAL_SAMPLE * (failed - self.outage.lost)).min(USUAL_MOST);
         }
     }
 
--- a/crates/waydoor/src/state.rs
+++ b/crates/waydoor/src/state.rs
@@ -126,6 +126,8 @@
     pub(crate) lane: Lane,
     pub(crate) endpoints: BTreeSet<EndpointId>,
     pub(crate) held: BTreeSet<MessageId>,
+    /// Those of them that must not run twice.
+    pub(crate) risky: usize,
     /// Messages that come for it.
     pub(crate) demand: Rate,
     pub(crate) kind: usize,
@@ -225,6 +227,7 @@
             lane: Lane::new(rate, latency),
             endpoints: BTreeSet::new(),
             held: BTreeSet::new(),
+            risky: 0,
             demand: Rate::default(),
             kind,
             apart: traits.routes_apart,
@@ -393,8 +396,9 @@
     pub(crate) fn hold(&mut self, message: &Message) {
         self.waiting.insert(message.destination);
         self.review.push(message.id);
-        let destination = self.destinations.get_mut(&message.destination);
-        destination.map(|destination| destination.held.insert(message.id));
+        let Some(destination) = self.destinations.get_mut(&message.destination) else { return };
+        let risky = self.settings.classes.get(message.class).is_some_and(|c| c.effect == Effect::Unsafe);
+        destination.risky += usize::from(destination.held.insert(message.id) && risky);
     }
 
     /// Takes a message from the held ones.
@@ -402,7 +406,9 @@
         let Some(parcel) = self.parcels.get(&id) else { return };
         let number = parcel.message.destination;
         let Some(destination) = self.destinations.get_mut(&number) else { return };
-        destination.held.remove(&id);
+        let risky =
+            self.settings.classes.get(parcel.message.class).is_some_and(|c| c.effect == Effect::Unsafe);
+        destination.risky -= usize::from(destination.held.remove(&id) && risky);
         if destination.held.is_empty() {
             self.waiting.remove(&number);
             // Nothing is kept of a destination that was never listed.
--- a/crates/waydoor/tests/rules.rs
+++ b/crates/waydoor/tests/rules.rs
@@ -832,3 +832,59 @@
     let sent: Vec<_> = stage.until(opens + 0.5).into_iter().map(|(_, sent)| sent.id).collect();
     assert_eq!(sent.first(), Some(&3), "the first of those that have the time: {sent:?}");
 }
+
+#[test]
+fn unsafe_messages_are_not_held_back_for_long_once_a_place_is_back() {
+    // Only unsafe ones go there: nothing else would lower its share of failures.
+    let mut stage = Stage::new(Settings { probes: false, ..settings() });
+    for id in 1..9 {
+        stage.take(id, 2, 1);
+    }
+    let out = stage.round();
+    stage.now += 0.1;
+    out.iter().for_each(|sent| stage.end(sent.id, 1, 0, Outcome::Error, 0.1));
+    stage.round();
+    // The next one is the trial, and served: the place is back.
+    stage.take(20, 2, 1);
+    let (at, trial) = stage.until(stage.now + 6.0)[0];
+    stage.now = at + 0.1;
+    stage.end(trial.id, 1, 0, Outcome::Served, 0.1);
+    stage.take(21, 2, 1);
+    let taken = stage.now;
+    let sent = stage.until(taken + 6.0);
+    assert!(sent.first().is_some_and(|(at, _)| *at < taken + 3.0), "its aim is 2 s: {sent:?}");
+}
+
+#[test]
+fn what_a_place_loses_for_long_is_not_usual_beyond_a_fifth() {
+    let mut stage = Stage::new(settings());
+    let mut id = 0;
+    let mut visit = |stage: &mut Stage, outcome: Outcome| {
+        id += 1;
+        stage.take(id, 0, 1);
+        let taken = stage.now;
+        while stage.round().is_empty() {
+            stage.now += 0.05;
+            assert!(stage.now < taken + 6.0, "message {id}");
+        }
+        let waited = stage.now - taken;
+        stage.now += 0.1;
+        stage.end(id, 1, 0, outcome, 0.1);
+        stage.event(Event::Withdrawn(MessageId(id)));
+        stage.round();
+        // A place that is out is tried after a while.
+        waited > 0.2
+    };
+    // It loses more and more, so slowly that each share comes to look usual.
+    for served in [9, 6, 4, 3, 2, 2, 1, 1] {
+        for _ in 0..120 {
+            (0..served).for_each(|_| drop(visit(&mut stage, Outcome::Served)));
+            visit(&mut stage, Outcome::Error);
+        }
+    }
+    visit(&mut stage, Outcome::Served);
+    stage.now += 15.0;
+    (0..2).for_each(|_| drop(visit(&mut stage, Outcome::Served)));
+    let row = (0..20).find(|_| visit(&mut stage, Outcome::Error));
+    assert!(row.is_some_and(|row| row <= 4), "out after a row of four at the latest: {row:?}");
+}
