--- a/crates/fawnspoke/tests/sockets/main.rs
+++ b/crates/fawnspoke/tests/sockets/main.rs
@@ -191,6 +191,21 @@
     assert_eq!(endpoint.seen().len(), 2);
 }
 
+#[test]
+fn a_notice_that_nobody_answers_goes_again_before_it_is_overdue() {
+    let (endpoint, platform) = (Endpoint::start(|_, _| Reply::Break), Platform::start());
+    let dispatcher = Dispatcher::started(&platform, &[endpoint.host("e", 7, "up")]);
+    assert_eq!(dispatcher.hand_in("unsafe", "m1", 7), 202);
+    eventually("the first notice", || platform.told("m1") == ["given_up"]);
+    // Three are lost, the first of them on the connection that is kept.
+    platform.set(|mood| mood.deaf = 3);
+    let begun = std::time::Instant::now();
+    assert_eq!(dispatcher.hand_in("unsafe", "m2", 7), 202);
+    eventually("the second notice", || platform.told("m2") == ["given_up"]);
+    // 0.2, 0.4 and 0.8 s, with short pauses; a second each time would be 3.3 s.
+    assert!(begun.elapsed().as_secs_f64() < 3.0, "{:?}", begun.elapsed());
+}
+
 #[test]
 fn killed_with_a_notice_unanswered() {
     let (endpoint, platform) = (Endpoint::start(|_, _| Reply::Break), Platform::start());
--- a/crates/lab/src/platform.rs
+++ b/crates/lab/src/platform.rs
@@ -77,13 +77,16 @@
     pub torn: bool,
     /// What a notice is answered.
     pub notice_status: u16,
+    /// So many requests with notices are lost: read, and never answered on a connection that stays open.
+    pub deaf: usize,
     /// Watches get an empty line every 2 s.
     pub heartbeats: bool,
 }
 
 impl Default for Mood {
     fn default() -> Mood {
-        Mood { silent: false, late: Duration::ZERO, torn: false, notice_status: 204, heartbeats: true }
+        let (silent, torn, deaf, heartbeats) = (false, false, 0, true);
+        Mood { silent, late: Duration::ZERO, torn, notice_status: 204, deaf, heartbeats }
     }
 }
 
@@ -322,6 +325,10 @@
 }
 
 async fn notices(shared: &Shared, dispatcher: usize, wire: &mut Wire, request: &Http) -> io::Result<()> {
+    if shared.mood.borrow().deaf > 0 {
+        shared.mood.send_modify(|mood| mood.deaf = mood.deaf.saturating_sub(1));
+        return Ok(());
+    }
     let text = request.text();
     let read: Result<Vec<Notice>, _> =
         text.lines().filter(|line| !line.trim().is_empty()).map(serde_json::from_str).collect();
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -16,6 +16,10 @@
 const SILENCE: Duration = Duration::from_millis(4500);
 /// An agent on this machine answers at once or is down, and so does the platform when a notice comes.
 const ANSWER: Duration = Duration::from_secs(1);
+/// The first notice that is not answered by then goes again, on another connection: the one that is kept may have died
+/// unseen, and a notice is overdue 0.3 s after its message's time. Each failure doubles it up to `ANSWER`. Once more does
+/// no harm.
+const NOTICE_ANSWER: Duration = Duration::from_millis(200);
 const BACKOFF: Duration = Duration::from_millis(100);
 const BACKOFF_MOST: Duration = Duration::from_secs(1);
 /// A longer line is no list.
@@ -128,6 +132,7 @@
     let mut link = None;
     let mut backoff = BACKOFF;
     let mut at_once = NOTICES;
+    let mut patience = NOTICE_ANSWER;
     loop {
         let owed = node.journal.borrow().owed(at_once);
         if owed.is_empty() {
@@ -135,17 +140,18 @@
             continue;
         }
         let at = *moved.borrow_and_update();
+        let kept = link.is_some();
         let answered = tokio::select! {
-            answered = post(at, &mut link, &owed) => answered,
+            answered = post(at, &mut link, &owed, patience) => answered,
             // What the old address has heard already does no harm at the new one.
             _ = moved.changed() => {
-                (link, backoff) = (None, BACKOFF);
+                (link, backoff, patience) = (None, BACKOFF, NOTICE_ANSWER);
                 continue;
             }
         };
         match answered {
             Ok(StatusCode::NO_CONTENT) => {
-                (backoff, at_once) = (BACKOFF, NOTICES);
+                (backoff, at_once, patience) = (BACKOFF, NOTICES, NOTICE_ANSWER);
                 for (number, ..) in owed {
                     node.record(node.journal.borrow_mut().over(number));
                 }
@@ -162,7 +168,15 @@
                 continue;
             }
             Ok(status) => log::line(format_args!("notices: answered {status}")),
-            Err(error) => log::line(format_args!("notices: {error}")),
+            Err(error) => {
+                log::line(format_args!("notices: {error}"));
+                patience = (patience * 2).min(ANSWER);
+                // A new connection may do at once what the kept one did not.
+                if kept {
+                    link = None;
+                    continue;
+                }
+            }
         }
         link = None;
         let _ = timeout(backoff, moved.wait_for(|now| *now != at)).await;
@@ -173,7 +187,7 @@
 /// One request with notices, over the connection that is kept from the last one where it is to the same
 /// address.
 async fn post(
-    at: SocketAddr, kept: &mut Option<(SocketAddr, Link)>, owed: &[(u64, String, Notice)],
+    at: SocketAddr, kept: &mut Option<(SocketAddr, Link)>, owed: &[(u64, String, Notice)], patience: Duration,
 ) -> Result<StatusCode, Failure> {
     let mut lines = Vec::new();
     for (_, id, notice) in owed {
@@ -186,7 +200,7 @@
         serde_json::to_writer(&mut lines, &line)?;
         lines.push(b'\n');
     }
-    let until = Instant::now() + ANSWER;
+    let until = Instant::now() + patience;
     let mut link = match kept.take() {
         Some((to, link)) if to == at && link.sound() => link,
         _ => timeout_at(until, calls::connect(at)).await??,
