--- a/crates/fawnspoke/src/main.rs
+++ b/crates/fawnspoke/src/main.rs
@@ -125,6 +125,17 @@
         #[arg(long, default_value_t = 5.0, value_parser = seconds)]
         every: f64,
     },
+    /// Tell what a fleet lost by destination: room unused while messages were held, refusals by meaning, returns
+    Losses {
+        /// The folder of its logs, a file *.log each
+        logs: PathBuf,
+        /// The folder of an earlier play, to stand beside it
+        #[arg(long)]
+        before: Option<PathBuf>,
+        /// As JSON
+        #[arg(long)]
+        json: bool,
+    },
     /// Run the plain proxy that the bench compares with
     #[command(hide = true)]
     Proxy {
@@ -202,6 +213,7 @@
             command::bench(&Settings { seconds, body, connections, slots, tick_ms, program })
         }
         Command::Lab(Lab::Fleet { logs, every }) => command::fleet(&logs, every),
+        Command::Lab(Lab::Losses { logs, before, json }) => command::losses(&logs, before.as_deref(), json),
         Command::Lab(Lab::Proxy { listen, to }) => command::proxy(listen, to),
         Command::Lab(Lab::Naive { fault }) => command::naive(&fault),
         Command::Journal(asked) => match journal(&asked) {
--- a/crates/lab/src/command.rs
+++ b/crates/lab/src/command.rs
@@ -7,7 +7,7 @@
 use crate::run::{self, Options};
 use crate::scenario::Scenario;
 use crate::script::Script;
-use crate::{bench, fleet, naive, proxy, table};
+use crate::{bench, fleet, loss, naive, proxy, table};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -99,6 +99,22 @@
     }
 }
 
+/// What a fleet lost by destination, by the second; beside another folder's, where one is given.
+pub fn losses(folder: &Path, before: Option<&Path>, json: bool) -> ExitCode {
+    const SPAN: f64 = 1.0;
+    let read = |folder: &Path| Ok::<_, String>(loss::losses(&fleet::Fleet::read(folder, SPAN)?, SPAN));
+    let (after, before) = match (read(folder), before.map(read).transpose()) {
+        (Ok(after), Ok(before)) => (after, before),
+        (Err(error), _) | (_, Err(error)) => return wrong(error),
+    };
+    if json {
+        println!("{}", serde_json::json!({ "before": before, "after": after }));
+    } else {
+        print!("{}", loss::text(before.as_ref(), &after));
+    }
+    ExitCode::SUCCESS
+}
+
 /// Runs the naive dispatcher with a fault.
 pub fn naive(fault: &str) -> ExitCode {
     let Ok(fault) = fault.parse::<naive::Fault>() else { return wrong(naive::Fault::EXPECTED) };
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,7 +6,7 @@
 //! - [`record`]: what the stand-ins of a run saw. [`auditor`] judges it; it shares no code with the dispatcher.
 //! - [`stage`]: the stand-ins for tests that are not asynchronous.
 //! - [`mod@bench`]: throughput and latency beside a plain [`proxy`].
-//! - [`fleet`]: the sums over all dispatchers' logs.
+//! - [`fleet`]: the sums over all dispatchers' logs; [`loss`]: what they say was lost, and to what.
 //! - [`naive`]: a dispatcher that breaks rules on purpose.
 
 pub mod auditor;
@@ -18,6 +18,7 @@
 pub mod http;
 pub mod killer;
 pub mod ledger;
+pub mod loss;
 pub mod naive;
 pub mod partner;
 pub mod platform;
--- a/crates/node/src/counts.rs
+++ b/crates/node/src/counts.rs
@@ -9,13 +9,18 @@
 
 /// Destinations in one line; the others of that second are summed up as `rest`.
 const PLACES: usize = 64;
+/// A refusal with less left than this of a limit comes from the limit, one with more than that does not.
+const LEFT_NONE: f64 = 0.2;
+const LEFT_MOST: f64 = 0.8;
 /// What is counted, by the names that the line uses.
-const NAMES: [&str; 16] = [
+const NAMES: [&str; 18] = [
     "taken",
     "calls",
     "messages",
     "served",
     "full",
+    "full_used",
+    "full_shut",
     "lost",
     "unconnected",
     "connects",
@@ -42,6 +47,10 @@
     pub served: u64,
     /// Calls that were turned away.
     pub full: u64,
+    /// Those of them that told that nothing was left of the limit ...
+    pub full_used: u64,
+    /// ... and those that told that nearly all was: shut, its queue full, cold or short of connections.
+    pub full_shut: u64,
     /// Calls that failed otherwise.
     pub lost: u64,
     /// Calls that could not connect.
@@ -67,8 +76,9 @@
 }
 
 impl Count {
-    fn figures(&self) -> [u64; 16] {
+    fn figures(&self) -> [u64; 18] {
         let Count { taken, calls, messages, served, full, lost, unconnected, connects, .. } = *self;
+        let Count { full_used, full_shut, .. } = *self;
         let Count { probes, back, given_up, held, oldest_ms, reports, left_pct, limit, .. } = *self;
         [
             taken,
@@ -76,6 +86,8 @@
             messages,
             served,
             full,
+            full_used,
+            full_shut,
             lost,
             unconnected,
             connects,
@@ -96,6 +108,8 @@
         self.messages += other.messages;
         self.served += other.served;
         self.full += other.full;
+        self.full_used += other.full_used;
+        self.full_shut += other.full_shut;
         self.lost += other.lost;
         self.unconnected += other.unconnected;
         self.connects += other.connects;
@@ -134,7 +148,12 @@
             }
             count.connects += u64::from(!end.reused && last != Some(Outcome::NoConnection));
             match last {
-                Some(Outcome::Full) => count.full += 1,
+                Some(Outcome::Full) => {
+                    let left = end.allowance.and_then(|told| told.left);
+                    count.full += 1;
+                    count.full_used += u64::from(left.is_some_and(|left| left < LEFT_NONE));
+                    count.full_shut += u64::from(left.is_some_and(|left| left >= LEFT_MOST));
+                }
                 Some(Outcome::NoConnection) => count.unconnected += 1,
                 Some(Outcome::Served | Outcome::Moot) | None => {}
                 Some(_) => count.lost += 1,
--- a/crates/waydoor/tests/rules.rs
+++ b/crates/waydoor/tests/rules.rs
@@ -878,13 +878,16 @@
     // It loses more and more, so slowly that each share comes to look usual.
     for served in [9, 6, 4, 3, 2, 2, 1, 1] {
         for _ in 0..120 {
-            (0..served).for_each(|_| drop(visit(&mut stage, Outcome::Served)));
+            for _ in 0..served {
+                visit(&mut stage, Outcome::Served);
+            }
             visit(&mut stage, Outcome::Error);
         }
     }
     visit(&mut stage, Outcome::Served);
     stage.now += 15.0;
-    (0..2).for_each(|_| drop(visit(&mut stage, Outcome::Served)));
+    visit(&mut stage, Outcome::Served);
+    visit(&mut stage, Outcome::Served);
     let row = (0..20).find(|_| visit(&mut stage, Outcome::Error));
     assert!(row.is_some_and(|row| row <= 4), "out after a row of four at the latest: {row:?}");
 }
