--- a/crates/waydoor/tests/common/fleet.rs
+++ b/crates/waydoor/tests/common/fleet.rs
@@ -28,7 +28,15 @@
 /// Plays a fleet of `n` against one destination of two endpoints; messages come evenly to all that live, at random
 /// times. `alive`: whether a dispatcher lives then. Sums are taken from `from` on.
 pub fn play(
-    n: usize, seed: u64, (rate, listed): (f64, f64), (from, until): (f64, f64),
+    n: usize, seed: u64, (rate, listed): (f64, f64), span: (f64, f64), alive: &dyn Fn(f64, usize) -> bool,
+    place: Place,
+) -> Sums {
+    play_load(n, seed, (&|_| rate, listed), span, alive, place)
+}
+
+/// The same with messages at a rate that changes with time.
+pub fn play_load(
+    n: usize, seed: u64, (rate, listed): (&dyn Fn(f64) -> f64, f64), (from, until): (f64, f64),
     alive: &dyn Fn(f64, usize) -> bool, place: Place,
 ) -> Sums {
     let own = Settings { dispatchers: n as u32, slots: 40, keepalive: Some(15.0), ..settings() };
@@ -49,7 +57,7 @@
         let now = step as f64 * STEP;
         let counted = now >= from;
         let living: Vec<usize> = (0..n).filter(|i| alive(now, *i)).collect();
-        let mut due = rate * STEP;
+        let mut due = rate(now) * STEP;
         while rng.f64() < due {
             due -= 1.0;
             id += 1;
--- a/crates/waydoor/tests/fleet.rs
+++ b/crates/waydoor/tests/fleet.rs
@@ -154,6 +154,19 @@
     }
 }
 
+#[test]
+fn a_pace_that_was_not_used_does_not_meet_a_clump() {
+    // Long under the limit, with all of it told to be left; then a clump for all.
+    for n in [100, 200] {
+        let load = |now: f64| if now < 30.0 { 15.0 } else { 240.0 };
+        let (all, told) = (|_: f64, _: usize| true, Some(Allowance { rate: 60.0, left: Some(0.95) }));
+        let sums = play_load(n, 1, (&load, 60.0), (30.0, 34.0), &all, &mut |_, _| (Outcome::Served, told));
+        // The reports tell of room all the time, and paces may grow by it; one that had grown before sends nearly all at once.
+        assert!(sums.calls as f64 <= 2.5 * 60.0 * 4.0, "{n} dispatchers: {sums:?}");
+        assert!(sums.calls as f64 >= 0.8 * 60.0 * 4.0, "{n} dispatchers: {sums:?}");
+    }
+}
+
 #[test]
 fn a_few_dispatchers_are_paced_by_refusals_alone() {
     // A clamp meant for a fleet once gave each of three 0.6 of the whole limit.
