--- /dev/null
+++ b/crates/control/src/door.rs
@@ -0,0 +1,163 @@
+//! The shell: listens on a thread of its own, so that an answer waits for no round, no journal and no start.
+
+use crate::figures::Figures;
+use crate::orders::{Kind, Subject};
+use crate::protocol::{Call, Decoder, END_OF_FIGURES, no, yes};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::{Notify, oneshot};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{sleep, timeout};
+
+/// Descriptors of the door: its callers', its listener's and its runtime's.
+pub const DESCRIPTORS: usize = CALLERS_MOST + ANSWERED_MOST + 6;
+/// Callers at once. One that has said nothing whole leaves when the next one comes.
+pub const CALLERS_MOST: usize = 16;
+/// Callers beyond those: all of them have said what they want, and are being answered.
+const ANSWERED_MOST: usize = 16;
+/// A call is whole by then.
+const CALL_TIME: Duration = Duration::from_secs(2);
+/// The dispatcher's thread has said yes or no to an order by then, or the answer is no: it may be carried out later.
+const ORDER_TIME: Duration = Duration::from_millis(800);
+/// A caller has read its answer by then.
+const ANSWER_TIME: Duration = Duration::from_secs(2);
+/// The thread's stack, in bytes.
+const STACK: usize = 256 << 10;
+/// After a failed accept.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// An order for the dispatcher's thread.
+#[derive(Debug)]
+pub struct Order {
+    /// What it is about.
+    pub subject: Subject,
+    /// Given, or called back.
+    pub given: bool,
+    /// Where the answer goes: a yes or a no with its text.
+    pub answer: oneshot::Sender<Result<String, String>>,
+}
+
+/// Opens the door; it stays open as long as the process.
+///
+/// # Errors
+/// Where the address can't be listened at, or no thread be started.
+pub fn open(at: SocketAddr, figures: Arc<Figures>, orders: UnboundedSender<Order>) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind(at)?;
+    listener.set_nonblocking(true)?;
+    let at = listener.local_addr()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    std::thread::Builder::new().name("door".into()).stack_size(STACK).spawn(move || {
+        let door = Rc::new(Door { figures, orders, waiting: RefCell::default(), callers: Cell::new(0) });
+        LocalSet::new().block_on(&runtime, async {
+            match tokio::net::TcpListener::from_std(listener) {
+                Ok(listener) => door.serve(listener).await,
+                Err(error) => println!("door: {error}"),
+            }
+        });
+    })?;
+    Ok(at)
+}
+
+struct Door {
+    figures: Arc<Figures>,
+    orders: UnboundedSender<Order>,
+    /// Callers that have said nothing whole, the oldest first.
+    waiting: RefCell<VecDeque<Rc<Notify>>>,
+    callers: Cell<usize>,
+}
+
+impl Door {
+    async fn serve(self: Rc<Self>, listener: tokio::net::TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    if self.callers.get() >= CALLERS_MOST {
+                        match self.waiting.borrow_mut().pop_front() {
+                            Some(oldest) => oldest.notify_one(),
+                            None if self.callers.get() >= CALLERS_MOST + ANSWERED_MOST => continue,
+                            None => {}
+                        }
+                    }
+                    self.callers.set(self.callers.get() + 1);
+                    let door = self.clone();
+                    spawn_local(async move {
+                        // A caller that breaks off is its own affair.
+                        let _ = door.caller(stream).await;
+                        door.callers.set(door.callers.get() - 1);
+                    });
+                }
+                Err(error) => {
+                    println!("door: accept: {error}");
+                    sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn caller(&self, mut stream: TcpStream) -> io::Result<()> {
+        let leave = Rc::new(Notify::new());
+        self.waiting.borrow_mut().push_back(leave.clone());
+        let call = tokio::select! {
+            call = timeout(CALL_TIME, read(&mut stream)) => Some(call),
+            () = leave.notified() => None,
+        };
+        self.waiting.borrow_mut().retain(|waiting| !Rc::ptr_eq(waiting, &leave));
+        let answer = match call {
+            None => no("too many callers that say nothing"),
+            Some(Err(_)) => no("no whole line within 2 s"),
+            Some(Ok(call)) => match call? {
+                Ok(call) => self.answer(call).await,
+                Err(malformed) => no(malformed),
+            },
+        };
+        timeout(ANSWER_TIME, async {
+            stream.write_all(answer.as_bytes()).await?;
+            stream.shutdown().await
+        })
+        .await?
+    }
+
+    async fn answer(&self, call: Call) -> String {
+        let (id, given) = match call {
+            Call::Status if self.figures.ready() => return yes("serving"),
+            Call::Status => return no("not serving"),
+            Call::Metrics => return format!("{}{END_OF_FIGURES}\n", self.figures.lines()),
+            Call::Suspend(id) => (id, true),
+            Call::Restore(id) => (id, false),
+        };
+        let (answer, answered) = oneshot::channel();
+        let order = Order { subject: Subject { kind: Kind::Hold, id }, given, answer };
+        if self.orders.send(order).is_err() {
+            return no("this process takes no orders any more");
+        }
+        match timeout(ORDER_TIME, answered).await {
+            Ok(Ok(Ok(text))) => yes(text),
+            Ok(Ok(Err(text))) => no(text),
+            Ok(Err(_)) => no("this process takes no orders any more"),
+            Err(_) => no("not carried out within 0.8 s; it may be yet"),
+        }
+    }
+}
+
+type Read = Result<Call, crate::protocol::Malformed>;
+
+async fn read(stream: &mut TcpStream) -> io::Result<Read> {
+    let (mut decoder, mut bytes) = (Decoder::default(), [0; 1024]);
+    loop {
+        let read = stream.read(&mut bytes).await?;
+        if read == 0 {
+            return Ok(Err(decoder.end()));
+        }
+        if let Some(call) = decoder.feed(&bytes[..read]) {
+            return Ok(call);
+        }
+    }
+}
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -2,6 +2,7 @@
 
 use crate::wire::{Head, Unread, Wire};
 use crate::{Node, log};
+use fawnspoke_control::figures::Figures;
 use fawnspoke_journal::Handed;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
@@ -15,6 +16,7 @@
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -48,6 +50,10 @@
     ended: Cell<bool>,
     /// A write has failed.
     unwritten: Cell<bool>,
+    /// Bytes went to the socket since the last flush; once it is flushed, a request is written whole.
+    wrote: Cell<bool>,
+    /// Who counts the messages of the request that is being written.
+    relays: RefCell<Option<(Arc<Figures>, u64)>>,
 }
 
 impl Heard {
@@ -55,6 +61,16 @@
         self.head.take();
         self.first_at.set(None);
         self.unwritten.set(false);
+        self.wrote.set(false);
+    }
+
+    /// hyper flushes once it has nothing more to write: the request is with the socket whole.
+    fn flushed(&self) {
+        if self.wrote.take()
+            && let Some((figures, messages)) = self.relays.take()
+        {
+            figures.relayed(messages);
+        }
     }
 
     fn follow(&self, bytes: &[u8]) {
@@ -94,8 +110,10 @@
 
 impl Line {
     fn note(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if matches!(written, Poll::Ready(Err(_))) {
-            self.heard.unwritten.set(true);
+        match written {
+            Poll::Ready(Ok(1..)) => self.heard.wrote.set(true),
+            Poll::Ready(Err(_)) => self.heard.unwritten.set(true),
+            _ => {}
         }
         written
     }
@@ -119,6 +137,7 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.heard.flushed();
         Pin::new(&mut self.wire).poll_flush(cx)
     }
 
@@ -280,9 +299,7 @@
     let open = || node.directory.borrow().open(endpoint, at, dest);
     let mut reused = false;
     let answer = match request(call) {
-        Ok(request) => {
-            exchange(node, (endpoint, at), request, until, &open, items.len() > 1, &mut reused).await
-        }
+        Ok(request) => exchange(node, (endpoint, at), request, until, &open, items.len(), &mut reused).await,
         Err(error) => {
             log::line(format_args!("call to {at}: cannot be written: {error}"));
             Err(Outcome::Error)
@@ -332,7 +349,7 @@
     let request = Request::get("/health/live").header("Host", place.dial.to_string()).body(Full::default());
     let Ok(request) = request else { return (Outcome::Moot, None) };
     let open = || node.directory.borrow().open(endpoint, place.dial, place.dest);
-    match exchange(node, (endpoint, place.dial), request, until, &open, false, &mut false).await {
+    match exchange(node, (endpoint, place.dial), request, until, &open, 0, &mut false).await {
         Err(outcome) => (outcome, None),
         Ok(answer) if answer.body.is_none() => (Outcome::Spoilt, None),
         Ok(answer) => {
@@ -356,11 +373,11 @@
     kept: bool,
 }
 
-/// One request and its answer. An error tells whether the request may have run. `told`: the body of an answer
-/// with 200 tells something.
+/// One request and its answer. An error tells whether the request may have run. `messages`: how many it carries; of
+/// several the body of an answer with 200 tells something.
 async fn exchange(
     node: &Node, (endpoint, at): (EndpointId, SocketAddr), mut request: Request<Full<Bytes>>, until: Instant,
-    open: &dyn Fn() -> bool, told: bool, reused: &mut bool,
+    open: &dyn Fn() -> bool, messages: usize, reused: &mut bool,
 ) -> Result<Answer, Outcome> {
     loop {
         let mut link;
@@ -386,6 +403,7 @@
         }
         let sent_at = Instant::now();
         link.heard.clear();
+        link.heard.relays.replace((messages > 0).then(|| (node.figures.clone(), messages as u64)));
         let heard = link.heard.clone();
         let mut sent = pin!(link.sender.try_send_request(request));
         let answer = loop {
@@ -399,7 +417,7 @@
             }
         };
         let outcome = match answer {
-            Ok(Ok(answer)) => return Ok(rest(node, endpoint, link, answer, told).await),
+            Ok(Ok(answer)) => return Ok(rest(node, endpoint, link, answer, messages > 1).await),
             Ok(Err(mut error)) => match error.take_message() {
                 // An idle connection that was closed meanwhile: no byte was written, so this is no resend.
                 Some(unsent) if *reused => {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,6 +1,7 @@
 //! The configuration: one JSON file and a few variables, checked once at the start.
 
 use crate::{clients, intake};
+use fawnspoke_control::{door, record};
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -13,6 +14,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call, where they do.
+    pub control: Option<SocketAddr>,
     pub state: PathBuf,
     pub seed: u64,
     pub limits: Limits,
@@ -38,6 +41,16 @@
     pub memory_mb: f64,
     pub sockets: usize,
     pub disk_mb: f64,
+    /// Descriptors and bytes on disk that other parts of the process take.
+    #[serde(skip)]
+    pub taken: Taken,
+}
+
+/// What the journal, clients and calls can't have.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Taken {
+    pub descriptors: usize,
+    pub disk: u64,
 }
 
 impl Limits {
@@ -53,7 +66,7 @@
     pub fn clients(&self) -> usize {
         let each = (clients::HEAD_MOST + intake::BODY_MOST) as f64;
         let read_at_once = (self.memory_mb * 1e6 * Limits::READING / each) as usize;
-        (self.sockets.saturating_sub(Limits::OWN) / 2).min(read_at_once).max(1)
+        (self.sockets.saturating_sub(self.own()) / 2).min(read_at_once).max(1)
     }
 
     /// Connections of clients on which no request is owed. Guards against clients that ask once and keep their
@@ -65,7 +78,16 @@
 
     /// Calls that may be out at once: clients leave room for so many connections.
     fn calls(&self) -> usize {
-        self.sockets.saturating_sub(Limits::OWN + self.clients()).max(1)
+        self.sockets.saturating_sub(self.own() + self.clients()).max(1)
+    }
+
+    fn own(&self) -> usize {
+        Limits::OWN + self.taken.descriptors
+    }
+
+    /// Bytes that the journal may take on disk.
+    pub fn journal(&self) -> u64 {
+        ((self.disk_mb * 1e6) as u64).saturating_sub(self.taken.disk)
     }
 
     /// Idle connections to endpoints: what all calls leave.
@@ -79,6 +101,7 @@
     name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
+    control: Option<SocketAddr>,
     seed: String,
     limits: Limits,
     settings: RawSettings,
@@ -200,19 +223,28 @@
         let path = std::env::var("GW_CONFIG").map_err(|_| "GW_CONFIG: not set".to_string())?;
         let text = std::fs::read(&path).map_err(|error| format!("GW_CONFIG: {path}: {error}"))?;
         let state = std::env::var_os("GW_STATE").ok_or("GW_STATE: not set")?;
-        Config::read(&text, state.into())
+        let control = match std::env::var("GW_CONTROL") {
+            Ok(at) => Some(at.parse().map_err(|error| format!("GW_CONTROL: {at}: {error}"))?),
+            Err(_) => None,
+        };
+        Config::read(&text, state.into(), control)
     }
 
     /// Reads a configuration that is not to be run: it has no folder.
     pub fn from_file(file: &Path) -> Result<Config, String> {
         let text = std::fs::read(file).map_err(|error| error.to_string())?;
-        Config::read(&text, PathBuf::new())
+        Config::read(&text, PathBuf::new(), None)
     }
 
-    fn read(text: &[u8], state: PathBuf) -> Result<Config, String> {
+    /// `control`: the door's address by the environment, which is this process's own; the file may be another's too.
+    fn read(text: &[u8], state: PathBuf, control: Option<SocketAddr>) -> Result<Config, String> {
         let mut reader = serde_json::Deserializer::from_slice(text);
-        let raw: Raw = serde_path_to_error::deserialize(&mut reader)
+        let mut raw: Raw = serde_path_to_error::deserialize(&mut reader)
             .map_err(|error| format!("{}: {}", error.path(), error.inner()))?;
+        let control = control.or(raw.control);
+        if control.is_some() {
+            raw.limits.taken = Taken { descriptors: door::DESCRIPTORS, disk: record::BYTES_MOST };
+        }
         let seed = u64::from_str_radix(&raw.seed, 16).map_err(|error| format!("seed: {error}"))?;
         let given = raw.settings;
         let mut classes = Vec::new();
@@ -295,6 +327,7 @@
             name: raw.name,
             listen: raw.listen,
             discovery: raw.discovery,
+            control,
             state,
             seed,
             limits: raw.limits,
@@ -316,7 +349,9 @@
     pub fn differences(&self, other: &Config) -> Vec<String> {
         let mut keys = Vec::new();
         differences("", &self.file, &other.file, &mut keys);
-        keys.retain(|key| !["discovery", "seed"].contains(&key.as_str()) && !key.starts_with("known."));
+        keys.retain(|key| {
+            !["control", "discovery", "seed"].contains(&key.as_str()) && !key.starts_with("known.")
+        });
         keys
     }
 }
--- /dev/null
+++ b/crates/node/src/control.rs
@@ -0,0 +1,96 @@
+//! Where the operators' door meets the dispatcher: orders are put on record and carried out, gauges read.
+
+use crate::{Node, log};
+use fawnspoke_control::door::Order;
+use fawnspoke_control::figures::Gauges;
+use fawnspoke_control::orders::{Change, Orders, Step};
+use fawnspoke_control::record::File;
+use std::cell::RefCell;
+use std::path::Path;
+use std::rc::Rc;
+use tokio::sync::mpsc::UnboundedReceiver;
+use waydoor::Event;
+
+/// The orders in force, and where they are on record.
+pub struct Control {
+    orders: RefCell<Orders>,
+    file: File,
+}
+
+impl Control {
+    /// Orders that an earlier life left. One that can't be read is said, and holds nothing: the dispatcher serves.
+    pub fn open(folder: &Path) -> Control {
+        let file = File::new(folder);
+        let orders = file.read().unwrap_or_else(|error| {
+            log::line(format_args!("orders: {error}; none is in force"));
+            Orders::default()
+        });
+        for (id, _) in orders.held() {
+            println!("orders: {id} is out by hand");
+        }
+        Control { orders: RefCell::new(orders), file }
+    }
+
+    /// Whether an endpoint is out by hand.
+    pub fn holds(&self, host: &str) -> bool {
+        self.orders.borrow().holds(host)
+    }
+}
+
+/// Carries out what operators order, for as long as the process runs.
+pub async fn obey(node: Rc<Node>, mut orders: UnboundedReceiver<Order>) {
+    while let Some(order) = orders.recv().await {
+        let answer = carry_out(&node, &order);
+        // A caller that has left was told that it may be carried out yet.
+        let _ = order.answer.send(answer);
+    }
+}
+
+fn carry_out(node: &Node, order: &Order) -> Result<String, String> {
+    let control = &node.control;
+    let id = &order.subject.id;
+    let known = node.directory.borrow().ever_listed(id);
+    let now = node.unix_now() / 1000;
+    let (step, record) = {
+        let mut orders = control.orders.borrow_mut();
+        let step = match order.given {
+            true => orders.give(order.subject.clone(), known, now),
+            false => orders.call_back(&order.subject, known),
+        };
+        (step, matches!(step, Step::Changes(_)).then(|| control.file.write(&orders)))
+    };
+    match step {
+        Step::Stands if order.given => return Ok(format!("{id} is out already")),
+        Step::Stands => return Ok(format!("{id} may serve")),
+        Step::Refused(refusal) => return Err(refusal.to_string()),
+        Step::Changes(change) => {
+            let entry = node.directory.borrow_mut().hold(id, change == Change::Began);
+            if let Some(entry) = entry {
+                node.tell(Event::ListChanged(vec![entry]));
+                match change {
+                    Change::Began => node.pool.close(entry.endpoint),
+                    // It was restarted meanwhile.
+                    Change::Ended => node.tell(Event::Restarted(entry.endpoint)),
+                }
+            }
+            log::line(format_args!("orders: {id} {}", if order.given { "out by hand" } else { "may serve" }));
+        }
+    }
+    match record {
+        Some(Err(error)) => Err(format!("in force, but not on record, and gone with this process: {error}")),
+        _ if order.given => Ok(format!("{id} is out until RESTORE")),
+        _ => Ok(format!("{id} may serve, cold at first")),
+    }
+}
+
+/// How things are now.
+pub fn gauges(node: &Node) -> Gauges {
+    let (directory, dispatcher) = (node.directory.borrow(), node.dispatcher.borrow());
+    let now = node.now();
+    let (mut listed, mut avoided) = (0, 0);
+    for (endpoint, ready) in directory.listed() {
+        listed += 1;
+        avoided += u64::from(!ready || dispatcher.avoids(now, endpoint));
+    }
+    Gauges { open: node.journal.borrow().open_messages() as u64, listed, avoided }
+}
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -3,7 +3,7 @@
 use crate::log;
 use serde::Deserialize;
 use serde_json::Value;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use waydoor::{DestinationId, EndpointId, Entry, Event, Listed};
 
@@ -16,6 +16,34 @@
     pub kind: usize,
     pub zone: u16,
     pub ready: bool,
+    /// What the list says of it, an order of operators aside.
+    up: bool,
+    rate: f64,
+}
+
+/// Names of endpoints that lists have told; beyond this many the oldest is forgotten.
+const NAMES_MOST: usize = 1024;
+
+/// Who was ever listed, as far as that is remembered.
+#[derive(Default)]
+struct Names {
+    known: HashSet<String>,
+    order: VecDeque<String>,
+}
+
+impl Names {
+    fn add(&mut self, name: &str) {
+        if self.known.contains(name) {
+            return;
+        }
+        self.known.insert(name.to_string());
+        self.order.push_back(name.to_string());
+        if self.order.len() > NAMES_MOST
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.known.remove(&oldest);
+        }
+    }
 }
 
 /// The endpoints that are listed and not gone. Names come ever new: nothing is kept of one that has left.
@@ -23,6 +51,7 @@
 pub struct Directory {
     hosts: HashMap<String, EndpointId>,
     places: BTreeMap<EndpointId, Place>,
+    names: Names,
     seq: u64,
     named: u64,
 }
@@ -69,14 +98,37 @@
         self.places.get(&endpoint).filter(|place| place.ready).map(|place| place.dial)
     }
 
+    /// Whether a list has named this endpoint, now or earlier.
+    pub fn ever_listed(&self, host: &str) -> bool {
+        self.hosts.contains_key(host) || self.names.known.contains(host)
+    }
+
+    /// The endpoints in the list, and whether each may get anything as far as list and orders go.
+    pub fn listed(&self) -> impl Iterator<Item = (EndpointId, bool)> {
+        self.places.iter().map(|(id, place)| (*id, place.ready))
+    }
+
+    /// An endpoint is out by hand from now on, or no more. The entry tells the decisions, where that changes what
+    /// may go there.
+    pub fn hold(&mut self, host: &str, held: bool) -> Option<Entry> {
+        let endpoint = *self.hosts.get(host)?;
+        let place = self.places.get_mut(&endpoint)?;
+        let before = std::mem::replace(&mut place.ready, place.up && !held);
+        let listed = if place.ready { Listed::Ready } else { Listed::Draining };
+        (before != place.ready).then(|| entry(endpoint, *place, place.rate, listed))
+    }
+
     /// The version of the list.
     pub fn seq(&self) -> u64 {
         self.seq
     }
 
-    /// Takes one list; an entry that cannot be read is left out. Returns the event for the decisions, and the
-    /// endpoints to which connections are of no more use.
-    pub fn enrol(&mut self, list: List, kinds: &[String], zones: &[String]) -> (Event, Vec<EndpointId>) {
+    /// Takes one list; an entry that cannot be read is left out. An endpoint that is `held` by hand is draining,
+    /// whatever the list says. Returns the event for the decisions, and the endpoints to which connections are of
+    /// no more use.
+    pub fn enrol(
+        &mut self, list: List, kinds: &[String], zones: &[String], held: &dyn Fn(&str) -> bool,
+    ) -> (Event, Vec<EndpointId>) {
         let mut entries = Vec::new();
         let mut named = Vec::new();
         let before = self.places.clone();
@@ -93,19 +145,20 @@
                 continue;
             };
             let zone = zones.iter().position(|zone| *zone == host.site).unwrap_or(zones.len()) as u16;
-            let ready = host.health == Health::Up;
-            let place = Place { dial: host.dial, dest: host.block, kind, zone, ready };
-            let rate = host.share;
+            let (up, rate) = (host.health == Health::Up, host.share);
+            let ready = up && !held(&host.host);
+            let place = Place { dial: host.dial, dest: host.block, kind, zone, ready, up, rate };
+            self.names.add(&host.host);
             // One that serves another destination now is another endpoint.
             let old = self.hosts.get(&host.host).copied();
             let moved = old.filter(|old| self.places.get(old).is_some_and(|place| place.dest != host.block));
             entries.extend(moved.and_then(|old| self.leave(old)));
             // Of two at one address the one that is up holds it: the other has made place, though no list
             // has said so yet. What was sent there for it would come to the wrong one.
-            let held = self.places.iter().find(|(id, p)| p.dial == place.dial && old != Some(**id));
-            let held = held.map(|(id, place)| (*id, place.ready));
-            let gone = host.health == Health::Removed || (!ready && held.is_some_and(|(_, ready)| ready));
-            if let Some((other, _)) = held.filter(|_| !gone) {
+            let there = self.places.iter().find(|(id, p)| p.dial == place.dial && old != Some(**id));
+            let there = there.map(|(id, place)| (*id, place.up));
+            let gone = host.health == Health::Removed || (!up && there.is_some_and(|(_, up)| up));
+            if let Some((other, _)) = there.filter(|_| !gone) {
                 entries.extend(self.leave(other));
             }
             let endpoint = *self.hosts.entry(host.host).or_insert_with(|| {
@@ -163,7 +216,7 @@
                     "class": "k", "block": block, "health": health, "share": 1.0})
             });
             let list = List { seq: i as u64, whole: *whole, hosts: hosts.collect() };
-            directory.enrol(list, &["k".into()], &["a".into()]).0
+            directory.enrol(list, &["k".into()], &["a".into()], &|_| false).0
         });
         let events = events.collect();
         (directory, events)
@@ -211,7 +264,7 @@
         let gone = serde_json::json!({"host": "host-199", "dial": "127.0.0.1:9", "site": "a", "class": "k",
             "block": 7, "health": "removed", "share": 1.0});
         let list = List { seq: 300, whole: false, hosts: vec![gone] };
-        let (_, left) = directory.enrol(list, &["k".into()], &["a".into()]);
+        let (_, left) = directory.enrol(list, &["k".into()], &["a".into()], &|_| false);
         assert_eq!((directory.hosts.len(), directory.places.len(), left.len()), (9, 9, 1));
     }
 }
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -31,8 +31,9 @@
 pub fn list(node: &Node, value: &[u8]) {
     match serde_json::from_slice(value) {
         Ok(list) => {
-            let (event, left) =
-                node.directory.borrow_mut().enrol(list, &node.config.kinds, &node.config.zones);
+            let (kinds, zones) = (&node.config.kinds, &node.config.zones);
+            let held = |host: &str| node.control.holds(host);
+            let (event, left) = node.directory.borrow_mut().enrol(list, kinds, zones, &held);
             // Nothing goes there any more, and somebody else may come to the address.
             left.into_iter().for_each(|endpoint| node.pool.close(endpoint));
             node.tell(event);
--- /dev/null
+++ b/crates/node/src/inherited.rs
@@ -0,0 +1,33 @@
+//! The clients' listening socket: bound here, or inherited from who started this process.
+
+use rustix::process::{PidfdFlags, PidfdGetfdFlags, getpid, pidfd_getfd, pidfd_open};
+use std::net::SocketAddr;
+use tokio::net::TcpListener;
+
+/// The descriptor that whoever started this process holds for it.
+const VARIABLE: &str = "GW_INHERITED_FD";
+
+/// The socket that clients connect to.
+///
+/// # Errors
+/// One line that names the address or the variable, and what is wrong.
+pub async fn listener(at: SocketAddr) -> Result<TcpListener, String> {
+    let Ok(number) = std::env::var(VARIABLE) else {
+        return TcpListener::bind(at).await.map_err(|error| format!("listen: {at}: {error}"));
+    };
+    let wrong = |error: String| format!("{VARIABLE}: {number}: {error}");
+    let listener = inherited(&number).map_err(wrong)?;
+    listener.set_nonblocking(true).map_err(|error| wrong(error.to_string()))?;
+    TcpListener::from_std(listener).map_err(|error| wrong(error.to_string()))
+}
+
+/// A descriptor by its number. Owning one that something else of this process may own can't be had safely: the
+/// kernel gives a copy of its own instead. The original stays open and counts.
+fn inherited(number: &str) -> Result<std::net::TcpListener, String> {
+    let number = number.trim().parse::<i32>().map_err(|error| error.to_string())?;
+    let own = pidfd_open(getpid(), PidfdFlags::empty()).map_err(|error| format!("this process: {error}"))?;
+    let copy = pidfd_getfd(own, number, PidfdGetfdFlags::empty()).map_err(|error| error.to_string())?;
+    let listener = std::net::TcpListener::from(copy);
+    listener.local_addr().map_err(|error| format!("no socket of this protocol: {error}"))?;
+    Ok(listener)
+}
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -2,6 +2,7 @@
 
 use crate::clients::Client;
 use crate::{Node, log};
+use fawnspoke_control::figures;
 use fawnspoke_journal::{End, Handed, UnixMicros};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
@@ -81,18 +82,18 @@
     let dest = DestinationId(handed.dest);
     // What no list has named may be a slip, or come with a later list.
     if !node.dispatcher.borrow().knows(dest) {
-        return refuse(node, dest);
+        return refuse(node, class, dest);
     }
     let mut journal = node.journal.borrow_mut();
     match journal.number(&handed.id) {
         // Still to be heard on another connection, which may yet fail.
-        Some(number) if node.unheard.borrow().contains(&number) => return refuse(node, dest),
+        Some(number) if node.unheard.borrow().contains(&number) => return refuse(node, class, dest),
         // The same message once more: it is owed already.
         Some(number) if journal.get(number).is_some_and(|kept| kept.is(&handed)) => {
             return plain(StatusCode::ACCEPTED, "taken\n");
         }
         // Another one under an id that is in use would never be delivered.
-        Some(_) => return refuse(node, dest),
+        Some(_) => return refuse(node, class, dest),
         None => {}
     }
     // Once more after its end.
@@ -103,7 +104,7 @@
         Some(End::HandedBack) | None => {}
     }
     if journal.open_messages() >= node.config.settings.room {
-        return refuse(node, dest);
+        return refuse(node, class, dest);
     }
     let now = node.now();
     let share = tenant.and_then(|tenant| Some((tenant, node.dispatcher.borrow().share(now, tenant)?)));
@@ -122,16 +123,17 @@
             client.unheard.set(Some(number));
             plain(StatusCode::ACCEPTED, "taken\n")
         }
-        Ok(None) => refuse(node, dest),
+        Ok(None) => refuse(node, class, dest),
         Err(error) => {
             log::line(format_args!("journal: {error}"));
-            refuse(node, dest)
+            refuse(node, class, dest)
         }
     }
 }
 
 /// Handing it in again is harmless, and is worth a try when the decisions say so.
-fn refuse(node: &Node, dest: DestinationId) -> Answer {
+fn refuse(node: &Node, class: usize, dest: DestinationId) -> Answer {
+    node.figures.ended(class, figures::End::Throttled);
     let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "no room\n");
     if let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", node.come_back(dest))) {
         answer.headers_mut().insert(RETRY_AFTER, seconds);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,9 +6,11 @@
 mod calls;
 mod clients;
 mod config;
+mod control;
 mod counts;
 mod directory;
 mod discovery;
+mod inherited;
 mod intake;
 mod log;
 mod wire;
@@ -19,6 +21,8 @@
 use clients::Clients;
 use config::Config;
 use directory::Directory;
+use fawnspoke_control::door;
+use fawnspoke_control::figures::{End, Figures};
 use fawnspoke_journal::plan::{self, Limits};
 use fawnspoke_journal::{
     Durability, Journal, Level, Notice, Options, Recovery, Start, UNKNOWN_ZONE, UnixMicros,
@@ -29,8 +33,8 @@
 use std::path::Path;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::{Notify, watch};
@@ -86,6 +90,10 @@
     directory: RefCell<Directory>,
     pool: Pool,
     counts: counts::Counts,
+    /// What operators are shown.
+    figures: Arc<Figures>,
+    /// What operators have ordered.
+    control: control::Control,
     /// Where discovery is now; a new configuration may move it.
     discovery: watch::Sender<SocketAddr>,
     /// Taken in the journal, but the 202 is not written yet.
@@ -143,6 +151,15 @@
         at.min(self.config.max_retry_after)
     }
 
+    /// A message that was taken has ended.
+    fn count_end(&self, number: u64, end: End) {
+        let journal = self.journal.borrow();
+        let Some(kept) = journal.get(number) else { return };
+        if let Some(class) = self.config.classes.iter().position(|class| *class == kept.handed.class) {
+            self.figures.ended(class, end);
+        }
+    }
+
     /// The customer of a name, where that one has a share.
     fn tenant(&self, name: &str) -> Option<usize> {
         self.config.tenants.iter().position(|known| known == name)
@@ -238,6 +255,9 @@
 async fn make_call(node: Rc<Node>, call: Call, sent_at: Seconds) {
     node.calls_out.set(node.calls_out.get() + 1);
     let end = calls::call(&node, &call).await;
+    for end in end.ends.iter().filter(|end| end.outcome == Outcome::Served) {
+        node.count_end(end.number, End::Fulfilled);
+    }
     {
         let mut journal = node.journal.borrow_mut();
         for end in &end.ends {
@@ -314,11 +334,13 @@
                 let dest = node.journal.borrow().get(id.0).map(|kept| DestinationId(kept.handed.dest));
                 dest.inspect(|dest| node.counts.count(dest.0, |count| count.back += 1));
                 let retry_in_ms = dest.map_or(0.0, |dest| node.come_back(dest) * 1000.0).ceil() as u64;
+                node.count_end(id.0, End::Throttled);
                 end(node, id.0, Notice::HandedBack { retry_in_ms });
             }
             Action::Fail(id) => {
                 let dest = node.journal.borrow().get(id.0).map(|kept| kept.handed.dest);
                 dest.inspect(|dest| node.counts.count(*dest, |count| count.given_up += 1));
+                node.count_end(id.0, End::Faulted);
                 end(node, id.0, Notice::GivenUp);
             }
             Action::SetTimer { token, at } => *timer = Some((*token, *at)),
@@ -426,6 +448,7 @@
             println!("{now:.3} told to stop");
             told_at = Some(now);
             node.closing.set(true);
+            node.figures.set_ready(false);
             node.dispatcher.borrow_mut().handle(now, Event::Closing(now + CALLS_END));
         }
         let rest = std::iter::from_fn(|| inbox.try_recv().ok());
@@ -437,6 +460,7 @@
         node.dispatcher.borrow_mut().decide(now, &mut actions);
         act(&node, now, &actions, &mut timer);
         space.work(&node);
+        node.figures.set(control::gauges(&node));
         if now >= counted_at + COUNT_EVERY {
             counted_at = now;
             let journal = node.journal.borrow();
@@ -464,7 +488,7 @@
     let now = clock();
     let options = Options {
         // The platform's own count may have a block more than ours.
-        limits: Limits::of((config.limits.disk_mb * 1e6) as u64 - plan::BLOCK),
+        limits: Limits::of(config.limits.journal().saturating_sub(plan::BLOCK)),
         durability: Durability::None,
         now,
         identity: u128::from(config.seed) << 64 | u128::from(now),
@@ -494,6 +518,14 @@
 
 async fn run(config: Config) -> Result<(), String> {
     let signals = Signals::heed().map_err(|error| format!("signals: {error}"))?;
+    let figures = Arc::new(Figures::new(&config.classes));
+    let (asked, orders) = unbounded_channel();
+    if let Some(control) = config.control {
+        // Operators are answered from now on, while the journal is read too.
+        let at = door::open(control, figures.clone(), asked);
+        let at = at.map_err(|error| format!("control: {control}: {error}"))?;
+        println!("{} answers operators at {at}", config.name);
+    }
     let (journal, behind) = open_journal(&config)?;
     let dispatcher =
         Dispatcher::new(config.settings.clone(), config.seed).map_err(|error| error.to_string())?;
@@ -507,6 +539,8 @@
         directory: RefCell::default(),
         pool: Pool::default(),
         counts: counts::Counts::default(),
+        figures,
+        control: control::Control::open(&config.state),
         discovery: watch::Sender::new(config.discovery),
         unheard: RefCell::default(),
         clients: Clients::default(),
@@ -522,13 +556,14 @@
     // The decisions know the list and what is owed before the first client is heard.
     std::iter::from_fn(|| inbox.try_recv().ok()).for_each(|input| hear(&node, node.now(), input));
     // Clients come once all that was owed is taken up again; nothing here waits for discovery.
-    let listener = TcpListener::bind(node.config.listen)
-        .await
-        .map_err(|error| format!("listen: {}: {error}", node.config.listen))?;
+    let listener = inherited::listener(node.config.listen).await?;
     println!("{} listens at {}", node.config.name, listener.local_addr().map_err(|e| e.to_string())?);
     spawn_local(discovery::watch(node.clone()));
     spawn_local(discovery::notices(node.clone()));
     spawn_local(clients::serve(node.clone(), listener));
+    spawn_local(control::obey(node.clone(), orders));
+    node.figures.set(control::gauges(&node));
+    node.figures.set_ready(true);
     spawn_local(reload(node.clone(), signals.hangup));
     rounds(node.clone(), inbox, signals.terminate, signals.interrupt).await;
     // Idle clients hear that the connection ends; a request that is being answered is still answered.
--- a/crates/waydoor/src/choice.rs
+++ b/crates/waydoor/src/choice.rs
@@ -59,15 +59,11 @@
                 self.recalled.insert(destination);
                 self.recall(now, destination);
             }
+            Event::Restarted(endpoint) => self.restarted(now, endpoint),
             Event::Counted { tenant, left, at } => self.counted(now, tenant, left, at),
             Event::Closing(at) => self.closing_at = at,
             Event::Ended(end) => self.attempt_ended(now, end),
-            Event::Withdrawn(id) => {
-                if let Some(parcel) = self.parcels.get_mut(&id) {
-                    parcel.over = true;
-                    self.settle(id, ENDED_KEPT);
-                }
-            }
+            Event::Withdrawn(id) => self.withdrawn(id, ENDED_KEPT),
             Event::ListChanged(entries) => self.list(now, entries, false),
             Event::ListWhole(entries) => self.list(now, entries, true),
             Event::ListFailed => {
--- a/crates/waydoor/src/choice/connections.rs
+++ b/crates/waydoor/src/choice/connections.rs
@@ -59,21 +59,4 @@
         }
         !(stale && endpoint.lane.outage.fails == 0)
     }
-
-    pub(super) fn close_idle(&mut self, now: Seconds, actions: &mut Vec<Action>, wake: &mut Seconds) {
-        let endpoints = &mut self.endpoints;
-        self.closing.retain(|(at, id)| {
-            if now < *at {
-                *wake = wake.min(*at);
-                return true;
-            }
-            // One that was used meanwhile has a later entry.
-            if let Some(e) = endpoints.get_mut(id)
-                && e.idle_since.take_if(|since| *since <= *at).is_some()
-            {
-                actions.push(Action::CloseIdle(*id));
-            }
-            false
-        });
-    }
 }
--- a/crates/waydoor/src/choice/outage.rs
+++ b/crates/waydoor/src/choice/outage.rs
@@ -35,6 +35,10 @@
 const DATED_MOST: f64 = 0.5;
 
 impl Lane {
+    fn unproven(&mut self, now: Seconds) {
+        (self.outage.health, self.outage.trial_at, self.outage.failed_at) = (Health::Shut, now, now);
+    }
+
     pub(super) fn shut(&mut self, now: Seconds, rule: &ReturnRule, rng: &mut fastrand::Rng) {
         self.outage.trials = if self.outage.health == Health::Shut { self.outage.trials } else { 0 };
         (self.outage.health, self.outage.vouched) = (Health::Shut, false);
@@ -161,10 +165,18 @@
             return;
         }
         destination.remembered = true;
-        self.limited_lanes(number, |lane| {
-            let Outage { health, trial_at, failed_at, .. } = &mut lane.outage;
-            (*health, *trial_at, *failed_at) = (Health::Shut, now, now);
-        });
+        self.limited_lanes(number, |lane| lane.unproven(now));
+    }
+
+    /// What operators had out is tried first, and returns cold. Others there that served meanwhile go on.
+    pub(super) fn restarted(&mut self, now: Seconds, id: EndpointId) {
+        self.endpoints.entry(id).and_modify(|e| e.lane.unproven(now));
+        let Some(number) = self.endpoints.get(&id).map(|e| e.destination) else { return };
+        let Some(destination) = self.destinations.get_mut(&number) else { return };
+        if !destination.apart && destination.endpoints.len() == 1 {
+            destination.lane.unproven(now);
+        }
+        self.remember(number);
     }
 
     /// A call unanswered for far longer than usual, with nothing served since, makes its lane suspect.
--- a/crates/waydoor/src/interface.rs
+++ b/crates/waydoor/src/interface.rs
@@ -368,6 +368,9 @@
     /// When an earlier life of this dispatcher ended, the destination was out or had just come back
     /// ([`Action::Remember`] was the last word on it).
     Remembered(DestinationId),
+    /// An endpoint that got nothing for a while (operators had taken it out) was started anew meanwhile: it serves
+    /// again, and is cold. Its line of the list came before.
+    Restarted(EndpointId),
     /// What a customer had left of its share: told by [`Dispatcher::share`](crate::Dispatcher::share) for a
     /// message that was taken then, in this life or an earlier one.
     Counted {
--- a/crates/waydoor/src/state.rs
+++ b/crates/waydoor/src/state.rs
@@ -375,6 +375,14 @@
         self.destinations.get(&destination).is_some_and(|destination| destination.kind != usize::MAX)
     }
 
+    /// Whether nothing but trials goes to an endpoint now: it is out, it told a wait that runs, or its destination did.
+    pub fn avoids(&self, now: Seconds, endpoint: EndpointId) -> bool {
+        let Some(endpoint) = self.endpoints.get(&endpoint) else { return false };
+        let out = |lane: &Lane| lane.outage.health == Health::Shut || lane.refusals.wait_until > now;
+        let destination = self.destinations.get(&endpoint.destination).filter(|d| !d.apart);
+        out(&endpoint.lane) || destination.is_some_and(|destination| out(&destination.lane))
+    }
+
     pub(crate) fn counted(&mut self, now: Seconds, tenant: usize, left: f64, at: Seconds) {
         if tenant < self.settings.tenants.len() && left >= 0.0 {
             self.purses.insert(tenant, Purse { left, at: at.min(now) });
@@ -418,6 +426,32 @@
         }
     }
 
+    /// Nobody wants a message any more; one that is out is waited for.
+    pub(crate) fn withdrawn(&mut self, id: MessageId, kept: usize) {
+        if let Some(parcel) = self.parcels.get_mut(&id) {
+            parcel.over = true;
+            self.settle(id, kept);
+        }
+    }
+
+    /// Closes the idle connections that are due, and tells when the next ones are.
+    pub(crate) fn close_idle(&mut self, now: Seconds, actions: &mut Vec<Action>, wake: &mut Seconds) {
+        let endpoints = &mut self.endpoints;
+        self.closing.retain(|(at, id)| {
+            if now < *at {
+                *wake = wake.min(*at);
+                return true;
+            }
+            // One that was used meanwhile has a later entry.
+            if let Some(e) = endpoints.get_mut(id)
+                && e.idle_since.take_if(|since| *since <= *at).is_some()
+            {
+                actions.push(Action::CloseIdle(*id));
+            }
+            false
+        });
+    }
+
     /// Drops a message that is over and has nothing out.
     pub(crate) fn settle(&mut self, id: MessageId, kept: usize) {
         self.release_hold(id);
