--- /dev/null
+++ b/crates/handover/src/frames.rs
@@ -0,0 +1,125 @@
+//! What passes between the two: one packet a frame.
+//!
+//! The first packet of each side is a [`Hello`], in JSON, which every version reads; what follows is of the version that
+//! both know.
+
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+/// The version of the frames. One that differs is no partner: the new process waits until the old one has ended.
+pub const VERSION: u32 = 1;
+/// Longest packet, in bytes: what a client has sent of a request so far fits, head and body.
+pub const PACKET_MOST: usize = 128 * 1024;
+/// Bytes of a state in one packet.
+pub const CHUNK: usize = 64 * 1024;
+/// A state that is longer is none.
+pub const STATE_MOST: usize = 64 << 20;
+
+/// The first word of a taker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// Its [`VERSION`].
+    pub version: u32,
+    /// It wants what the decisions hold in mind. Without it the giver breaks off its calls first.
+    pub decisions: bool,
+}
+
+/// What a giver sends.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum FromGiver {
+    /// It does not give, and why.
+    Refused(String),
+    /// A piece of its state; the last one is empty. With that one comes the clients' listening socket as a descriptor,
+    /// unless both have it from who started them.
+    State(Vec<u8>),
+    /// A client's connection, as a descriptor.
+    Client {
+        /// What was read of a request that is not whole.
+        read: Vec<u8>,
+        /// Since when that request is awaited, in milliseconds; none where none is.
+        asked_ms: Option<u32>,
+    },
+    /// An idle connection to an endpoint, as a descriptor.
+    Idle {
+        /// The endpoint, by the decisions' number.
+        endpoint: u64,
+        /// Where it is.
+        at: std::net::SocketAddr,
+        /// For how long it has been idle, in milliseconds.
+        idle_ms: u32,
+    },
+    /// How a call ended that was out: in the form that the dispatcher keeps.
+    Ended(Vec<u8>),
+    /// How an order was carried out that came to the giver's door: asked by [`FromTaker::Carried`]'s number.
+    Order {
+        /// Counts the orders.
+        number: u32,
+        /// Given, or called back.
+        given: bool,
+        /// The endpoint's id.
+        id: String,
+    },
+}
+
+/// What a taker sends.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum FromTaker {
+    /// It owns.
+    Mine,
+    /// It can't use what came, and why.
+    Unusable(String),
+    /// How an order was carried out that came to the giver's door.
+    Carried {
+        /// The order's number.
+        number: u32,
+        /// A yes.
+        yes: bool,
+        /// With this text.
+        text: String,
+    },
+}
+
+/// A packet that is no frame.
+#[derive(Debug, thiserror::Error)]
+pub enum FrameError {
+    /// Not in JSON, or not a hello.
+    #[error("no hello: {0}")]
+    Hello(#[from] serde_json::Error),
+    /// Not a frame of this version.
+    #[error("no frame: {0}")]
+    Frame(#[from] postcard::Error),
+}
+
+impl Hello {
+    /// As a packet.
+    ///
+    /// # Errors
+    /// None that is known.
+    pub fn packet(&self) -> Result<Vec<u8>, FrameError> {
+        Ok(serde_json::to_vec(self)?)
+    }
+
+    /// Reads a packet.
+    ///
+    /// # Errors
+    /// Where it is no hello.
+    pub fn read(packet: &[u8]) -> Result<Hello, FrameError> {
+        Ok(serde_json::from_slice(packet)?)
+    }
+}
+
+/// A frame as a packet.
+///
+/// # Errors
+/// None that is known.
+pub fn packet(frame: &impl Serialize) -> Result<Vec<u8>, FrameError> {
+    Ok(postcard::to_stdvec(frame)?)
+}
+
+/// Reads a packet.
+///
+/// # Errors
+/// Where it is no frame of this kind.
+pub fn read<T: DeserializeOwned>(packet: &[u8]) -> Result<T, FrameError> {
+    Ok(postcard::from_bytes(packet)?)
+}
--- a/crates/journal/src/ended.rs
+++ b/crates/journal/src/ended.rs
@@ -3,12 +3,14 @@
 
 use crate::format::{Handed, Notice};
 use crate::ledger::Kept;
+use serde::{Deserialize, Serialize};
+use siphasher::sip::SipHasher13;
 use std::collections::hash_map::RandomState;
 use std::collections::{HashMap, VecDeque};
-use std::hash::BuildHasher;
+use std::hash::{BuildHasher, Hash, Hasher};
 
 /// How a message ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum End {
     /// Delivered, or over by the other side's word: nothing is owed, and it may not run again.
     Delivered,
@@ -30,11 +32,12 @@
     }
 }
 
-/// The last messages that ended, at most so many: some 40 bytes each.
-#[derive(Clone, Debug)]
+/// The last messages that ended, at most so many: some 40 bytes each. It goes to the process that takes over.
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Ended {
     most: usize,
-    hasher: RandomState,
+    /// Drawn anew for each: nobody can choose ids that meet.
+    keys: (u64, u64),
     order: VecDeque<u64>,
     ends: HashMap<u64, End>,
 }
@@ -48,14 +51,16 @@
 impl Ended {
     /// Remembers so many ends.
     pub fn new(most: usize) -> Ended {
-        let (hasher, order, ends) = (RandomState::new(), VecDeque::new(), HashMap::new());
-        Ended { most, hasher, order, ends }
+        let keys = (RandomState::new().hash_one(0), RandomState::new().hash_one(1));
+        Ended { most, keys, order: VecDeque::new(), ends: HashMap::new() }
     }
 
     /// A message by its id, class, destination and key. The body is not looked at: it is gone once a notice is owed.
     /// Two messages meet by chance in one of 2^64 / `most` cases.
     fn mark(&self, handed: &Handed) -> u64 {
-        self.hasher.hash_one((&handed.id, &handed.class, handed.dest, &handed.key))
+        let mut hasher = SipHasher13::new_with_keys(self.keys.0, self.keys.1);
+        (&handed.id, &handed.class, handed.dest, &handed.key).hash(&mut hasher);
+        hasher.finish()
     }
 
     /// Remembers an end; the oldest one makes place.
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -1,6 +1,6 @@
 //! The thin shell: segments on a file system, a ledger in memory, and steps that keep the two together.
 
-use crate::ended::End;
+use crate::ended::{End, Ended};
 use crate::files::{Disk, Files};
 use crate::format::{self, Handed, Header, Notice, Progress, Record, Start, UnixMicros};
 use crate::ledger::{self, Fact, Kept, Ledger};
@@ -297,6 +297,16 @@
         self.ledger.number(id)
     }
 
+    /// The ends that are remembered, for the process that takes over.
+    pub fn ended_ids(&self) -> &Ended {
+        self.ledger.ended()
+    }
+
+    /// Remembers what the process remembered that handed this journal over.
+    pub fn recall(&mut self, ended: Ended) {
+        self.ledger.recall(ended);
+    }
+
     /// How a message ended that is handed in again, where that is remembered.
     pub fn end_of(&self, handed: &Handed) -> Option<End> {
         self.ledger.end_of(handed)
--- a/crates/journal/src/ledger.rs
+++ b/crates/journal/src/ledger.rs
@@ -164,6 +164,16 @@
         self.ended.get(handed)
     }
 
+    /// The ends that are remembered.
+    pub fn ended(&self) -> &Ended {
+        &self.ended
+    }
+
+    /// Remembers what another process remembered, in place of what is on file: that is less.
+    pub fn recall(&mut self, ended: Ended) {
+        self.ended = ended;
+    }
+
     /// A message that is not over.
     pub fn get(&self, number: u64) -> Option<&Kept> {
         self.entries.get(&number).map(|entry| &entry.kept)
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -1,5 +1,6 @@
 //! Calls to endpoints, and the connections that they go over.
 
+use crate::gate::Phase;
 use crate::wire::{Head, Unread, Wire};
 use crate::{Node, log};
 use fawnspoke_control::figures::Figures;
@@ -10,6 +11,7 @@
 use hyper::header::{HeaderMap, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::io;
@@ -149,11 +151,11 @@
 /// A connection. Dropped, it is closed, whatever is still out on it.
 pub struct Link {
     pub sender: SendRequest<Full<Bytes>>,
-    at: SocketAddr,
-    wire: Wire,
+    pub at: SocketAddr,
+    pub wire: Wire,
     heard: Rc<Heard>,
     task: AbortHandle,
-    idle_since: Instant,
+    pub idle_since: Instant,
 }
 
 impl Link {
@@ -172,7 +174,12 @@
 
 /// Opens a connection.
 pub async fn connect(at: SocketAddr) -> io::Result<Link> {
-    let wire = Wire::new(TcpStream::connect(at).await?)?;
+    establish(TcpStream::connect(at).await?, at, Instant::now()).await
+}
+
+/// Takes a connection that is open, and idle since then.
+pub async fn establish(stream: TcpStream, at: SocketAddr, idle_since: Instant) -> io::Result<Link> {
+    let wire = Wire::new(stream)?;
     let heard = Rc::new(Heard::default());
     let line = Line { wire: wire.clone(), heard: heard.clone() };
     let mut builder = Builder::new();
@@ -182,7 +189,7 @@
         // Its end shows at the sender; there is nothing more to tell.
         let _ = connection.await;
     });
-    Ok(Link { sender, at, wire, heard, task: task.abort_handle(), idle_since: Instant::now() })
+    Ok(Link { sender, at, wire, heard, task: task.abort_handle(), idle_since })
 }
 
 /// The idle connections, by endpoint and not by address: that may be another endpoint's by now. The one used
@@ -206,14 +213,27 @@
 
     /// Keeps a connection for later calls; false where it is not sound.
     fn put_back(&self, endpoint: EndpointId, mut link: Link) -> bool {
+        link.idle_since = Instant::now();
+        self.keep(endpoint, link)
+    }
+
+    /// The same for one that has been idle.
+    pub fn keep(&self, endpoint: EndpointId, link: Link) -> bool {
         if !link.sound() {
             return false;
         }
-        link.idle_since = Instant::now();
         self.idle.borrow_mut().entry(endpoint).or_default().push(link);
         true
     }
 
+    /// Takes all out that may be used again.
+    pub fn take_all(&self) -> Vec<(EndpointId, Link)> {
+        let idle = self.idle.take().into_iter().flat_map(|(endpoint, links)| {
+            links.into_iter().filter(Link::sound).map(move |link| (endpoint, link))
+        });
+        idle.collect()
+    }
+
     /// Closes the idle connections to an endpoint.
     pub fn close(&self, endpoint: EndpointId) {
         self.idle.borrow_mut().remove(&endpoint);
@@ -266,6 +286,7 @@
 }
 
 /// How one message of a call fared.
+#[derive(Debug, Deserialize, Serialize)]
 pub struct End {
     pub number: u64,
     pub attempt: u32,
@@ -275,6 +296,7 @@
 }
 
 /// How a call ended.
+#[derive(Debug, Deserialize, Serialize)]
 pub struct CallEnd {
     pub ends: Vec<End>,
     pub wait: Option<Seconds>,
@@ -397,8 +419,9 @@
             _ if *reused => continue,
             _ => return Err(Outcome::NoConnection),
         }
-        // Connecting takes time: what is drained or gone by now gets nothing new.
-        if !open() {
+        // Connecting takes time: what is drained or gone by now gets nothing new, and no more does a process begin
+        // that hands over.
+        if !open() || node.gate.phase() != Phase::Serving {
             return Err(Outcome::Moot);
         }
         let sent_at = Instant::now();
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -1,8 +1,11 @@
 //! Clients' connections: how many there are, how long each may take, and when one has to go.
 
+use crate::gate::Phase;
+use crate::handover::Rest;
 use crate::intake;
 use crate::wire::{Head, Unread, Wire};
 use crate::{Input, Node, log};
+use hyper::body::Bytes;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -15,7 +18,7 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
-use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{Instant, Sleep, sleep, timeout};
@@ -31,6 +34,8 @@
 const LINGER_MOST: usize = 1 << 20;
 /// What was found open so long ago is taken to be: a stall of this process that matters is longer.
 const STILL_THERE: Duration = Duration::from_millis(5);
+/// What is kept of a request that is not whole; a longer one is refused in the end.
+const RECORD_MOST: usize = HEAD_MOST + intake::BODY_MOST;
 /// Header lines of a request.
 const HEADERS_MOST: usize = 64;
 
@@ -49,6 +54,23 @@
         (number, client)
     }
 
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.open.borrow().len()
+    }
+
+    /// Messages that are on record though their clients have not heard of it: those clients leave, and nothing is owed.
+    pub fn leave_unheard(&self) -> Vec<u64> {
+        let open = self.open.borrow();
+        let unheard = open.values().filter_map(|client| Some((client, client.unheard.take()?)));
+        let left = unheard.map(|(client, number)| {
+            client.going.set(true);
+            client.leave.notify_one();
+            number
+        });
+        left.collect()
+    }
+
     /// Connections on which no request is owed.
     fn idle(&self) -> usize {
         self.open.borrow().values().filter(|client| client.idle()).count()
@@ -80,6 +102,8 @@
     /// Since when a request is awaited or read. A new connection owes one, a kept one does not.
     asked_at: Cell<Option<Instant>>,
     head: RefCell<Head>,
+    /// What was read of the request that is awaited or read.
+    record: RefCell<Vec<u8>>,
     /// When its socket was last found open.
     open_at: Cell<Instant>,
     /// The message whose 202 is to be written.
@@ -96,6 +120,7 @@
             heard_at: Cell::new(now),
             asked_at: Cell::new(Some(now)),
             head: RefCell::default(),
+            record: RefCell::default(),
             open_at: Cell::new(now),
             unheard: Cell::new(None),
             going: Cell::new(false),
@@ -127,11 +152,43 @@
         self.heard_at.set(Instant::now());
         self.asked_at.set(None);
         self.head.take();
+        self.record.borrow_mut().clear();
+    }
+
+    /// Bytes of the request have come.
+    fn heard(&self, bytes: &[u8]) {
+        let now = Instant::now();
+        self.heard_at.set(now);
+        self.asked_at.set(self.asked_at.get().or(Some(now)));
+        self.head.borrow_mut().follow(bytes);
+        let mut record = self.record.borrow_mut();
+        if record.len() <= RECORD_MOST {
+            record.extend_from_slice(bytes);
+        }
+    }
+
+    /// The body of the request, which is whole and of this length.
+    pub fn body(&self, length: usize) -> Option<Bytes> {
+        let record = self.record.borrow();
+        let head = record.len().checked_sub(self.head.borrow().behind()?)?;
+        record.get(head..head + length).map(Bytes::copy_from_slice)
+    }
+
+    /// What another process needs to go on with it; none where a request is longer than any that is taken.
+    fn moved(&self) -> Option<Rest> {
+        let read = self.record.take();
+        let asked_ms = self.asked_at.get().map(|at| at.elapsed().as_millis() as u32);
+        (read.len() <= RECORD_MOST).then(|| Rest::Client { wire: self.wire.clone(), read, asked_ms })
     }
 }
 
-/// Accepts clients for as long as the process runs.
-pub async fn serve(node: Rc<Node>, listener: TcpListener) {
+/// Accepts clients for as long as this process serves.
+pub async fn serve(node: Rc<Node>) {
+    node.gate.while_serving(|| accept(node.clone())).await;
+}
+
+async fn accept(node: Rc<Node>) {
+    let listener = node.listener.clone();
     let (most, most_idle) = (node.config.limits.clients(), node.config.limits.idle_clients());
     loop {
         let accepted = listener.accept().await.and_then(|(stream, _)| Wire::new(stream));
@@ -145,7 +202,7 @@
             Ok(wire) => {
                 // It counts from here on: more may be accepted before its task has run.
                 let (number, client) = node.clients.add(wire);
-                spawn_local(connection(node.clone(), number, client));
+                spawn_local(connection(node.clone(), number, client, Vec::new()));
             }
             Err(error) => {
                 log::line(format_args!("accept: {error}"));
@@ -155,8 +212,19 @@
     }
 }
 
-async fn connection(node: Rc<Node>, number: u64, client: Rc<Client>) {
-    let line = Line { client: client.clone(), node: node.clone(), limit: Box::pin(sleep(REQUEST_TIME)) };
+/// Takes a client's connection over: what was read of its request, and for how long that is awaited.
+pub fn adopt(node: &Rc<Node>, stream: TcpStream, read: Vec<u8>, asked_ms: Option<u32>) -> io::Result<()> {
+    let (number, client) = node.clients.add(Wire::new(stream)?);
+    let asked_at = asked_ms.and_then(|ms| Instant::now().checked_sub(Duration::from_millis(ms.into())));
+    client.asked_at.set(asked_at);
+    spawn_local(connection(node.clone(), number, client, read));
+    Ok(())
+}
+
+/// Serves one connection. `before`: what was read of it by the process that had it.
+async fn connection(node: Rc<Node>, number: u64, client: Rc<Client>, before: Vec<u8>) {
+    let limit = Box::pin(sleep(REQUEST_TIME));
+    let line = Line { client: client.clone(), node: node.clone(), limit, before };
     let service = service_fn(|request| {
         let (node, client) = (node.clone(), client.clone());
         async move {
@@ -181,6 +249,11 @@
             served.as_mut().graceful_shutdown();
             let _ = served.await;
         }
+        _ = node.gate.until(|phase| phase == Phase::Over) => {
+            if !client.going.get() && let Some(rest) = client.moved() {
+                node.hand(rest);
+            }
+        }
     }
     node.clients.open.borrow_mut().remove(&number);
     if let Some(number) = client.unheard.take() {
@@ -206,21 +279,30 @@
     client: Rc<Client>,
     node: Rc<Node>,
     limit: Pin<Box<Sleep>>,
+    /// What another process has read of this connection.
+    before: Vec<u8>,
 }
 
 impl AsyncRead for Line {
     fn poll_read(
         mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        // While this process hands over, what comes stays with the socket: whoever owns reads it.
+        ready!(self.node.gate.poll_serving(cx));
+        if !self.before.is_empty() {
+            let read = self.before.len().min(buf.remaining());
+            let rest = self.before.split_off(read);
+            let read = std::mem::replace(&mut self.before, rest);
+            self.client.heard(&read);
+            buf.put_slice(&read);
+            return Poll::Ready(Ok(()));
+        }
         let before = buf.filled().len();
         let mut wire = self.client.wire.clone();
         if let Poll::Ready(read) = Pin::new(&mut wire).poll_read(cx, buf) {
             let bytes = &buf.filled()[before..];
             if !bytes.is_empty() {
-                let now = Instant::now();
-                self.client.heard_at.set(now);
-                self.client.asked_at.set(self.client.asked_at.get().or(Some(now)));
-                self.client.head.borrow_mut().follow(bytes);
+                self.client.heard(bytes);
             }
             return Poll::Ready(read);
         }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -1,9 +1,11 @@
 //! Where the operators' door meets the dispatcher: orders are put on record and carried out, gauges read.
 
+use crate::gate::Phase;
+use crate::handover::Rest;
 use crate::{Node, log};
 use fawnspoke_control::door::Order;
 use fawnspoke_control::figures::Gauges;
-use fawnspoke_control::orders::{Change, Orders, Step};
+use fawnspoke_control::orders::{Change, Orders, Step, Subject};
 use fawnspoke_control::record::File;
 use std::cell::RefCell;
 use std::path::Path;
@@ -40,27 +42,33 @@
 /// Carries out what operators order, for as long as the process runs.
 pub async fn obey(node: Rc<Node>, mut orders: UnboundedReceiver<Order>) {
     while let Some(order) = orders.recv().await {
-        let answer = carry_out(&node, &order);
+        // While this process hands over, nobody owns the orders; then they are the other one's.
+        if node.gate.settled().await == Phase::Over {
+            node.hand(Rest::Order(order));
+            continue;
+        }
+        let answer = carry_out(&node, &order.subject, order.given);
         // A caller that has left was told that it may be carried out yet.
         let _ = order.answer.send(answer);
     }
 }
 
-fn carry_out(node: &Node, order: &Order) -> Result<String, String> {
+/// Carries out one order: on record, then in force.
+pub fn carry_out(node: &Node, subject: &Subject, given: bool) -> Result<String, String> {
     let control = &node.control;
-    let id = &order.subject.id;
+    let id = &subject.id;
     let known = node.directory.borrow().ever_listed(id);
     let now = node.unix_now() / 1000;
     let (step, record) = {
         let mut orders = control.orders.borrow_mut();
-        let step = match order.given {
-            true => orders.give(order.subject.clone(), known, now),
-            false => orders.call_back(&order.subject, known),
+        let step = match given {
+            true => orders.give(subject.clone(), known, now),
+            false => orders.call_back(subject, known),
         };
         (step, matches!(step, Step::Changes(_)).then(|| control.file.write(&orders)))
     };
     match step {
-        Step::Stands if order.given => return Ok(format!("{id} is out already")),
+        Step::Stands if given => return Ok(format!("{id} is out already")),
         Step::Stands => return Ok(format!("{id} may serve")),
         Step::Refused(refusal) => return Err(refusal.to_string()),
         Step::Changes(change) => {
@@ -73,12 +81,12 @@
                     Change::Ended => node.tell(Event::Restarted(entry.endpoint)),
                 }
             }
-            log::line(format_args!("orders: {id} {}", if order.given { "out by hand" } else { "may serve" }));
+            log::line(format_args!("orders: {id} {}", if given { "out by hand" } else { "may serve" }));
         }
     }
     match record {
         Some(Err(error)) => Err(format!("in force, but not on record, and gone with this process: {error}")),
-        _ if order.given => Ok(format!("{id} is out until RESTORE")),
+        _ if given => Ok(format!("{id} is out until RESTORE")),
         _ => Ok(format!("{id} may serve, cold at first")),
     }
 }
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -1,14 +1,14 @@
 //! The endpoints as listed now: who they are, where, and what may go there.
 
 use crate::log;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use waydoor::{DestinationId, EndpointId, Entry, Event, Listed};
 
 /// Where an endpoint is and what may go there.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct Place {
     pub dial: SocketAddr,
     pub dest: u32,
@@ -25,7 +25,7 @@
 const NAMES_MOST: usize = 1024;
 
 /// Who was ever listed, as far as that is remembered.
-#[derive(Default)]
+#[derive(Default, Deserialize, Serialize)]
 struct Names {
     known: HashSet<String>,
     order: VecDeque<String>,
@@ -46,8 +46,8 @@
     }
 }
 
-/// The endpoints that are listed and not gone. Names come ever new: nothing is kept of one that has left.
-#[derive(Default)]
+/// The endpoints that are listed and not gone. Names come ever new: nothing is kept of one that has left but its name.
+#[derive(Default, Deserialize, Serialize)]
 pub struct Directory {
     hosts: HashMap<String, EndpointId>,
     places: BTreeMap<EndpointId, Place>,
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -45,6 +45,10 @@
 /// Watches the list for as long as the process runs. Where all dispatchers ask one discovery, it is the decisions
 /// that say when to ask: nothing here begins by itself.
 pub async fn watch(node: Rc<Node>) {
+    node.gate.while_serving(|| watching(node.clone())).await;
+}
+
+async fn watching(node: Rc<Node>) {
     let mut moved = node.discovery.subscribe();
     let mut backoff = BACKOFF;
     let asked = asked(&node);
@@ -129,6 +133,10 @@
 
 /// Brings notices to the platform until it has heard each.
 pub async fn notices(node: Rc<Node>) {
+    node.gate.while_serving(|| bring(node.clone())).await;
+}
+
+async fn bring(node: Rc<Node>) {
     let mut moved = node.discovery.subscribe();
     let mut link = None;
     let mut backoff = BACKOFF;
--- a/crates/node/src/inherited.rs
+++ b/crates/node/src/inherited.rs
@@ -2,17 +2,22 @@
 
 use rustix::process::{PidfdFlags, PidfdGetfdFlags, getpid, pidfd_getfd, pidfd_open};
 use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
 use tokio::net::TcpListener;
 
 /// The descriptor that whoever started this process holds for it.
 const VARIABLE: &str = "GW_INHERITED_FD";
 
-/// The socket that clients connect to.
+/// The socket that clients connect to: inherited, else `given` by the process before, else bound here.
 ///
 /// # Errors
 /// One line that names the address or the variable, and what is wrong.
-pub async fn listener(at: SocketAddr) -> Result<TcpListener, String> {
+pub async fn listener(at: SocketAddr, given: Option<OwnedFd>) -> Result<TcpListener, String> {
     let Ok(number) = std::env::var(VARIABLE) else {
+        if let Some(given) = given {
+            let listener = std::net::TcpListener::from(given);
+            return TcpListener::from_std(listener).map_err(|error| format!("listen: handed over: {error}"));
+        }
         return TcpListener::bind(at).await.map_err(|error| format!("listen: {at}: {error}"));
     };
     let wrong = |error: String| format!("{VARIABLE}: {number}: {error}");
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -70,14 +70,14 @@
         Ok(handed) => handed,
         Err(problem) => return plain(StatusCode::BAD_REQUEST, format!("{problem}\n")),
     };
-    let body = match read_body(body).await {
-        Ok(Some(body)) => body,
+    let length = match read_body(body).await {
+        Ok(Some(length)) => length,
         Ok(None) => return plain(StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB\n"),
         Err(error) => return plain(StatusCode::BAD_REQUEST, format!("body: {error}\n")),
     };
-    if client.sent_more_than(body.len()) {
+    let Some(body) = client.body(length).filter(|_| !client.sent_more_than(length)) else {
         return plain(StatusCode::BAD_REQUEST, "one request at a time, as long as it says\n");
-    }
+    };
     let handed = Handed { body, ..handed };
     let dest = DestinationId(handed.dest);
     // What no list has named may be a slip, or come with a later list.
@@ -186,21 +186,18 @@
     })
 }
 
-/// The body, or none if it is too long.
-async fn read_body(mut body: Incoming) -> Result<Option<Bytes>, hyper::Error> {
+/// Reads to the end of the body, which the client's record keeps; its length, or none if it is too long.
+async fn read_body(mut body: Incoming) -> Result<Option<usize>, hyper::Error> {
     if body.size_hint().lower() > DISCARD_MOST as u64 {
         return Ok(None);
     }
-    let (mut bytes, mut length) = (Vec::new(), 0);
+    let mut length = 0;
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else { continue };
         length += data.len();
         if length > DISCARD_MOST {
             return Ok(None);
         }
-        if length <= BODY_MOST {
-            bytes.extend_from_slice(&data);
-        }
     }
-    Ok(Some(bytes).filter(|_| length <= BODY_MOST).map(Bytes::from))
+    Ok(Some(length).filter(|_| length <= BODY_MOST))
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,8 @@
 mod counts;
 mod directory;
 mod discovery;
+mod gate;
+mod handover;
 mod inherited;
 mod intake;
 mod log;
@@ -23,18 +25,23 @@
 use directory::Directory;
 use fawnspoke_control::door;
 use fawnspoke_control::figures::{End, Figures};
+use fawnspoke_handover::lock::Lock;
 use fawnspoke_journal::plan::{self, Limits};
 use fawnspoke_journal::{
     Durability, Journal, Level, Notice, Options, Recovery, Start, UNKNOWN_ZONE, UnixMicros,
 };
+use gate::{Gate, Phase};
+use handover::{After, Rest, Told};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
+use std::os::unix::process::CommandExt;
 use std::path::Path;
-use std::process::ExitCode;
+use std::process::{Command, ExitCode};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::{Notify, watch};
@@ -107,6 +114,19 @@
     resubscribe: Notify,
     /// Idle connections of clients close.
     stopping: Notify,
+    listener: Rc<TcpListener>,
+    /// Whether this process serves, or hands over.
+    gate: Gate,
+    /// Who holds it owns the folder that lasts.
+    lock: RefCell<Option<Lock>>,
+    /// Where a process comes that is to take over.
+    doorstep: handover::Doorstep,
+    /// What goes over to it.
+    rest: UnboundedSender<handover::Rest>,
+    /// Calls that are out break off.
+    cut: Notify,
+    /// The decisions' state came from the process before.
+    adopted: bool,
 }
 
 /// The system's clock. What is journaled goes by [`Node::unix_now`].
@@ -124,6 +144,11 @@
         let _ = self.inbox.send(input);
     }
 
+    /// Gives something to the process that has taken over.
+    fn hand(&self, rest: handover::Rest) {
+        let _ = self.rest.send(rest);
+    }
+
     fn tell(&self, event: Event) {
         self.send(Input::Event(event));
     }
@@ -195,14 +220,18 @@
         let journal = self.journal.borrow();
         let open: Vec<_> = journal.iter().filter(|(_, kept)| kept.notice.is_none()).collect();
         println!("journal: {} messages and {} notices taken up", open.len(), journal.owed(usize::MAX).len());
-        for destination in journal.outages() {
+        for destination in journal.outages().filter(|_| !self.adopted) {
             self.tell(Event::Remembered(DestinationId(destination)));
         }
-        for Level { customer, left, at } in journal.levels() {
+        for Level { customer, left, at } in journal.levels().filter(|_| !self.adopted) {
             let Some(tenant) = self.tenant(&customer) else { continue };
             self.tell(Event::Counted { tenant, left: f64::from(left) / 1000.0, at: self.seconds(at) });
         }
         for (number, kept) in open {
+            // What came with the decisions' state is known there.
+            if self.dispatcher.borrow().holds(MessageId(number)) {
+                continue;
+            }
             let Some(message) = self.message(number) else { continue };
             self.tell(Event::Resumed {
                 message,
@@ -252,9 +281,7 @@
 }
 
 /// Records how a call ended as soon as that is known, then tells the round loop.
-async fn make_call(node: Rc<Node>, call: Call, sent_at: Seconds) {
-    node.calls_out.set(node.calls_out.get() + 1);
-    let end = calls::call(&node, &call).await;
+fn call_ended(node: &Node, endpoint: EndpointId, dest: u32, sent_at: Seconds, end: CallEnd) {
     for end in end.ends.iter().filter(|end| end.outcome == Outcome::Served) {
         node.count_end(end.number, End::Fulfilled);
     }
@@ -271,9 +298,33 @@
             });
         }
     }
+    node.counts.ended(dest, &end);
+    node.send(Input::Ended { endpoint, sent_at, end });
+}
+
+/// Makes a call, and sees to it that its end is known to whoever owns by then.
+async fn make_call(node: Rc<Node>, call: Call, sent_at: Seconds) {
+    node.calls_out.set(node.calls_out.get() + 1);
+    let (mut end, cut) = tokio::select! {
+        end = calls::call(&node, &call) => (end, false),
+        () = node.cut.notified() => {
+            let reset = |item: &Item| calls::End {
+                number: item.number, attempt: item.attempt, outcome: Outcome::Reset, closed: false,
+            };
+            (CallEnd::bare(call.items.iter().map(reset).collect(), false), true)
+        }
+    };
+    let (endpoint, dest) = (call.endpoint, call.dest);
+    match node.gate.settled().await {
+        Phase::Over if cut => {}
+        Phase::Over => {
+            // Its connection stays behind.
+            end.kept = false;
+            node.hand(Rest::Told(Told::Call { endpoint: endpoint.0, dest, sent_at, end }));
+        }
+        _ => call_ended(&node, endpoint, dest, sent_at, end),
+    }
     node.calls_out.set(node.calls_out.get() - 1);
-    node.counts.ended(call.dest, &end);
-    node.send(Input::Ended { endpoint: call.endpoint, sent_at, end });
 }
 
 /// The sends of one round, as calls: those to one endpoint share a call as far as its kind allows.
@@ -352,7 +403,13 @@
                 spawn_local(async move {
                     let (outcome, allowance) = calls::probe(&node, endpoint).await;
                     let latency = node.now() - now;
-                    node.tell(Event::Probed { endpoint, outcome, latency, allowance });
+                    match node.gate.settled().await {
+                        Phase::Over => {
+                            let endpoint = endpoint.0;
+                            node.hand(Rest::Told(Told::Probe { endpoint, outcome, latency, allowance }));
+                        }
+                        _ => node.tell(Event::Probed { endpoint, outcome, latency, allowance }),
+                    }
                 });
             }
             Action::CloseIdle(endpoint) => {
@@ -417,10 +474,26 @@
     }
 }
 
-/// Rounds, until the process is told to stop and has nothing out any more.
-async fn rounds(
-    node: Rc<Node>, mut inbox: UnboundedReceiver<Input>, mut terminate: Signal, mut interrupt: Signal,
-) {
+/// What the rounds hear from outside of them.
+struct Ears {
+    inbox: UnboundedReceiver<Input>,
+    terminate: Signal,
+    interrupt: Signal,
+    /// Processes that are to take over.
+    asked: UnboundedReceiver<handover::Asked>,
+    rest: UnboundedReceiver<handover::Rest>,
+}
+
+/// What the process does when the rounds have ended.
+enum Finish {
+    End,
+    /// It begins anew.
+    Again,
+}
+
+/// Rounds, until the process is told to stop and has nothing out any more, or another one has taken over.
+async fn rounds(node: Rc<Node>, ears: Ears) -> Finish {
+    let Ears { mut inbox, mut terminate, mut interrupt, mut asked, mut rest } = ears;
     let tick = Duration::from_secs_f64(node.config.tick);
     let at = |seconds: Seconds| -> tokio::time::Instant {
         (node.started + Duration::from_secs_f64(seconds.clamp(0.0, 1e9))).into()
@@ -434,7 +507,9 @@
     loop {
         let due = timer.map_or(sweep_at, |(_, at): (u32, Seconds)| at.min(sweep_at));
         let mut stop = false;
+        let mut taker = None;
         let first = tokio::select! {
+            Some(asks) = asked.recv(), if told_at.is_none() => { taker = Some(asks); None }
             input = inbox.recv() => input,
             () = sleep_until(at(due)) => None,
             _ = terminate.recv() => { stop = true; None }
@@ -443,6 +518,15 @@
         // What happens within a tick is one round.
         let next = (node.started.elapsed().as_nanos() / tick.as_nanos() + 1) * tick.as_nanos();
         sleep_until((node.started + Duration::from_nanos(next as u64)).into()).await;
+        if let Some(taker) = taker {
+            std::iter::from_fn(|| inbox.try_recv().ok()).for_each(|input| hear(&node, node.now(), input));
+            let signals = (&mut terminate, &mut interrupt);
+            match handover::give(&node, taker, &mut asked, signals, &mut rest).await {
+                After::Resumed { stopping } => stop |= stopping,
+                After::Ended => return Finish::End,
+                After::Restart => return Finish::Again,
+            }
+        }
         let now = node.now();
         if stop && told_at.is_none() {
             println!("{now:.3} told to stop");
@@ -477,7 +561,7 @@
             let idle = journal.iter().next().is_none() && now - told_at >= EXIT_LEAST;
             let quiet = node.calls_out.get() == 0 && (idle || now - told_at >= CALLS_END);
             if quiet || now - told_at >= EXIT {
-                return;
+                return Finish::End;
             }
         }
     }
@@ -516,7 +600,7 @@
     Ok((journal, behind))
 }
 
-async fn run(config: Config) -> Result<(), String> {
+async fn run(config: Config) -> Result<Finish, String> {
     let signals = Signals::heed().map_err(|error| format!("signals: {error}"))?;
     let figures = Arc::new(Figures::new(&config.classes));
     let (asked, orders) = unbounded_channel();
@@ -526,17 +610,35 @@
         let at = at.map_err(|error| format!("control: {control}: {error}"))?;
         println!("{} answers operators at {at}", config.name);
     }
-    let (journal, behind) = open_journal(&config)?;
-    let dispatcher =
-        Dispatcher::new(config.settings.clone(), config.seed).map_err(|error| error.to_string())?;
+    let (lock, taken) = handover::arrive(&config).await;
+    let (mut journal, behind) = open_journal(&config)?;
+    let (state, given) = taken.map_or((None, None), |mut taken| (taken.state.take(), Some(taken)));
+    let adopted = state.is_some();
+    let (started, dispatcher, directory) = match state {
+        Some(mut state) => {
+            let started = state.started();
+            journal.recall(state.ended);
+            state.decisions.moved();
+            (started, state.decisions, state.directory)
+        }
+        None => {
+            let dispatcher = Dispatcher::new(config.settings.clone(), config.seed);
+            (Instant::now(), dispatcher.map_err(|error| error.to_string())?, Directory::default())
+        }
+    };
+    let (given, passed) = given.map_or((None, None), |mut given| (given.listener.take(), Some(given)));
+    let listener = inherited::listener(config.listen, given).await?;
+    println!("{} listens at {}", config.name, listener.local_addr().map_err(|e| e.to_string())?);
     let (sender, mut inbox) = unbounded_channel();
+    let (doorstep, asked) = handover::Doorstep::new(&config.state);
+    let (rest, handed) = unbounded_channel();
     let node = Rc::new(Node {
-        started: Instant::now(),
+        started,
         behind,
         inbox: sender,
         dispatcher: RefCell::new(dispatcher),
         journal: RefCell::new(journal),
-        directory: RefCell::default(),
+        directory: RefCell::new(directory),
         pool: Pool::default(),
         counts: counts::Counts::default(),
         figures,
@@ -549,27 +651,39 @@
         notices: Notify::new(),
         resubscribe: Notify::new(),
         stopping: Notify::new(),
+        listener: Rc::new(listener),
+        gate: Gate::default(),
+        lock: RefCell::new(lock),
+        doorstep,
+        rest,
+        cut: Notify::new(),
+        adopted,
         config,
     });
-    discovery::list(&node, node.config.file["known"].to_string().as_bytes());
+    if !adopted {
+        discovery::list(&node, node.config.file["known"].to_string().as_bytes());
+    }
     node.resume();
     // The decisions know the list and what is owed before the first client is heard.
     std::iter::from_fn(|| inbox.try_recv().ok()).for_each(|input| hear(&node, node.now(), input));
-    // Clients come once all that was owed is taken up again; nothing here waits for discovery.
-    let listener = inherited::listener(node.config.listen).await?;
-    println!("{} listens at {}", node.config.name, listener.local_addr().map_err(|e| e.to_string())?);
+    if let Some(passed) = passed {
+        spawn_local(handover::own(node.clone(), passed));
+    }
+    node.doorstep.open();
     spawn_local(discovery::watch(node.clone()));
     spawn_local(discovery::notices(node.clone()));
-    spawn_local(clients::serve(node.clone(), listener));
+    // Clients come once all that was owed is taken up again; nothing here waits for discovery.
+    spawn_local(clients::serve(node.clone()));
     spawn_local(control::obey(node.clone(), orders));
     node.figures.set(control::gauges(&node));
     node.figures.set_ready(true);
     spawn_local(reload(node.clone(), signals.hangup));
-    rounds(node.clone(), inbox, signals.terminate, signals.interrupt).await;
+    let Signals { terminate, interrupt, .. } = signals;
+    let finish = rounds(node.clone(), Ears { inbox, terminate, interrupt, asked, rest: handed }).await;
     // Idle clients hear that the connection ends; a request that is being answered is still answered.
     node.stopping.notify_waiters();
     tokio::time::sleep(Duration::from_millis(50)).await;
-    Ok(())
+    Ok(finish)
 }
 
 /// Runs the dispatcher that `GW_CONFIG` and `GW_STATE` describe until it is told to stop. A configuration that
@@ -588,7 +702,13 @@
         .map_err(|error| format!("runtime: {error}"))
         .and_then(|runtime| LocalSet::new().block_on(&runtime, run(config)));
     match ran {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(Finish::End) => ExitCode::SUCCESS,
+        Ok(Finish::Again) => {
+            // All that this process had open closes with it; what is on record is taken up as after a kill.
+            let error = Command::new("/proc/self/exe").args(std::env::args_os().skip(1)).exec();
+            eprintln!("fawnspoke: beginning anew: {error}");
+            ExitCode::FAILURE
+        }
         Err(error) => {
             eprintln!("fawnspoke: {error}");
             ExitCode::FAILURE
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
+use std::os::fd::{AsFd, BorrowedFd};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -34,6 +35,11 @@
         Ok(Wire(Rc::new(stream)))
     }
 
+    /// Its descriptor, for another process.
+    pub fn descriptor(&self) -> BorrowedFd<'_> {
+        self.0.as_fd()
+    }
+
     /// A read that left room has taken all that was there: the runtime need not ask again before it hears of more.
     /// An end that it has heard of stays heard.
     fn drained(&self) {
--- a/crates/waydoor/src/interface.rs
+++ b/crates/waydoor/src/interface.rs
@@ -2,27 +2,29 @@
 //!
 //! Times are seconds on the caller's clock; spans are seconds too. No decision lives here.
 
+use serde::{Deserialize, Serialize};
+
 /// A point on the caller's clock, or a span, in seconds.
 pub type Seconds = f64;
 
 /// A message, unique for as long as the dispatcher runs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct MessageId(pub u64);
 
 /// One address of a destination.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct EndpointId(pub u64);
 
 /// A system of another firm, reached through one or more endpoints.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct DestinationId(pub u32);
 
 /// The key under which messages of an ordered class keep their order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct OrderKey(pub u64);
 
 /// What one more delivery of the same message would do.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Effect {
     /// It may be repeated freely.
     Safe,
@@ -38,7 +40,7 @@
 }
 
 /// A class of messages.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Class {
     /// Delivered within this time it earns its full worth.
     pub aim: Seconds,
@@ -55,14 +57,14 @@
 }
 
 /// A customer whose messages are carried.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Tenant {
     /// Messages a second within its share, at all dispatchers together.
     pub quota: f64,
 }
 
 /// A kind of destination.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Kind {
     /// The endpoints are separate routes, each with its own limit and outages.
     pub routes_apart: bool,
@@ -71,7 +73,7 @@
 }
 
 /// How worth falls once the aim has passed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Decay {
     /// Evenly, down to the late share at the deadline.
     Even,
@@ -80,7 +82,7 @@
 }
 
 /// How the list of endpoints arrives.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Listing {
     /// Changes come by themselves.
     Pushed,
@@ -102,7 +104,7 @@
 }
 
 /// How a destination that was out must be treated.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ReturnRule {
     /// Share of its capacity that it starts with.
     pub cold_share: f64,
@@ -115,7 +117,7 @@
 }
 
 /// All that a dispatcher is told at its start.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Settings {
     /// How many dispatchers share the destinations.
     pub dispatchers: u32,
@@ -227,7 +229,7 @@
 }
 
 /// A message to deliver.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Message {
     /// Its id.
     pub id: MessageId,
@@ -256,7 +258,7 @@
 }
 
 /// How a call or a probe ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// Delivered.
     Served,
@@ -288,7 +290,7 @@
 }
 
 /// What an endpoint tells of its limit.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Allowance {
     /// The limit in calls a second; 0 where none is counted.
     pub rate: f64,
@@ -411,7 +413,7 @@
 }
 
 /// What a dispatcher wants done.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Action {
     /// Call the endpoint with the message.
     Send {
--- a/crates/waydoor/src/lib.rs
+++ b/crates/waydoor/src/lib.rs
@@ -76,4 +76,4 @@
 mod state;
 
 pub use interface::*;
-pub use state::Dispatcher;
+pub use state::{Dispatcher, Outstanding};
--- a/crates/waydoor/src/state.rs
+++ b/crates/waydoor/src/state.rs
@@ -2,9 +2,10 @@
 
 use crate::choice::UNKNOWN_LATENCY;
 use crate::interface::*;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Health {
     #[default]
     Healthy,
@@ -23,7 +24,7 @@
 }
 
 /// A decayed count of events a second.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Rate {
     pub(crate) per_second: f64,
     pub(crate) at: Seconds,
@@ -40,7 +41,7 @@
 }
 
 /// The own pace at a place's limit.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Pace {
     /// What the place takes from all dispatchers, calls a second, where that is listed or told.
     pub(crate) capacity: Option<f64>,
@@ -58,7 +59,7 @@
 }
 
 /// Whether a place serves, and how it comes back where it does not.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Outage {
     pub(crate) health: Health,
     pub(crate) served_at: Seconds,
@@ -73,7 +74,7 @@
 }
 
 /// What refusals told.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Refusals {
     pub(crate) fulls: u32,
     pub(crate) full_since: Seconds,
@@ -85,7 +86,7 @@
 }
 
 /// Decayed means of the time of a call and of the share that fails.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Service {
     pub(crate) latency: f64,
     pub(crate) failing: f64,
@@ -93,7 +94,7 @@
 }
 
 /// What was learned of a destination as a whole, or of one endpoint.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Lane {
     pub(crate) pace: Pace,
     pub(crate) outage: Outage,
@@ -121,7 +122,7 @@
     }
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Destination {
     pub(crate) lane: Lane,
     pub(crate) endpoints: BTreeSet<EndpointId>,
@@ -137,7 +138,7 @@
     pub(crate) remembered: bool,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Endpoint {
     pub(crate) lane: Lane,
     pub(crate) destination: DestinationId,
@@ -148,21 +149,21 @@
     pub(crate) idle_since: Option<Seconds>,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(crate) struct Flight {
     pub(crate) endpoint: EndpointId,
     pub(crate) call: u64,
 }
 
 /// What a customer may still hand in within its share.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(crate) struct Purse {
     pub(crate) left: f64,
     pub(crate) at: Seconds,
 }
 
 /// The ledger of one message: what was sent and what may have run.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Parcel {
     pub(crate) message: Message,
     pub(crate) taken: Seconds,
@@ -187,7 +188,7 @@
     }
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Call {
     pub(crate) endpoint: EndpointId,
     pub(crate) sent_at: Seconds,
@@ -210,7 +211,7 @@
     }
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Line {
     pub(crate) queue: VecDeque<MessageId>,
     pub(crate) rest_until: Seconds,
@@ -237,10 +238,35 @@
     }
 }
 
+fn seed<S: Serializer>(rng: &fastrand::Rng, to: S) -> Result<S::Ok, S::Error> {
+    rng.get_seed().serialize(to)
+}
+
+fn seeded<'a, D: Deserializer<'a>>(from: D) -> Result<fastrand::Rng, D::Error> {
+    u64::deserialize(from).map(fastrand::Rng::with_seed)
+}
+
+/// A message that is out: where to, which attempt, and since when.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Outstanding {
+    /// The message.
+    pub id: MessageId,
+    /// Where it went.
+    pub endpoint: EndpointId,
+    /// The attempt's number, from 0.
+    pub attempt: u32,
+    /// When it was sent.
+    pub sent_at: Seconds,
+}
+
 /// One dispatcher: learns with [`handle`](Dispatcher::handle), acts with [`decide`](Dispatcher::decide).
-#[derive(Clone, Debug)]
+///
+/// What it serializes to is for the process that takes over, and for a program that knows the same fields: another one
+/// cannot read it, and starts from what is on record.
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Dispatcher {
     pub(crate) settings: Settings,
+    #[serde(serialize_with = "seed", deserialize_with = "seeded")]
     pub(crate) rng: fastrand::Rng,
     pub(crate) parcels: BTreeMap<MessageId, Parcel>,
     pub(crate) calls: BTreeMap<u64, Call>,
@@ -320,6 +346,35 @@
         }
     }
 
+    /// What it was told at its start.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Whether a message is in mind that is not over.
+    pub fn holds(&self, id: MessageId) -> bool {
+        self.parcels.get(&id).is_some_and(|parcel| !parcel.over)
+    }
+
+    /// The messages that are out, in the order of their ids.
+    pub fn outstanding(&self) -> Vec<Outstanding> {
+        let out = self.parcels.iter().filter_map(|(id, parcel)| Some((id, parcel, parcel.out?)));
+        let out = out.map(|(id, parcel, Flight { endpoint, call })| Outstanding {
+            id: *id,
+            endpoint,
+            attempt: parcel.attempts.saturating_sub(1),
+            sent_at: self.calls.get(&call).map_or(f64::NEG_INFINITY, |call| call.sent_at),
+        });
+        out.collect()
+    }
+
+    /// Another process goes on with this state, on the same clock: what the old one had pending with its surroundings
+    /// (its timer, its subscription, its own end) is gone.
+    pub fn moved(&mut self) {
+        (self.timer, self.closing_at) = (None, f64::INFINITY);
+        (self.ask_at, self.asked, self.asks) = (f64::NEG_INFINITY, false, 0);
+    }
+
     /// Takes a message out of its call; gives the call once it was the last one in it.
     pub(crate) fn landed(&mut self, flight: Flight) -> Option<Call> {
         let call = self.calls.get_mut(&flight.call)?;
