--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -35,8 +35,11 @@
 const HEADERS_MOST: usize = 64;
 /// Share of the keep-alive time after which an idle connection is dropped: well before the endpoint does.
 const KEEPALIVE_SHARE: f64 = 0.85;
-/// After its first byte an answer is there or will not come.
-const REST_OF_ANSWER: Duration = Duration::from_secs(1);
+/// After its first byte an answer is there or will not come. Answers that stop short would else keep their slots.
+const REST_OF_ANSWER: Duration = Duration::from_millis(300);
+/// After a first line with 200, which tells all of a single message, the rest is waited for no longer than that: it
+/// brings a report, and a connection that can be kept.
+const REST_OF_HEAD: Duration = Duration::from_millis(50);
 /// What has arrived is read within this time.
 const LATE_READ: Duration = Duration::from_millis(5);
 
@@ -85,9 +88,11 @@
         }
     }
 
-    /// When an answer that is awaited until then is given up.
-    fn until(&self, until: Instant) -> Instant {
-        self.first_at.get().map_or(until, |at| until.min(at + REST_OF_ANSWER))
+    /// When an answer that is awaited until then is given up. `one`: it answers a single message.
+    fn until(&self, until: Instant, one: bool) -> Instant {
+        let all = one && self.head.borrow().status() == Some(StatusCode::OK);
+        let rest = if all { REST_OF_HEAD } else { REST_OF_ANSWER };
+        self.first_at.get().map_or(until, |at| until.min(at + rest))
     }
 }
 
@@ -436,7 +441,7 @@
                 () = heard.first.notified() => {}
                 // After a stall of this process the time is up before anything was read: what came meanwhile
                 // is no time-out.
-                () = sleep_until(heard.until(until)) => break timeout(LATE_READ, sent).await,
+                () = sleep_until(heard.until(until, messages == 1)) => break timeout(LATE_READ, sent).await,
             }
         };
         let outcome = match answer {
