--- a/crates/control/src/door.rs
+++ b/crates/control/src/door.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, oneshot};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::{LocalSet, spawn_local, yield_now};
 use tokio::time::{sleep, timeout};
 
 /// Descriptors of the door: its callers', its listener's and its runtime's.
@@ -23,6 +23,8 @@
 pub const CALLERS_MOST: usize = 16;
 /// Callers beyond those: all of them have said what they want, and are being answered.
 const ANSWERED_MOST: usize = 16;
+/// How often callers get a turn to leave before one more is accepted.
+const YIELDS: usize = 4;
 /// A call is whole by then.
 const CALL_TIME: Duration = Duration::from_secs(2);
 /// The dispatcher's thread has said yes or no to an order by then, or the answer is no: it may be carried out later.
@@ -79,18 +81,28 @@
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    if self.callers.get() >= CALLERS_MOST {
-                        match self.waiting.borrow_mut().pop_front() {
-                            Some(oldest) => oldest.notify_one(),
-                            None if self.callers.get() >= CALLERS_MOST + ANSWERED_MOST => continue,
-                            None => {}
+                    // The oldest that has said nothing is gone before this one counts; where all have said what they want,
+                    // they are answered in a moment.
+                    for _ in 0..YIELDS {
+                        if self.callers.get() < CALLERS_MOST {
+                            break;
                         }
+                        if let Some(oldest) = self.waiting.borrow_mut().pop_front() {
+                            oldest.notify_one();
+                        }
+                        yield_now().await;
+                    }
+                    if self.callers.get() >= CALLERS_MOST + ANSWERED_MOST {
+                        continue;
                     }
+                    // It counts from here on: more may be accepted before its task has run.
+                    let leave = Rc::new(Notify::new());
+                    self.waiting.borrow_mut().push_back(leave.clone());
                     self.callers.set(self.callers.get() + 1);
                     let door = self.clone();
                     spawn_local(async move {
                         // A caller that breaks off is its own affair.
-                        let _ = door.caller(stream).await;
+                        let _ = door.caller(stream, leave).await;
                         door.callers.set(door.callers.get() - 1);
                     });
                 }
@@ -102,10 +114,10 @@
         }
     }
 
-    async fn caller(&self, mut stream: TcpStream) -> io::Result<()> {
-        let leave = Rc::new(Notify::new());
-        self.waiting.borrow_mut().push_back(leave.clone());
+    async fn caller(&self, mut stream: TcpStream, leave: Rc<Notify>) -> io::Result<()> {
         let call = tokio::select! {
+            // What has said all that it wants is answered, also where it was to leave.
+            biased;
             call = timeout(CALL_TIME, read(&mut stream)) => Some(call),
             () = leave.notified() => None,
         };
--- a/crates/fawnspoke/src/main.rs
+++ b/crates/fawnspoke/src/main.rs
@@ -1,6 +1,8 @@
 //! The program: reads its arguments and hands over to the part that is asked for.
 
 use clap::{Args, Parser, Subcommand};
+use fawnspoke_control::client;
+use fawnspoke_control::protocol::{Call, Reply};
 use fawnspoke_journal::inspect::{self, InspectError, Repaired};
 use fawnspoke_lab::bench::Settings;
 use fawnspoke_lab::command;
@@ -8,7 +10,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// A delivery service for messages to other firms' systems.
 ///
@@ -40,6 +42,41 @@
     /// Look into a dispatcher's journal; nothing is written to it
     #[command(subcommand)]
     Journal(Journal),
+    /// Ask a running dispatcher, or order it something
+    Door(Door),
+}
+
+#[derive(Args)]
+struct Door {
+    /// Where the dispatcher answers operators
+    #[arg(long, env = "GW_CONTROL")]
+    at: SocketAddr,
+    /// As JSON
+    #[arg(long, global = true)]
+    json: bool,
+    /// Seconds to wait for the connection and for the answer, each
+    #[arg(long, default_value_t = 2.0, value_parser = seconds, global = true)]
+    patience: f64,
+    #[command(subcommand)]
+    ask: Ask,
+}
+
+#[derive(Subcommand)]
+enum Ask {
+    /// Whether it is ready to serve: exit code 1 where it says no
+    Status,
+    /// The figures
+    Metrics,
+    /// Take an endpoint out, until it is called back
+    Suspend {
+        /// The endpoint's id in discovery's list
+        id: String,
+    },
+    /// Let an endpoint serve again
+    Restore {
+        /// The endpoint's id in discovery's list
+        id: String,
+    },
 }
 
 #[derive(Subcommand)]
@@ -216,6 +253,7 @@
         Command::Lab(Lab::Losses { logs, before, json }) => command::losses(&logs, before.as_deref(), json),
         Command::Lab(Lab::Proxy { listen, to }) => command::proxy(listen, to),
         Command::Lab(Lab::Naive { fault }) => command::naive(&fault),
+        Command::Door(asked) => door(asked),
         Command::Journal(asked) => match journal(&asked) {
             Ok(code) => code,
             // Who reads has had enough.
@@ -228,6 +266,41 @@
     }
 }
 
+/// Exit code 0 for a yes or figures, 1 for a no, 2 where nobody answered.
+fn door(asked: Door) -> ExitCode {
+    let call = match asked.ask {
+        Ask::Status => Call::Status,
+        Ask::Metrics => Call::Metrics,
+        Ask::Suspend { id } => Call::Suspend(id),
+        Ask::Restore { id } => Call::Restore(id),
+    };
+    let reply = match client::ask(asked.at, &call, Duration::from_secs_f64(asked.patience)) {
+        Ok(reply) => reply,
+        Err(error) => {
+            eprintln!("fawnspoke: {}: {error}", asked.at);
+            return ExitCode::from(2);
+        }
+    };
+    let (text, code) = match (&reply, asked.json) {
+        (Reply::Yes(text), true) => (serde_json::json!({"success": true, "text": text}).to_string(), 0),
+        (Reply::No(text), true) => (serde_json::json!({"success": false, "text": text}).to_string(), 1),
+        (Reply::Yes(text), false) => (format!("yes: {text}"), 0),
+        (Reply::No(text), false) => (format!("no: {text}"), 1),
+        (Reply::Figures(figures), true) => {
+            let figures = figures.iter().map(|(name, value, _)| (name.clone(), (*value).into()));
+            (serde_json::Value::Object(figures.collect()).to_string(), 0)
+        }
+        (Reply::Figures(figures), false) => {
+            let lines = figures.iter().map(|(name, value, _)| format!("{value:>12}  {name}"));
+            (lines.collect::<Vec<_>>().join("\n"), 0)
+        }
+    };
+    match writeln!(std::io::stdout(), "{text}") {
+        Err(error) if error.kind() != ErrorKind::BrokenPipe => ExitCode::from(2),
+        _ => ExitCode::from(code),
+    }
+}
+
 fn journal(asked: &Journal) -> Result<ExitCode, InspectError> {
     let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_micros() as u64);
     let mut out = BufWriter::new(std::io::stdout().lock());
--- a/crates/fawnspoke/tests/lab.rs
+++ b/crates/fawnspoke/tests/lab.rs
@@ -140,3 +140,16 @@
     assert_eq!(damaged, 0, "{line}");
     assert_eq!(output.status.code(), Some(0), "{all}");
 }
+
+#[test]
+fn upgrades_lose_nothing_whoever_is_killed_meanwhile() {
+    // The scenario at a tenth of its length.
+    let text = std::fs::read_to_string(scenario("upgrades")).unwrap();
+    let short = file("upgrades.toml", &text.replace("length_s = 170.0", "length_s = 8.0"));
+    let output = program(&["lab", "run", &short]);
+    let all = self::text(&output);
+    assert_eq!(output.status.code(), Some(0), "{all}");
+    assert!(all.contains("no yes in time: 0; old ones that stayed too long: 0"), "{all}");
+    let count = all.lines().find_map(|line| line.split_once(" upgrades, with kills")?.0.parse::<u32>().ok());
+    assert!(count.is_some_and(|count| count >= 10), "{all}");
+}
--- a/crates/fawnspoke/tests/sockets/main.rs
+++ b/crates/fawnspoke/tests/sockets/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod churn;
 mod clients;
+mod in_service;
 mod limits;
 mod reload;
 mod stage;
--- a/crates/handover/src/frames.rs
+++ b/crates/handover/src/frames.rs
@@ -123,3 +123,27 @@
 pub fn read<T: DeserializeOwned>(packet: &[u8]) -> Result<T, FrameError> {
     Ok(postcard::from_bytes(packet)?)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    #[test]
+    fn what_is_sent_is_read() {
+        let hello = Hello { version: VERSION, decisions: true };
+        assert_eq!(Hello::read(&hello.packet().unwrap()).unwrap(), hello);
+        // A later version may say more.
+        let later = Hello::read(br#"{"version":9,"decisions":false,"more":[1]}"#).unwrap();
+        assert_eq!(later.version, 9);
+        let frame = FromGiver::Client { read: vec![0, 255], asked_ms: Some(7) };
+        assert_eq!(read::<FromGiver>(&packet(&frame).unwrap()).unwrap(), frame);
+    }
+
+    proptest! {
+        #[test]
+        fn bytes_that_are_no_frame_are_an_error_and_no_more(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+            let _ = (read::<FromGiver>(&bytes), read::<FromTaker>(&bytes), Hello::read(&bytes));
+        }
+    }
+}
--- a/crates/handover/src/link.rs
+++ b/crates/handover/src/link.rs
@@ -5,8 +5,8 @@
 use rustix::io::Errno;
 use rustix::net::{
     AddressFamily, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
-    SendAncillaryMessage, SendFlags, SocketAddrUnix, SocketFlags, SocketType, bind, connect, listen, recvmsg,
-    sendmsg, socket_with,
+    SendAncillaryMessage, SendFlags, SocketAddrUnix, SocketFlags, SocketType, bind, connect, listen, recv,
+    recvmsg, sendmsg, socket_with,
 };
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
@@ -98,6 +98,15 @@
         }
     }
 
+    /// Whether the other side has ended, as far as the socket knows now; a packet that waits is no end.
+    pub fn has_ended(&self) -> bool {
+        let mut byte = [0];
+        match recv(&self.socket, &mut byte, RecvFlags::PEEK | RecvFlags::DONTWAIT) {
+            Ok((_, read)) => read == 0,
+            Err(error) => error != Errno::WOULDBLOCK,
+        }
+    }
+
     /// Sends a packet, with a descriptor or without.
     ///
     /// # Errors
@@ -171,7 +180,9 @@
         let server = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let mut client = std::net::TcpStream::connect(server.local_addr().unwrap()).unwrap();
         let (served, _) = server.accept().unwrap();
+        assert!(!taker.has_ended());
         giver.send(b"first", None).await.unwrap();
+        assert!(!taker.has_ended());
         giver.send(&vec![7; PACKET_MOST], Some(served.as_fd())).await.unwrap();
         // The sender's copy closes: the connection lives on in the other one.
         drop(served);
@@ -179,6 +190,7 @@
         assert_eq!(taker.receive().await.unwrap().unwrap().0, b"first");
         let (packet, descriptor) = taker.receive().await.unwrap().unwrap();
         assert_eq!(packet.len(), PACKET_MOST);
+        assert!(taker.has_ended());
         assert!(taker.receive().await.unwrap().is_none());
         let mut moved = std::net::TcpStream::from(descriptor.unwrap());
         moved.write_all(b"hello").unwrap();
--- a/crates/handover/src/lock.rs
+++ b/crates/handover/src/lock.rs
@@ -1,4 +1,5 @@
-//! The lock on the folder that lasts: who holds it owns what is in it. The kernel frees it with its process.
+//! The locks on the folder that lasts. Who holds the one owns what is in it; the other is shared by all that may have
+//! calls out. The kernel frees them with their process.
 
 use rustix::fs::{FlockOperation, flock};
 use rustix::io::Errno;
@@ -6,8 +7,10 @@
 use std::io;
 use std::path::Path;
 
-/// Its file in the folder; always empty.
+/// The owner's file in the folder; always empty.
 pub const FILE: &str = "lock";
+/// The file of those that may have calls out; always empty.
+pub const CALLS: &str = "calls";
 
 /// A lock that is held until it is dropped.
 #[derive(Debug)]
@@ -20,8 +23,32 @@
 /// # Errors
 /// Those of the file, and of a file system that knows no locks.
 pub fn try_lock(folder: &Path) -> io::Result<Option<Lock>> {
-    let file = OpenOptions::new().create(true).truncate(false).write(true).open(folder.join(FILE))?;
-    match flock(&file, FlockOperation::NonBlockingLockExclusive) {
+    held(open(folder, FILE)?, FlockOperation::NonBlockingLockExclusive)
+}
+
+/// Shares the calls' lock with whoever has calls out already; none where one is just looking whether anybody has.
+///
+/// # Errors
+/// As for [`try_lock`].
+pub fn share_calls(folder: &Path) -> io::Result<Option<Lock>> {
+    held(open(folder, CALLS)?, FlockOperation::NonBlockingLockShared)
+}
+
+/// The calls' lock where no other process may have calls out; none where one may.
+///
+/// # Errors
+/// As for [`try_lock`].
+pub fn quiet_calls(folder: &Path) -> io::Result<Option<Lock>> {
+    let alone = held(open(folder, CALLS)?, FlockOperation::NonBlockingLockExclusive)?;
+    alone.map_or(Ok(None), |lock| held(lock._file, FlockOperation::NonBlockingLockShared))
+}
+
+fn open(folder: &Path, name: &str) -> io::Result<File> {
+    OpenOptions::new().create(true).truncate(false).write(true).open(folder.join(name))
+}
+
+fn held(file: File, how: FlockOperation) -> io::Result<Option<Lock>> {
+    match flock(&file, how) {
         Ok(()) => Ok(Some(Lock { _file: file })),
         Err(Errno::WOULDBLOCK) => Ok(None),
         Err(error) => Err(error.into()),
@@ -41,6 +68,13 @@
         assert!(try_lock(&folder).unwrap().is_none());
         drop(held);
         assert!(try_lock(&folder).unwrap().is_some());
+        let first = quiet_calls(&folder).unwrap();
+        assert!(first.is_some() && quiet_calls(&folder).unwrap().is_none());
+        let second = share_calls(&folder).unwrap();
+        drop(first);
+        assert!(second.is_some() && quiet_calls(&folder).unwrap().is_none());
+        drop(second);
+        assert!(quiet_calls(&folder).unwrap().is_some());
         std::fs::remove_dir_all(folder).unwrap();
     }
 }
--- a/crates/handover/src/taker.rs
+++ b/crates/handover/src/taker.rs
@@ -24,6 +24,10 @@
     Broken,
     /// The lock was tried for, and is held by this process now, or not.
     Locked(bool),
+    /// Whether no other process has calls out.
+    Quiet(bool),
+    /// Whether the link still holds, asked once the lock was had.
+    Linked(bool),
     /// The time until the next try has passed.
     Again,
 }
@@ -42,6 +46,13 @@
     SayUnusable,
     /// Try for the lock.
     TryLock,
+    /// Look whether another process has calls out still: come back with `Quiet`.
+    TryQuiet,
+    /// Look whether the giver is still at the other end: come back with `Linked`. While this process holds the lock the
+    /// giver can't take back what it gave.
+    Confirm,
+    /// Free the lock.
+    Unlock,
     /// Drop what came, and the link.
     Drop,
     /// Come back with `Again` after [`AGAIN`].
@@ -53,7 +64,7 @@
 }
 
 /// Where the taker stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Taker {
     /// It looks for a giver.
     Looking {
@@ -75,6 +86,8 @@
         /// As before.
         without: bool,
     },
+    /// It has the lock, and waits until no call of another process is out.
+    Quieting,
     /// It owns.
     Owner,
 }
@@ -100,9 +113,15 @@
                 (Taker::Asking { without }, vec![Ask { decisions: !without }])
             }
             (Taker::Looking { without }, Event::Nobody) => (Taker::Alone { without }, vec![TryLock]),
-            (Taker::Alone { .. }, Event::Locked(true)) => (Taker::Owner, vec![Begin]),
+            // On record a call without an end may have run, and may go again: it has to be over.
+            (Taker::Alone { .. }, Event::Locked(true)) => (Taker::Quieting, vec![TryQuiet]),
+            (Taker::Quieting, Event::Quiet(true)) => (Taker::Owner, vec![Begin]),
+            (Taker::Quieting, Event::Quiet(false)) => (*self, vec![Wait]),
+            (Taker::Quieting, Event::Again) => (*self, vec![TryQuiet]),
             // Its holder may be a giver that has not opened its socket yet, or one that frees the lock when it ends.
             (Taker::Alone { without }, Event::Locked(false)) => (Taker::Looking { without }, vec![Wait]),
+            // Somebody is there and hears nobody just now: the lock may be free, and is not for the taking.
+            (Taker::Looking { .. }, Event::Refused) => (*self, vec![Wait]),
             (Taker::Asking { without }, Event::Refused | Event::Broken) => {
                 (Taker::Looking { without }, vec![Drop, Wait])
             }
@@ -110,7 +129,12 @@
             (Taker::Asking { .. }, Event::Given(false)) => {
                 (Taker::Looking { without: true }, vec![SayUnusable, Wait])
             }
-            (Taker::Locking { .. }, Event::Locked(true)) => (Taker::Owner, vec![Own]),
+            // The lock may be free since a giver that had taken it back gives to somebody else: what came here is old.
+            (Taker::Locking { .. }, Event::Locked(true)) => (*self, vec![Confirm]),
+            (Taker::Locking { .. }, Event::Linked(true)) => (Taker::Owner, vec![Own]),
+            (Taker::Locking { without }, Event::Linked(false)) => {
+                (Taker::Looking { without }, vec![Unlock, Drop, Wait])
+            }
             (Taker::Locking { .. }, Event::Locked(false)) => (*self, vec![Wait]),
             (Taker::Locking { .. }, Event::Again) => (*self, vec![TryLock]),
             // The giver has taken it back, or died and somebody else may own meanwhile: what came is old.
@@ -141,11 +165,25 @@
         assert_eq!(actions, [Action::Connect, asked, Action::TryLock, Action::Wait, Action::TryLock]);
     }
 
+    #[test]
+    fn what_was_taken_back_is_not_gone_on_with() {
+        let asked = [Event::Begin, Event::Connected, Event::Given(true), Event::Locked(true)];
+        let (taker, actions) = steps(&[&asked[..], &[Event::Linked(false)]].concat());
+        assert_eq!(taker, Taker::default());
+        assert_eq!(actions[3..], [Action::Confirm, Action::Unlock, Action::Drop, Action::Wait]);
+        assert!(steps(&[&asked[..], &[Event::Linked(true)]].concat()).0.owns());
+    }
+
     #[test]
     fn alone_it_begins_from_what_is_on_record() {
-        let (taker, actions) = steps(&[Event::Begin, Event::Nobody, Event::Locked(true)]);
+        let alone = [Event::Begin, Event::Nobody, Event::Locked(true), Event::Quiet(false), Event::Again];
+        let (taker, actions) = steps(&alone);
+        assert!(!taker.owns());
+        let quiet = Action::TryQuiet;
+        assert_eq!(actions, [Action::Connect, Action::TryLock, quiet, Action::Wait, quiet]);
+        let (taker, actions) = steps(&[&alone[..], &[Event::Quiet(true)]].concat());
         assert!(taker.owns());
-        assert_eq!(actions, [Action::Connect, Action::TryLock, Action::Begin]);
+        assert_eq!(actions.last(), Some(&Action::Begin));
     }
 
     #[test]
--- a/crates/lab/src/command.rs
+++ b/crates/lab/src/command.rs
@@ -234,6 +234,9 @@
              the next lives; {damaged} folders damaged"
         );
     }
+    if outcome.upgrades.count > 0 {
+        print!("{}", outcome.upgrades);
+    }
     if outcome.never > 0 {
         println!("{} messages found no dispatcher that would listen", outcome.never);
     }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -30,3 +30,4 @@
 pub mod script;
 pub mod stage;
 pub mod table;
+pub mod upgrader;
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -2,6 +2,8 @@
 
 use crate::http::Wire;
 use crate::record::{Recorder, Sig, What};
+use fawnspoke_control::client::ask;
+use fawnspoke_control::protocol::{Call, Reply};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 use std::fs::{self, File, OpenOptions};
@@ -9,8 +11,8 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::process::Command;
 use tokio::sync::watch;
@@ -36,10 +38,43 @@
     folder: PathBuf,
     log: PathBuf,
     recorder: Recorder,
-    /// Its end is what it was told.
-    asked: Arc<AtomicBool>,
+    /// The end of the process that runs is what it was told.
+    asked: Mutex<Arc<AtomicBool>>,
     /// The process that runs.
     running: watch::Sender<Option<u32>>,
+    /// Where operators call the process that runs.
+    control: Mutex<Option<SocketAddr>>,
+}
+
+/// A process that was started beside the one that runs, to take over.
+pub struct Second {
+    /// Its id.
+    pub id: u32,
+    /// Where operators call it.
+    pub control: SocketAddr,
+    asked: Arc<AtomicBool>,
+    ended: watch::Receiver<bool>,
+}
+
+impl Second {
+    /// Whether it has ended.
+    pub fn ended(&self) -> bool {
+        *self.ended.borrow()
+    }
+
+    /// Kills it, as nobody may be surprised at.
+    pub fn kill(&self) {
+        self.asked.store(true, Ordering::SeqCst);
+        if let Some(pid) = Pid::from_raw(self.id as i32) {
+            let _ = kill_process(pid, Signal::KILL);
+        }
+    }
+}
+
+/// Whether the process behind a door says that it serves.
+pub async fn serves(control: SocketAddr) -> bool {
+    let asked = tokio::task::spawn_blocking(move || ask(control, &Call::Status, Duration::from_millis(500)));
+    matches!(asked.await, Ok(Ok(Reply::Yes(_))))
 }
 
 impl Process {
@@ -53,8 +88,8 @@
         let folder = folder.join(format!("n{index}"));
         fs::create_dir_all(folder.join("state"))?;
         File::create(&log)?;
-        let (asked, running) = (Arc::default(), watch::Sender::new(None));
-        Ok(Process { index, program, listen, folder, log, recorder, asked, running })
+        let (asked, running, control) = (Mutex::default(), watch::Sender::new(None), Mutex::default());
+        Ok(Process { index, program, listen, folder, log, recorder, asked, running, control })
     }
 
     /// The folder that outlasts its processes.
@@ -62,6 +97,16 @@
         self.folder.join("state")
     }
 
+    /// Its number.
+    pub fn index(&self) -> usize {
+        self.index
+    }
+
+    /// Whether clients are answered that it is ready.
+    pub async fn answers(&self) -> bool {
+        self.ready().await
+    }
+
     /// Where clients connect.
     pub fn listen(&self) -> SocketAddr {
         self.listen
@@ -87,32 +132,9 @@
     /// # Errors
     /// Those of starting; `TimedOut` where it isn't ready in 20 s; `Other` where it ends before.
     pub async fn start(&self, discovery: SocketAddr) -> io::Result<()> {
-        let log = OpenOptions::new().append(true).open(&self.log)?;
         self.recorder.add(What::Started { dispatcher: self.index });
-        self.asked.store(false, Ordering::SeqCst);
-        let mut child = Command::new(&self.program.path)
-            .args(&self.program.arguments)
-            .env("GW_NAME", format!("n{}", self.index))
-            .env("GW_LISTEN", self.listen.to_string())
-            .env("GW_DISCOVERY", discovery.to_string())
-            .env("GW_STATE", self.folder.join("state"))
-            .env("GW_CONFIG", self.folder.join("config.json"))
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .kill_on_drop(true)
-            .spawn()?;
-        self.running.send_replace(child.id());
-        let (asked, running, recorder) = (self.asked.clone(), self.running.clone(), self.recorder.clone());
-        let index = self.index;
-        tokio::spawn(async move {
-            let status = child.wait().await;
-            let told = asked.load(Ordering::SeqCst);
-            // A process that was told to stop has not crashed where it says that all went well, or was killed.
-            let well = status.is_ok_and(|status| status.code().is_none_or(|code| code == 0));
-            recorder.add(What::Exited { dispatcher: index, asked: told && well });
-            running.send_replace(None);
-        });
+        let (second, index) = (self.second(discovery, None)?, self.index);
+        self.follow(&second);
         let until = Instant::now() + READY_MOST;
         while !self.ready().await {
             if self.id().is_none() {
@@ -132,6 +154,62 @@
         Ok(())
     }
 
+    /// Starts one more process beside the one that runs, if any. `control`: where operators call it.
+    ///
+    /// # Errors
+    /// Those of starting.
+    pub fn second(&self, discovery: SocketAddr, control: Option<SocketAddr>) -> io::Result<Second> {
+        let log = OpenOptions::new().append(true).open(&self.log)?;
+        let mut command = Command::new(&self.program.path);
+        command
+            .args(&self.program.arguments)
+            .env("GW_NAME", format!("n{}", self.index))
+            .env("GW_LISTEN", self.listen.to_string())
+            .env("GW_DISCOVERY", discovery.to_string())
+            .env("GW_STATE", self.folder.join("state"))
+            .env("GW_CONFIG", self.folder.join("config.json"))
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .kill_on_drop(true);
+        if let Some(control) = control {
+            command.env("GW_CONTROL", control.to_string());
+        }
+        let mut child = command.spawn()?;
+        let id = child.id().ok_or(io::ErrorKind::NotFound)?;
+        let asked = Arc::new(AtomicBool::new(false));
+        let (told, running, recorder) = (asked.clone(), self.running.clone(), self.recorder.clone());
+        let (index, (ends, ended)) = (self.index, watch::channel(false));
+        tokio::spawn(async move {
+            let status = child.wait().await;
+            let told = told.load(Ordering::SeqCst);
+            // A process that was told to stop has not crashed where it says that all went well, or was killed.
+            let well = status.is_ok_and(|status| status.code().is_none_or(|code| code == 0));
+            recorder.add(What::Exited { dispatcher: index, asked: told && well });
+            ends.send_replace(true);
+            running.send_if_modified(|now| now.take_if(|now| *now == id).is_some());
+        });
+        let control = control.unwrap_or(self.listen);
+        Ok(Second { id, control, asked, ended })
+    }
+
+    /// The process that is to be the one that runs from now on; the one before is told of by its end.
+    pub fn follow(&self, second: &Second) {
+        *self.asked.lock().unwrap_or_else(PoisonError::into_inner) = second.asked.clone();
+        *self.control.lock().unwrap_or_else(PoisonError::into_inner) = Some(second.control);
+        self.running.send_replace(Some(second.id));
+    }
+
+    /// Where operators call the process that runs.
+    pub fn control(&self) -> Option<SocketAddr> {
+        *self.control.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The end of the process that runs is no surprise from now on.
+    pub fn may_end(&self) {
+        self.asked.lock().unwrap_or_else(PoisonError::into_inner).store(true, Ordering::SeqCst);
+    }
+
     async fn ready(&self) -> bool {
         let asked = async {
             let mut wire = Wire::connect(self.listen, Duration::from_millis(500)).await?;
@@ -147,7 +225,7 @@
     pub fn signal(&self, signal: Sig) {
         let Some(pid) = self.id().and_then(|id| Pid::from_raw(id as i32)) else { return };
         if matches!(signal, Sig::Kill | Sig::Term) {
-            self.asked.store(true, Ordering::SeqCst);
+            self.may_end();
         }
         // On record first: what follows from it comes later in the record, too.
         self.recorder.add(What::Signalled { dispatcher: self.index, signal });
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -10,6 +10,7 @@
 use crate::record::{self, Effect, End, Entry, Listed, Micros, Recorder, Rules, Sig, What};
 use crate::scenario::{Decay, Kind, Limit, Scenario};
 use crate::script::{Script, Turn, whom};
+use crate::upgrader::{Upgrades, upgrade};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap};
 use std::io;
@@ -52,6 +53,8 @@
     pub fallen: Vec<String>,
     /// Kills by the scenario's killer.
     pub kills: Kills,
+    /// Upgrades by the scenario's upgrader.
+    pub upgrades: Upgrades,
 }
 
 /// Addresses of one run: a network of its own in 127.0.0.0/8, so that two runs at once do not meet.
@@ -224,6 +227,22 @@
             }
         }));
     }
+    let upgrades = Arc::new(Mutex::new(Upgrades::default()));
+    for index in 0..stage.processes.len() {
+        let (stage, upgrades) = (stage.clone(), upgrades.clone());
+        let mut rng = fastrand::Rng::with_seed(script.seed ^ (index as u64 + 101) << 32);
+        turning.push(tokio::spawn(async move {
+            let upgrader = &stage.scenario.upgrader;
+            let every = upgrader.every_ms[0] * 1000..=upgrader.every_ms[1] * 1000;
+            while std::time::Instant::now() < stop && Upgrades::begin(&upgrades, upgrader) {
+                sleep(Duration::from_micros(rng.u64(every.clone()))).await;
+                if let Err(error) = stage.upgrade(index, &upgrades, &mut rng).await {
+                    eprintln!("dispatcher {index} in an upgrade: {error}");
+                    return;
+                }
+            }
+        }));
+    }
     let _ = arriving.await;
     for turn in turning {
         let _ = turn.await;
@@ -257,7 +276,11 @@
     let fallen = stage.partners.iter().zip(&scenario.partners).filter(|(partner, _)| partner.fallen());
     let fallen = fallen.map(|(_, spec)| spec.name.clone()).collect();
     let kills = counter.kills();
-    Ok(Outcome { entries, resident_kb, never: stage.crowd.never(), fallen, kills })
+    let mut upgrades = std::mem::take(&mut *upgrades.lock().unwrap_or_else(PoisonError::into_inner));
+    for index in 0..stage.processes.len() {
+        upgrades.read_log(&options.folder.join(format!("n{index}.log")));
+    }
+    Ok(Outcome { entries, resident_kb, never: stage.crowd.never(), fallen, kills, upgrades })
 }
 
 async fn set_up(
@@ -376,6 +399,17 @@
         Ok(())
     }
 
+    /// One upgrade of a dispatcher; where no process is left, it is started again.
+    async fn upgrade(&self, index: usize, to: &Mutex<Upgrades>, rng: &mut fastrand::Rng) -> io::Result<()> {
+        let control = TcpListener::bind(self.network.at(1 + index as u8, 0)).await?.local_addr()?;
+        self.configure(index)?;
+        let (upgrader, process) = (&self.scenario.upgrader, &self.processes[index]);
+        if !upgrade(upgrader, process, &self.recorder, (self.agent(index)?, control), to, rng).await? {
+            self.restart(index).await?;
+        }
+        Ok(())
+    }
+
     async fn outage(&self, turn: &Turn, trouble: Trouble, door: Sockets) -> io::Result<()> {
         let partner = &self.partners[turn.whom];
         let refusing = door == Sockets::Refusing;
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -49,6 +49,9 @@
     /// Kills over and over.
     #[serde(default)]
     pub killer: Killer,
+    /// Upgrades over and over.
+    #[serde(default)]
+    pub upgrader: Upgrader,
     /// The figures of returning destinations.
     #[serde(default)]
     pub returning: Returning,
@@ -444,6 +447,26 @@
     }
 }
 
+/// Upgrades of dispatchers, one after the other: a second process is started beside the first, and takes over.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Upgrader {
+    /// How many, all dispatchers together; those that find no time before the last tenth of the run are left out.
+    pub upgrades: usize,
+    /// From one to the next of a dispatcher it takes a time between these, in milliseconds.
+    pub every_ms: [u64; 2],
+    /// Share of the upgrades in which the old process, the new one or both are killed.
+    pub kills: f64,
+    /// Such a kill comes within so long of the second process's start, in milliseconds.
+    pub within_ms: u64,
+}
+
+impl Default for Upgrader {
+    fn default() -> Upgrader {
+        Upgrader { upgrades: 0, every_ms: [200, 600], kills: 0.0, within_ms: 40 }
+    }
+}
+
 /// The figures of returning destinations.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -5,6 +5,7 @@
 use crate::http::Wire;
 use crate::platform::{self, Mood};
 use crate::record::{End, Recorder};
+use fawnspoke_control::protocol::{Call as DoorCall, Reply as DoorReply};
 use serde_json::{Value, json};
 use std::fs;
 use std::io::{self, BufRead, BufReader};
@@ -294,6 +295,9 @@
     log: Arc<Mutex<Vec<String>>>,
     /// A shell line that runs before the program.
     pub before: String,
+    /// Whether it has a door for operators.
+    pub door: bool,
+    control: Option<SocketAddr>,
 }
 
 impl Dispatcher {
@@ -337,6 +341,8 @@
             at: None,
             log: Arc::default(),
             before: String::new(),
+            door: false,
+            control: None,
         }
     }
 
@@ -390,16 +396,55 @@
     /// # Panics
     /// Where it doesn't.
     pub fn start(&mut self) {
-        let mut child = self.command().spawn().expect("a process");
+        let command = self.command();
+        self.child = Some(self.begin(command));
+    }
+
+    /// Starts a process beside the one that runs and waits until it has taken over; the old one.
+    ///
+    /// # Panics
+    /// Where none runs, or the new one doesn't listen.
+    pub fn upgrade(&mut self) -> Child {
+        let command = self.command();
+        let child = self.begin(command);
+        self.child.replace(child).expect("a process")
+    }
+
+    fn begin(&mut self, mut command: Command) -> Child {
+        if self.door {
+            command.env("GW_CONTROL", "127.0.0.1:0");
+        }
+        let mut child = command.spawn().expect("a process");
         let mut lines = BufReader::new(child.stdout.take().expect("its output")).lines();
-        let at = lines.by_ref().map_while(Result::ok).find_map(|line| {
-            let (_, at) = line.split_once("listens at ")?;
-            at.parse().ok()
-        });
+        let mut at = None;
+        for line in lines.by_ref().map_while(Result::ok) {
+            let said = |text: &str| line.split_once(text).and_then(|(_, at)| at.parse().ok());
+            self.control = said("answers operators at ").or(self.control);
+            at = said("listens at ");
+            if at.is_some() {
+                break;
+            }
+            lock(&self.log).push(line);
+        }
         // The log is read on, or the process would stand still once the pipe is full.
         let log = self.log.clone();
         thread::spawn(move || lines.map_while(Result::ok).for_each(|line| lock(&log).push(line)));
-        (self.child, self.at) = (Some(child), Some(at.expect("the process listens")));
+        self.at = Some(at.expect("the process listens"));
+        child
+    }
+
+    /// Asks its door.
+    ///
+    /// # Panics
+    /// Where it has none, or no answer comes in a second.
+    pub fn ask(&self, call: &DoorCall) -> DoorReply {
+        let at = self.control.expect("a door");
+        fawnspoke_control::client::ask(at, call, Duration::from_secs(1)).expect("an answer")
+    }
+
+    /// Where its door is.
+    pub fn control(&self) -> Option<SocketAddr> {
+        self.control
     }
 
     /// Sends it a signal by its short name.
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -255,6 +255,7 @@
                 Action::Cut => {
                     node.cut.notify_waiters();
                     tokio::task::yield_now().await;
+                    node.calls_lock.replace(None);
                 }
                 Action::Restart => {
                     log::line(format_args!("handover: the process that took over has died; beginning anew"));
@@ -276,6 +277,7 @@
         let over = node.gate.phase() == Phase::Over;
         if over && !finished && node.calls_out.get() == 0 && node.clients.count() == 0 && rest.is_empty() {
             finished = true;
+            node.calls_lock.replace(None);
             event = Event::Finished;
             continue;
         }
@@ -388,10 +390,17 @@
     pub listener: Option<OwnedFd>,
 }
 
+/// What a process holds that owns the folder; none of it where the file system knows no locks.
+#[derive(Default)]
+pub struct Locks {
+    pub owner: Option<Lock>,
+    pub calls: Option<Lock>,
+}
+
 /// Waits until this process owns the folder: at once where no other does, else by a hand-over, or when the other ends.
-pub async fn arrive(config: &Config) -> (Option<Lock>, Option<Taken>) {
+pub async fn arrive(config: &Config) -> (Locks, Option<Taken>) {
     use taker::{Action, Event};
-    let (mut taker, mut link, mut held) = (Taker::default(), None, None);
+    let (mut taker, mut link, mut held) = (Taker::default(), None, Locks::default());
     let (mut without, mut state, mut listener) = (false, None, None);
     let mut event = Event::Begin;
     let mut told = false;
@@ -400,11 +409,20 @@
         for action in taker.step(event) {
             match action {
                 Action::Connect => {
-                    link = Link::connect(&config.state).unwrap_or_else(|error| {
-                        log::line(format_args!("handover: no socket: {error}"));
-                        None
+                    link = None;
+                    next = Some(match Link::connect(&config.state) {
+                        Ok(Some(there)) => {
+                            link = Some(there);
+                            Event::Connected
+                        }
+                        Ok(None) => Event::Nobody,
+                        // Many ask at once.
+                        Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => Event::Refused,
+                        Err(error) => {
+                            log::line(format_args!("handover: no socket: {error}"));
+                            Event::Nobody
+                        }
                     });
-                    next = Some(if link.is_some() { Event::Connected } else { Event::Nobody });
                 }
                 Action::Ask { decisions } => {
                     without = !decisions;
@@ -425,13 +443,23 @@
                 Action::TryLock => match lock::try_lock(&config.state) {
                     Ok(lock) => {
                         next = Some(Event::Locked(lock.is_some()));
-                        held = lock;
+                        held.owner = lock;
                     }
                     Err(error) => {
                         log::line(format_args!("handover: lock: {error}; going on without"));
                         next = Some(Event::Locked(true));
                     }
                 },
+                Action::Confirm => {
+                    let linked = link.as_ref().is_some_and(|link| !link.has_ended());
+                    next = Some(Event::Linked(linked));
+                }
+                Action::Unlock => held = Locks::default(),
+                Action::TryQuiet => {
+                    let quiet = lock::quiet_calls(&config.state);
+                    next = Some(Event::Quiet(!matches!(quiet, Ok(None))));
+                    held.calls = quiet.unwrap_or_default();
+                }
                 Action::Drop => (link, state, listener) = (None, None, None),
                 Action::Wait => {
                     next = Some(tokio::select! {
@@ -446,6 +474,13 @@
                         listener: listener.take(),
                     });
                     let how = if without { "what is on record" } else { "all that it knew" };
+                    // Whoever looks just now whether anybody has calls out is done in a moment.
+                    held.calls = loop {
+                        match lock::share_calls(&config.state) {
+                            Ok(None) => sleep(Duration::from_millis(1)).await,
+                            shared => break shared.unwrap_or_default(),
+                        }
+                    };
                     println!("handover: taken from the process before, with {how}");
                     return (held, taken);
                 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -119,6 +119,8 @@
     gate: Gate,
     /// Who holds it owns the folder that lasts.
     lock: RefCell<Option<Lock>>,
+    /// Shared by all processes that may have calls out.
+    calls_lock: RefCell<Option<Lock>>,
     /// Where a process comes that is to take over.
     doorstep: handover::Doorstep,
     /// What goes over to it.
@@ -610,7 +612,7 @@
         let at = at.map_err(|error| format!("control: {control}: {error}"))?;
         println!("{} answers operators at {at}", config.name);
     }
-    let (lock, taken) = handover::arrive(&config).await;
+    let (locks, taken) = handover::arrive(&config).await;
     let (mut journal, behind) = open_journal(&config)?;
     let (state, given) = taken.map_or((None, None), |mut taken| (taken.state.take(), Some(taken)));
     let adopted = state.is_some();
@@ -653,7 +655,8 @@
         stopping: Notify::new(),
         listener: Rc::new(listener),
         gate: Gate::default(),
-        lock: RefCell::new(lock),
+        lock: RefCell::new(locks.owner),
+        calls_lock: RefCell::new(locks.calls),
         doorstep,
         rest,
         cut: Notify::new(),
