--- a/crates/drill/src/host.rs
+++ b/crates/drill/src/host.rs
@@ -256,6 +256,11 @@
             body.put_u64(id.0);
             body.put_f64(0.0);
         }
+        Action::BreakOff { id, attempt } => {
+            let body = writer.record(90, i);
+            body.put_u64(id.0);
+            body.put_u16(*attempt as u16);
+        }
         Action::Fail(id) => writer.record(30, i).put_u64(id.0),
         Action::SetTimer { token, at } => {
             let body = writer.record(60, i);
--- a/crates/drill/src/settings.rs
+++ b/crates/drill/src/settings.rs
@@ -98,6 +98,7 @@
         attempts: text.get("limits.send_cap")?,
         keepalive: text.find("limits.keepalive")?,
         probes: text.find("limits.probes")?.unwrap_or(false),
+        cancel: text.find("limits.cancel")?.unwrap_or(false),
         zone: text.find("zone")?.unwrap_or(0),
         classes,
         kinds: (0..names.len()).map(kind).collect(),
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -104,8 +104,8 @@
     head: RefCell<Head>,
     /// What was read of the request that is awaited or read.
     record: RefCell<Vec<u8>>,
-    /// When its socket was last found open.
-    open_at: Cell<Instant>,
+    /// When its socket was last found open, if that was looked at.
+    open_at: Cell<Option<Instant>>,
     /// The message whose 202 is to be written.
     pub unheard: Cell<Option<u64>>,
     going: Cell<bool>,
@@ -121,7 +121,7 @@
             asked_at: Cell::new(Some(now)),
             head: RefCell::default(),
             record: RefCell::default(),
-            open_at: Cell::new(now),
+            open_at: Cell::new(None),
             unheard: Cell::new(None),
             going: Cell::new(false),
             leave: Notify::new(),
@@ -133,14 +133,15 @@
     pub fn sent_more_than(&self, body: usize) -> bool {
         let unread = self.wire.unread();
         if unread == Unread::Nothing {
-            self.open_at.set(Instant::now());
+            self.open_at.set(Some(Instant::now()));
         }
         self.head.borrow().behind().is_none_or(|behind| behind > body) || unread == Unread::Bytes
     }
 
     /// Whether the client has closed; one that was there a moment ago is not asked for again.
     fn closed(&self) -> bool {
-        self.open_at.get().elapsed() > STILL_THERE && self.wire.unread() == Unread::End
+        let there = self.open_at.get().is_some_and(|at| at.elapsed() <= STILL_THERE);
+        !there && self.wire.unread() == Unread::End
     }
 
     fn idle(&self) -> bool {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -183,6 +183,8 @@
     max_retry_after: Option<f64>,
     open_cap: usize,
     #[serde(default)]
+    cancel: bool,
+    #[serde(default)]
     probes: bool,
     send_cap: usize,
 }
@@ -287,6 +289,7 @@
                 .map_err(|_| "settings.limits.send_cap: too large")?,
             keepalive: given.limits.keepalive,
             probes: given.limits.probes,
+            cancel: given.limits.cancel,
             zone: given.zone,
             classes,
             kinds: (0..given.kinds.len()).map(kind).collect(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -33,7 +33,7 @@
 use gate::{Gate, Phase};
 use handover::{After, Rest, Told};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::os::unix::process::CommandExt;
 use std::path::Path;
@@ -125,8 +125,10 @@
     doorstep: handover::Doorstep,
     /// What goes over to it.
     rest: UnboundedSender<handover::Rest>,
-    /// Calls that are out break off.
+    /// Calls that are out break off: all of them, ...
     cut: Notify,
+    /// ... or that of one message.
+    breaks: RefCell<HashMap<u64, Rc<Notify>>>,
     /// The decisions' state came from the process before.
     adopted: bool,
 }
@@ -307,15 +309,20 @@
 /// Makes a call, and sees to it that its end is known to whoever owns by then.
 async fn make_call(node: Rc<Node>, call: Call, sent_at: Seconds) {
     node.calls_out.set(node.calls_out.get() + 1);
+    let one = call.items.first().filter(|_| call.items.len() == 1).map(|item| item.number);
+    let broken_off = Rc::new(Notify::new());
+    one.inspect(|number| drop(node.breaks.borrow_mut().insert(*number, broken_off.clone())));
+    let ended = |outcome: Outcome| {
+        let end =
+            |item: &Item| calls::End { number: item.number, attempt: item.attempt, outcome, closed: false };
+        CallEnd::bare(call.items.iter().map(end).collect(), false)
+    };
     let (mut end, cut) = tokio::select! {
         end = calls::call(&node, &call) => (end, false),
-        () = node.cut.notified() => {
-            let reset = |item: &Item| calls::End {
-                number: item.number, attempt: item.attempt, outcome: Outcome::Reset, closed: false,
-            };
-            (CallEnd::bare(call.items.iter().map(reset).collect(), false), true)
-        }
+        () = broken_off.notified() => (ended(Outcome::Cancelled), false),
+        () = node.cut.notified() => (ended(Outcome::Reset), true),
     };
+    one.inspect(|number| drop(node.breaks.borrow_mut().remove(number)));
     let (endpoint, dest) = (call.endpoint, call.dest);
     match node.gate.settled().await {
         Phase::Over if cut => {}
@@ -397,6 +404,11 @@
                 end(node, id.0, Notice::GivenUp);
             }
             Action::SetTimer { token, at } => *timer = Some((*token, *at)),
+            Action::BreakOff { id, .. } => {
+                if let Some(out) = node.breaks.borrow().get(&id.0) {
+                    out.notify_one();
+                }
+            }
             Action::Probe(endpoint) => {
                 let (node, endpoint) = (node.clone(), *endpoint);
                 if let Some(place) = node.directory.borrow().place(endpoint) {
@@ -660,6 +672,7 @@
         doorstep,
         rest,
         cut: Notify::new(),
+        breaks: RefCell::default(),
         adopted,
         config,
     });
--- a/crates/waydoor/src/choice.rs
+++ b/crates/waydoor/src/choice.rs
@@ -50,9 +50,7 @@
             }
             Event::Resumed { message, taken, attempts, may_have_run } => {
                 self.take(now, message, false);
-                if let Some(parcel) = self.parcels.get_mut(&message.id) {
-                    (parcel.taken, parcel.attempts, parcel.may_have_run) = (taken, attempts, may_have_run);
-                }
+                self.recalled(message.id, taken, attempts, may_have_run);
                 self.pace_backlog(now, message.destination);
             }
             Event::Remembered(destination) => {
@@ -73,9 +71,7 @@
                 self.ask_at = now + wait * (0.5 + self.rng.f64()) + self.ask_turn();
             }
             Event::ListAlive => self.subscribed(now),
-            Event::Timer(token) => {
-                self.timer = self.timer.filter(|(set, _)| *set != token);
-            }
+            Event::Timer(token) => self.timer = self.timer.filter(|(set, _)| *set != token),
             Event::Probed { endpoint, outcome, latency, allowance } => {
                 self.observe(now, endpoint, outcome, latency, allowance, true);
             }
@@ -161,6 +157,7 @@
         self.suspect_silence(now);
         self.answer(now, actions);
         self.release(now, actions, &mut wake);
+        self.break_off(now, actions);
         self.keep_room(now, actions);
         self.close_idle(now, actions, &mut wake);
         self.lines.retain(|_, line| !line.queue.is_empty() || line.rest_until > now);
--- a/crates/waydoor/src/choice/attempts.rs
+++ b/crates/waydoor/src/choice/attempts.rs
@@ -16,6 +16,9 @@
 const TIMEOUT_BUSY: f64 = 0.5;
 /// Each failure in a row doubles the time-out, up to this often: slow is told from silent by waiting longer.
 const TIMEOUT_DOUBLES: u32 = 3;
+/// A call is broken off after this many means and this time, where others overtook it and its slot is wanted.
+const OVERTAKEN_MEANS: f64 = 7.0;
+const OVERTAKEN_LEAST: f64 = 0.3;
 /// Share of failures above which nothing unsafe is risked.
 const UNSAFE_SHARE: f64 = 0.3;
 /// Time kept before the deadline for the final answer.
@@ -70,6 +73,22 @@
         self.forget(flight.endpoint);
     }
 
+    /// While messages wait for a slot, a call is broken off that has been out for long where later ones were
+    /// answered. Guards the slots against connections that fell silent. Harm: what was only slow goes twice.
+    pub(super) fn break_off(&mut self, now: Seconds, actions: &mut Vec<Action>) {
+        if !self.settings.cancel || self.calls.len() < self.settings.slots || self.waiting.is_empty() {
+            return;
+        }
+        for (id, attempt, call, Lane { service, outage, .. }) in self.sole_calls() {
+            let long = (OVERTAKEN_MEANS * service.latency(now)).max(OVERTAKEN_LEAST);
+            let passed = outage.overtook_at - call.sent_at;
+            let overtaken = now - call.sent_at >= long && passed >= long / 2.0;
+            if overtaken && !call.risky && !std::mem::replace(&mut call.broken_off, true) {
+                actions.push(Action::BreakOff { id, attempt });
+            }
+        }
+    }
+
     /// How long an attempt at an endpoint may take.
     fn timeout(&self, now: Seconds, class: usize, endpoint: EndpointId) -> Seconds {
         let lane = self.endpoints.get(&endpoint).map(|e| &e.lane);
@@ -104,7 +123,7 @@
     pub(super) fn open_call(
         &mut self, now: Seconds, endpoint: EndpointId, risky: bool, actions: &mut Vec<Action>,
     ) -> u64 {
-        self.book(now, endpoint);
+        self.each_lane(endpoint, |lane, rule, rng| lane.book(now, rule, rng));
         let (mut idle, mut at) = (0.0, SILENT_LEAST);
         if let Some(e) = self.endpoints.get_mut(&endpoint) {
             idle = e.idle_since.take().filter(|_| e.lane.out == 0).map_or(0.0, |since| now - since);
--- a/crates/waydoor/src/choice/order.rs
+++ b/crates/waydoor/src/choice/order.rs
@@ -139,7 +139,7 @@
                         let all = effect == Effect::Safe && batch == 1;
                         closed.extend(all.then_some(parcel.message.destination));
                         if let Some(endpoint) = probe {
-                            self.book(now, endpoint);
+                            self.each_lane(endpoint, |lane, rule, rng| lane.book(now, rule, rng));
                             actions.push(Action::Probe(endpoint));
                         }
                         continue;
@@ -201,10 +201,4 @@
         let over = left < 1.0;
         Some(Share { over, left: left - f64::from(u8::from(!over)) })
     }
-
-    pub(super) fn counts_over(&mut self, now: Seconds, tenant: usize) -> bool {
-        let Some(share) = self.share(now, tenant) else { return false };
-        self.counted(now, tenant, share.left, now);
-        share.over
-    }
 }
--- a/crates/waydoor/src/choice/outage.rs
+++ b/crates/waydoor/src/choice/outage.rs
@@ -86,6 +86,7 @@
                 let out = now - self.outage.served_at > OUTAGE_LEAST || self.service.failing > SICK_SHARE;
                 self.usual(0.0);
                 let own = &mut self.outage;
+                own.overtook_at = own.overtook_at.max(now - latency);
                 let out = out && (own.health == Health::Shut || own.fails > 0);
                 (own.fails, self.refusals.fulls, own.trials, own.served_at) = (0, 0, 0, now);
                 own.health = match own.health {
--- a/crates/waydoor/src/choice/pace.rs
+++ b/crates/waydoor/src/choice/pace.rs
@@ -148,10 +148,6 @@
 }
 
 impl Dispatcher {
-    pub(super) fn book(&mut self, now: Seconds, endpoint: EndpointId) {
-        self.each_lane(endpoint, |lane, rule, rng| lane.book(now, rule, rng));
-    }
-
     /// What an earlier life left goes at the own part's pace at first. Guards a place that had told its limit
     /// or was cold against a clump of all that is held. Harm: what waited for the restart waits longer.
     pub(super) fn pace_backlog(&mut self, now: Seconds, number: DestinationId) {
--- a/crates/waydoor/src/interface.rs
+++ b/crates/waydoor/src/interface.rs
@@ -131,6 +131,8 @@
     pub keepalive: Option<Seconds>,
     /// Whether probes may be sent.
     pub probes: bool,
+    /// Whether a call may be broken off.
+    pub cancel: bool,
     /// The zone of this dispatcher.
     pub zone: u16,
     /// Classes, by their index.
@@ -437,6 +439,14 @@
         /// When.
         at: Seconds,
     },
+    /// Break off the attempt that a message has out, alone in its call. It may have run; its end comes as
+    /// [`Outcome::Cancelled`], unless another one has come already.
+    BreakOff {
+        /// The message.
+        id: MessageId,
+        /// The attempt's number, from 0.
+        attempt: u32,
+    },
     /// Check an endpoint; it counts as a call there.
     Probe(EndpointId),
     /// Close the idle connections to an endpoint.
--- a/crates/waydoor/src/lib.rs
+++ b/crates/waydoor/src/lib.rs
@@ -13,6 +13,7 @@
 //!     attempts: 3,
 //!     keepalive: None,
 //!     probes: false,
+//!     cancel: false,
 //!     zone: 0,
 //!     classes: vec![Class {
 //!         aim: 2.0,
--- a/crates/waydoor/src/state.rs
+++ b/crates/waydoor/src/state.rs
@@ -63,6 +63,8 @@
 pub(crate) struct Outage {
     pub(crate) health: Health,
     pub(crate) served_at: Seconds,
+    /// When the latest call that was served had been sent.
+    pub(crate) overtook_at: Seconds,
     /// When the last call that failed was sent.
     pub(crate) failed_at: Seconds,
     pub(crate) fails: u32,
@@ -110,7 +112,7 @@
         let never = f64::NEG_INFINITY;
         Lane {
             pace: Pace { capacity, part: 1.0, even: 1.0, ..Default::default() },
-            outage: Outage { served_at: never, failed_at: never, ..Default::default() },
+            outage: Outage { served_at: never, overtook_at: never, failed_at: never, ..Default::default() },
             service: Service { latency, learned_at: never, ..Default::default() },
             ..Default::default()
         }
@@ -202,12 +204,14 @@
     pub(crate) risky: bool,
     /// ... and any other call would have been given up by now.
     pub(crate) overdue: bool,
+    /// It is broken off, and its end is awaited.
+    pub(crate) broken_off: bool,
 }
 
 impl Call {
     pub(crate) fn new(endpoint: EndpointId, sent_at: Seconds, idle: Seconds, risky: bool) -> Self {
-        let (messages, pending, cut, overdue) = (0, 0, false, false);
-        Call { endpoint, sent_at, messages, pending, idle, cut, risky, overdue }
+        let (messages, pending, cut, overdue, broken_off) = (0, 0, false, false, false);
+        Call { endpoint, sent_at, messages, pending, idle, cut, risky, overdue, broken_off }
     }
 }
 
@@ -368,6 +372,22 @@
         out.collect()
     }
 
+    /// The calls that carry one message: it, the attempt's number, the call and its endpoint's lane.
+    pub(crate) fn sole_calls(&mut self) -> impl Iterator<Item = (MessageId, u32, &mut Call, &Lane)> {
+        let alone: BTreeMap<u64, (MessageId, u32)> = self
+            .parcels
+            .iter()
+            .filter_map(|(id, parcel)| Some((parcel.out?.call, (*id, parcel.attempts.saturating_sub(1)))))
+            .collect();
+        let endpoints = &self.endpoints;
+        let calls = self.calls.iter_mut().filter(|(_, call)| call.messages == 1);
+        calls.filter_map(move |(number, call)| {
+            let (id, attempt) = *alone.get(number)?;
+            let lane = &endpoints.get(&call.endpoint)?.lane;
+            Some((id, attempt, call, lane))
+        })
+    }
+
     /// Another process goes on with this state, on the same clock: what the old one had pending with its surroundings
     /// (its timer, its subscription, its own end) is gone.
     pub fn moved(&mut self) {
@@ -438,6 +458,22 @@
         out(&endpoint.lane) || destination.is_some_and(|destination| out(&destination.lane))
     }
 
+    /// Counts a message of a customer now; whether it comes beyond its share.
+    pub(crate) fn counts_over(&mut self, now: Seconds, tenant: usize) -> bool {
+        let Some(share) = self.share(now, tenant) else { return false };
+        self.counted(now, tenant, share.left, now);
+        share.over
+    }
+
+    /// What an earlier life knew of a message.
+    pub(crate) fn recalled(
+        &mut self, id: MessageId, taken: Seconds, attempts: u32, may_have_run: Option<(Seconds, u16)>,
+    ) {
+        if let Some(parcel) = self.parcels.get_mut(&id) {
+            (parcel.taken, parcel.attempts, parcel.may_have_run) = (taken, attempts, may_have_run);
+        }
+    }
+
     pub(crate) fn counted(&mut self, now: Seconds, tenant: usize, left: f64, at: Seconds) {
         if tenant < self.settings.tenants.len() && left >= 0.0 {
             self.purses.insert(tenant, Purse { left, at: at.min(now) });
--- a/crates/waydoor/tests/common/mod.rs
+++ b/crates/waydoor/tests/common/mod.rs
@@ -23,6 +23,7 @@
         attempts: 6,
         keepalive: Some(5.0),
         probes: true,
+        cancel: true,
         zone: 0,
         classes: vec![class(Effect::Safe), class(keyed), class(Effect::Unsafe), ordered],
         kinds: vec![Kind { routes_apart: false, batch: 1 }, Kind { routes_apart: true, batch: 1 }],
--- a/crates/waydoor/tests/common/world.rs
+++ b/crates/waydoor/tests/common/world.rs
@@ -125,6 +125,7 @@
             attempts: self.attempts,
             keepalive: Some(5.0),
             probes: self.probes,
+            cancel: true,
             zone: 0,
             classes: self.classes.clone(),
             tenants: self.customers.iter().map(|size| Tenant { quota: quota * size }).collect(),
@@ -623,6 +624,14 @@
                     }
                 }
                 Action::SetTimer { token, at } => self.nodes[node].timer = Some((token, at)),
+                // It comes too late each time: the call ends as it would have.
+                Action::BreakOff { id, attempt } => {
+                    let out = self
+                        .messages
+                        .get(&id.0)
+                        .is_some_and(|m| m.out.is_some() && m.attempts == attempt + 1);
+                    self.rule(out, || format!("attempt {attempt} of {} is broken off and not out", id.0));
+                }
                 Action::CloseIdle(_) | Action::Note(_) | Action::Remember { .. } => {}
             }
         }
--- a/crates/waydoor/tests/rules.rs
+++ b/crates/waydoor/tests/rules.rs
@@ -891,3 +891,40 @@
     let row = (0..20).find(|_| visit(&mut stage, Outcome::Error));
     assert!(row.is_some_and(|row| row <= 4), "out after a row of four at the latest: {row:?}");
 }
+
+/// One call at destination 1 is never answered; `overtaken`: a later one there is. Then all slots are taken and one
+/// message waits. Whether the first call is broken off.
+fn broken_off(class: usize, overtaken: bool, cancel: bool) -> (bool, Stage) {
+    let mut stage = Stage::new(Settings { slots: 2, cancel, ..settings() });
+    stage.take(1, class, 1);
+    assert_eq!(stage.round().len(), 1);
+    stage.now += 1.0;
+    if overtaken {
+        stage.take(2, 0, 1);
+        assert_eq!(stage.round().len(), 1);
+        stage.now += 0.1;
+        stage.end(2, 1, 0, Outcome::Served, 0.1);
+    }
+    stage.now += 0.7;
+    stage.take(3, 0, 2);
+    assert_eq!(stage.round().len(), 1);
+    stage.take(4, 0, 2);
+    assert!(stage.round().is_empty(), "all slots are taken");
+    let off = Action::BreakOff { id: MessageId(1), attempt: 0 };
+    (stage.actions.contains(&off), stage)
+}
+
+#[test]
+fn a_call_that_others_overtook_makes_place_and_goes_again() {
+    let (off, mut stage) = broken_off(1, true, true);
+    assert!(off);
+    stage.round();
+    assert!(!stage.actions.iter().any(|action| matches!(action, Action::BreakOff { .. })), "once");
+    stage.end(1, 1, 0, Outcome::Cancelled, 1.8);
+    let sent: Vec<u64> = stage.until(stage.now + 1.0).into_iter().map(|(_, sent)| sent.id).collect();
+    assert!(sent.contains(&1) || sent.contains(&4), "the slot is used again: {sent:?}");
+    // What may not run twice is waited for; without a sign of life the place may be slow; where it is not allowed.
+    assert!(!broken_off(2, true, true).0);
+    assert!(!broken_off(1, false, true).0);
+    assert!(!broken_off(1, true, false).0);
+}
