Mends of a review: memory of idle clients, calls cut for sure, a waiting start can be stopped

Seen on reading the change once more: a client's connection kept the room of its longest request (80 KB) for as long as it stood idle; after a cut one turn of the tasks was taken to be enough for all of them; a process that waited for the folder did not heed SIGTERM; one that was told to stop left processes that asked to take over without an answer; processes that connect and say nothing were not bounded; the search for overtaken calls went over all open messages. Change: the record is dropped with the answer; a cut returns when no call has a connection open; SIGTERM ends the wait; the giver's own refusal is sent; four unheard takers at most; a call knows its message.

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -153,7 +153,8 @@
         self.heard_at.set(Instant::now());
         self.asked_at.set(None);
         self.head.take();
-        self.record.borrow_mut().clear();
+        // An idle connection keeps no room for the longest request that it had.
+        self.record.take();
     }
 
     /// Bytes of the request have come.
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -23,17 +23,20 @@
 use std::os::fd::{AsFd, OwnedFd};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::signal::unix::Signal;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::sync::oneshot;
+use tokio::sync::{Semaphore, oneshot};
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 use waydoor::{Allowance, Dispatcher, EndpointId, Event as Happened, Outcome, Outstanding, Seconds};
 
 /// How often the giver looks at the time while it hands over.
 const LOOK: Duration = Duration::from_millis(10);
+/// Takers that have not said yet what they want; more are hung up on, and come again.
+const UNHEARD_MOST: usize = 4;
 /// A taker says what it wants by then.
 const HELLO_TIME: Duration = Duration::from_secs(1);
 /// A packet of the state has gone, or come, by then.
@@ -132,10 +135,13 @@
             }
         };
         let asked = self.asked.clone();
+        let unheard = Arc::new(Semaphore::new(UNHEARD_MOST));
         let task = spawn_local(async move {
             while let Ok(link) = listener.accept().await {
+                let Ok(permit) = unheard.clone().try_acquire_owned() else { continue };
                 let asked = asked.clone();
                 spawn_local(async move {
+                    let _permit = permit;
                     let hello = timeout(HELLO_TIME, link.receive()).await;
                     if let Ok(Ok(Some((packet, _)))) = hello
                         && let Ok(hello) = Hello::read(&packet)
@@ -174,16 +180,16 @@
 
 /// Hands the dispatcher over to a process that asks, and sees it through to its end.
 pub async fn give(
-    node: &Rc<Node>, first: Asked, asked: &mut UnboundedReceiver<Asked>,
+    node: &Rc<Node>, stopping: bool, first: Asked, asked: &mut UnboundedReceiver<Asked>,
     (terminate, interrupt): (&mut Signal, &mut Signal), rest: &mut UnboundedReceiver<Rest>,
 ) -> After {
     if first.hello.version != VERSION {
         refuse(&first.link, &format!("version {VERSION} of the frames here, {} there", first.hello.version))
             .await;
-        return After::Resumed { stopping: false };
+        return After::Resumed { stopping };
     }
     let began = Instant::now();
-    let (mut giver, mut link) = (Giver::default(), Some(first.link));
+    let (mut giver, mut link) = (Giver::Owner { stopping }, Some(first.link));
     let (mut event, mut finished) = (Event::Asked, false);
     let (mut orders, mut counted) = (Orders::new(), 0);
     let mut other: Option<Asked> = None;
@@ -193,16 +199,16 @@
         for action in giver.step(node.now(), event) {
             match action {
                 Action::Refuse(why) => {
-                    if let Some(other) = other.take() {
-                        refuse(&other.link, why).await;
+                    // The first one, where this process is stopping, or one that came meanwhile.
+                    if let Some(refused) = other.take().map(|other| other.link).or_else(|| link.take()) {
+                        refuse(&refused, why).await;
                     }
                 }
                 Action::Give => {
                     log::line(format_args!("handover: asked; giving"));
                     if !first.hello.decisions {
-                        node.cut.notify_waiters();
-                        // They are gone before anything is told.
-                        tokio::task::yield_now().await;
+                        // Who begins from the record takes them for ended.
+                        node.cut_calls().await;
                     }
                     node.gate.set(Phase::Given);
                     for number in node.clients.leave_unheard() {
@@ -253,8 +259,7 @@
                     log::line(format_args!("handover: taken after {took:.3} s; {out} calls out"));
                 }
                 Action::Cut => {
-                    node.cut.notify_waiters();
-                    tokio::task::yield_now().await;
+                    node.cut_calls().await;
                     node.calls_lock.replace(None);
                 }
                 Action::Restart => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -106,7 +106,9 @@
     /// Taken in the journal, but the 202 is not written yet.
     unheard: RefCell<HashSet<u64>>,
     clients: Clients,
+    /// Calls begun of which not all is done yet, and those of them that may have a connection open.
     calls_out: Cell<usize>,
+    calls_open: Cell<usize>,
     closing: Cell<bool>,
     /// A notice is owed.
     notices: Notify,
@@ -148,6 +150,14 @@
         let _ = self.inbox.send(input);
     }
 
+    /// Breaks off all calls; when this returns none has a connection open.
+    async fn cut_calls(&self) {
+        while self.calls_open.get() > 0 {
+            self.cut.notify_waiters();
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Gives something to the process that has taken over.
     fn hand(&self, rest: handover::Rest) {
         let _ = self.rest.send(rest);
@@ -308,7 +318,6 @@
 
 /// Makes a call, and sees to it that its end is known to whoever owns by then.
 async fn make_call(node: Rc<Node>, call: Call, sent_at: Seconds) {
-    node.calls_out.set(node.calls_out.get() + 1);
     let one = call.items.first().filter(|_| call.items.len() == 1).map(|item| item.number);
     let broken_off = Rc::new(Notify::new());
     one.inspect(|number| drop(node.breaks.borrow_mut().insert(*number, broken_off.clone())));
@@ -322,6 +331,7 @@
         () = broken_off.notified() => (ended(Outcome::Cancelled), false),
         () = node.cut.notified() => (ended(Outcome::Reset), true),
     };
+    node.calls_open.set(node.calls_open.get() - 1);
     one.inspect(|number| drop(node.breaks.borrow_mut().remove(number)));
     let (endpoint, dest) = (call.endpoint, call.dest);
     match node.gate.settled().await {
@@ -441,6 +451,8 @@
             count.calls += 1;
             count.messages += call.items.len() as u64;
         });
+        node.calls_out.set(node.calls_out.get() + 1);
+        node.calls_open.set(node.calls_open.get() + 1);
         spawn_local(make_call(node.clone(), call, now));
     }
 }
@@ -523,7 +535,7 @@
         let mut stop = false;
         let mut taker = None;
         let first = tokio::select! {
-            Some(asks) = asked.recv(), if told_at.is_none() => { taker = Some(asks); None }
+            Some(asks) = asked.recv() => { taker = Some(asks); None }
             input = inbox.recv() => input,
             () = sleep_until(at(due)) => None,
             _ = terminate.recv() => { stop = true; None }
@@ -533,9 +545,10 @@
         let next = (node.started.elapsed().as_nanos() / tick.as_nanos() + 1) * tick.as_nanos();
         sleep_until((node.started + Duration::from_nanos(next as u64)).into()).await;
         if let Some(taker) = taker {
+            let stopping = told_at.is_some();
             std::iter::from_fn(|| inbox.try_recv().ok()).for_each(|input| hear(&node, node.now(), input));
             let signals = (&mut terminate, &mut interrupt);
-            match handover::give(&node, taker, &mut asked, signals, &mut rest).await {
+            match handover::give(&node, stopping, taker, &mut asked, signals, &mut rest).await {
                 After::Resumed { stopping } => stop |= stopping,
                 After::Ended => return Finish::End,
                 After::Restart => return Finish::Again,
@@ -615,7 +628,7 @@
 }
 
 async fn run(config: Config) -> Result<Finish, String> {
-    let signals = Signals::heed().map_err(|error| format!("signals: {error}"))?;
+    let mut signals = Signals::heed().map_err(|error| format!("signals: {error}"))?;
     let figures = Arc::new(Figures::new(&config.classes));
     let (asked, orders) = unbounded_channel();
     if let Some(control) = config.control {
@@ -624,7 +637,12 @@
         let at = at.map_err(|error| format!("control: {control}: {error}"))?;
         println!("{} answers operators at {at}", config.name);
     }
-    let (locks, taken) = handover::arrive(&config).await;
+    let (locks, taken) = tokio::select! {
+        arrived = handover::arrive(&config) => arrived,
+        // It owns nothing yet.
+        _ = signals.terminate.recv() => return Ok(Finish::End),
+        _ = signals.interrupt.recv() => return Ok(Finish::End),
+    };
     let (mut journal, behind) = open_journal(&config)?;
     let (state, given) = taken.map_or((None, None), |mut taken| (taken.state.take(), Some(taken)));
     let adopted = state.is_some();
@@ -661,6 +679,7 @@
         unheard: RefCell::default(),
         clients: Clients::default(),
         calls_out: Cell::new(0),
+        calls_open: Cell::new(0),
         closing: Cell::new(false),
         notices: Notify::new(),
         resubscribe: Notify::new(),
--- a/crates/waydoor/src/choice/attempts.rs
+++ b/crates/waydoor/src/choice/attempts.rs
@@ -114,7 +114,7 @@
         let left = (parcel.message.deadline - ANSWER_MARGIN - now).max(0.001);
         (parcel.attempts, parcel.out) = (parcel.attempts + 1, Some(Flight { endpoint, call }));
         if let Some(call) = self.calls.get_mut(&call) {
-            (call.messages, call.pending) = (call.messages + 1, call.pending + 1);
+            (call.messages, call.pending, call.last) = (call.messages + 1, call.pending + 1, id);
             call.cut |= left < timeout;
         }
         actions.push(Action::Send { id, endpoint, timeout: timeout.min(left), alone: parcel.alone });
--- a/crates/waydoor/src/state.rs
+++ b/crates/waydoor/src/state.rs
@@ -195,6 +195,8 @@
     pub(crate) endpoint: EndpointId,
     pub(crate) sent_at: Seconds,
     pub(crate) messages: usize,
+    /// The last message that joined it.
+    pub(crate) last: MessageId,
     pub(crate) pending: usize,
     /// How long its connection had been idle; 0 for a new one.
     pub(crate) idle: Seconds,
@@ -211,7 +213,8 @@
 impl Call {
     pub(crate) fn new(endpoint: EndpointId, sent_at: Seconds, idle: Seconds, risky: bool) -> Self {
         let (messages, pending, cut, overdue, broken_off) = (0, 0, false, false, false);
-        Call { endpoint, sent_at, messages, pending, idle, cut, risky, overdue, broken_off }
+        let last = MessageId(u64::MAX);
+        Call { endpoint, sent_at, messages, last, pending, idle, cut, risky, overdue, broken_off }
     }
 }
 
@@ -374,17 +377,11 @@
 
     /// The calls that carry one message: it, the attempt's number, the call and its endpoint's lane.
     pub(crate) fn sole_calls(&mut self) -> impl Iterator<Item = (MessageId, u32, &mut Call, &Lane)> {
-        let alone: BTreeMap<u64, (MessageId, u32)> = self
-            .parcels
-            .iter()
-            .filter_map(|(id, parcel)| Some((parcel.out?.call, (*id, parcel.attempts.saturating_sub(1)))))
-            .collect();
-        let endpoints = &self.endpoints;
-        let calls = self.calls.iter_mut().filter(|(_, call)| call.messages == 1);
-        calls.filter_map(move |(number, call)| {
-            let (id, attempt) = *alone.get(number)?;
+        let (parcels, endpoints) = (&self.parcels, &self.endpoints);
+        self.calls.values_mut().filter(|call| call.messages == 1).filter_map(|call| {
+            let attempt = parcels.get(&call.last)?.attempts.saturating_sub(1);
             let lane = &endpoints.get(&call.endpoint)?.lane;
-            Some((id, attempt, call, lane))
+            Some((call.last, attempt, call, lane))
         })
     }
 
