--- a/crates/fawnspoke/tests/sockets/in_service.rs
+++ b/crates/fawnspoke/tests/sockets/in_service.rs
@@ -74,6 +74,20 @@
     assert_eq!((figures["app.relayed"], figures["app.registry_entries"]), (1, 1));
 }
 
+#[test]
+fn what_is_called_back_while_it_is_not_listed_comes_back_cold() {
+    let (endpoint, platform) = (Endpoint::start(|_, _| Reply::Hang), Platform::start());
+    let dispatcher = with_door(&platform, &[endpoint.host("e", 7, "up"), held(8)]);
+    assert!(yes(&dispatcher.ask(&suspend("e"))));
+    platform.push(2, &[endpoint.host("e", 7, "removed")]);
+    eventually("its end in the list", || figures(&dispatcher)["app.registry_entries"] == 1);
+    assert!(yes(&dispatcher.ask(&restore("e"))), "known, though not listed now");
+    platform.push(3, &[endpoint.host("e", 7, "up")]);
+    eventually("its line", || figures(&dispatcher)["app.registry_entries"] == 2);
+    // Nothing was sent there: it is out by the dispatcher's own choice, until a trial is served.
+    eventually("both out of rotation", || figures(&dispatcher)["app.out_of_rotation"] == 2);
+}
+
 #[test]
 fn figures_tell_each_end_once() {
     let (endpoint, platform) = (
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -5,9 +5,10 @@
 use crate::{Node, log};
 use fawnspoke_control::door::Order;
 use fawnspoke_control::figures::Gauges;
-use fawnspoke_control::orders::{Change, Orders, Step, Subject};
+use fawnspoke_control::orders::{Change, ORDERS_MOST, Orders, Step, Subject};
 use fawnspoke_control::record::File;
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::path::Path;
 use std::rc::Rc;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -17,6 +18,8 @@
 pub struct Control {
     orders: RefCell<Orders>,
     file: File,
+    /// Called back while no list had them in service: they come back cold. No more than orders may be in force.
+    cold: RefCell<VecDeque<String>>,
 }
 
 impl Control {
@@ -30,7 +33,7 @@
         for (id, _) in orders.held() {
             println!("orders: {id} is out by hand");
         }
-        Control { orders: RefCell::new(orders), file }
+        Control { orders: RefCell::new(orders), file, cold: RefCell::default() }
     }
 
     /// Whether an endpoint is out by hand.
@@ -75,12 +78,21 @@
             let entry = node.directory.borrow_mut().hold(id, change == Change::Began);
             if let Some(entry) = entry {
                 node.tell(Event::ListChanged(vec![entry]));
-                match change {
-                    Change::Began => node.pool.close(entry.endpoint),
-                    // It was restarted meanwhile.
-                    Change::Ended => node.tell(Event::Restarted(entry.endpoint)),
+                if change == Change::Began {
+                    node.pool.close(entry.endpoint);
                 }
             }
+            // It was restarted meanwhile.
+            let mut cold = control.cold.borrow_mut();
+            cold.retain(|other| other != id);
+            if change == Change::Ended {
+                cold.push_back(id.clone());
+                if cold.len() > ORDERS_MOST {
+                    cold.pop_front();
+                }
+            }
+            drop(cold);
+            restarted(node);
             log::line(format_args!("orders: {id} {}", if given { "out by hand" } else { "may serve" }));
         }
     }
@@ -91,6 +103,16 @@
     }
 }
 
+/// Tells the decisions of endpoints that were called back and are in service now: they were restarted meanwhile.
+pub fn restarted(node: &Node) {
+    let directory = node.directory.borrow();
+    node.control.cold.borrow_mut().retain(|id| {
+        let serving = directory.serving(id);
+        serving.inspect(|endpoint| node.tell(Event::Restarted(*endpoint)));
+        serving.is_none()
+    });
+}
+
 /// How things are now.
 pub fn gauges(node: &Node) -> Gauges {
     let (directory, dispatcher) = (node.directory.borrow(), node.dispatcher.borrow());
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -103,6 +103,12 @@
         self.hosts.contains_key(host) || self.names.known.contains(host)
     }
 
+    /// The endpoint of this name, where it may get something.
+    pub fn serving(&self, host: &str) -> Option<EndpointId> {
+        let endpoint = self.hosts.get(host)?;
+        self.ready_at(*endpoint).map(|_| *endpoint)
+    }
+
     /// The endpoints in the list, and whether each may get anything as far as list and orders go.
     pub fn listed(&self) -> impl Iterator<Item = (EndpointId, bool)> {
         self.places.iter().map(|(id, place)| (*id, place.ready))
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,7 +1,7 @@
 //! The platform: the list of endpoints comes from it, notices go to it.
 
 use crate::calls::{self, Link};
-use crate::{Node, log};
+use crate::{Node, control, log};
 use fawnspoke_journal::Notice;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Bytes;
@@ -37,6 +37,7 @@
             // Nothing goes there any more, and somebody else may come to the address.
             left.into_iter().for_each(|endpoint| node.pool.close(endpoint));
             node.tell(event);
+            control::restarted(node);
         }
         Err(error) => log::line(format_args!("discovery: line left out: {error}")),
     }
