--- a/crates/lab/src/bench.rs
+++ b/crates/lab/src/bench.rs
@@ -4,8 +4,9 @@
 //! loop with a bound on what is under way, so that nothing is refused: what comes out is the highest rate that is
 //! sustained. Latencies are taken in an open loop at half that rate.
 
+use crate::door::{Answers, asked};
 use crate::platform::{Host, Platform};
-use crate::process::{Process, Program, resident_kb};
+use crate::process::{Process, Program, resident_kb, serves};
 use crate::record::{Listed, Recorder, Sig};
 use hdrhistogram::Histogram;
 use rustix::process::Pid;
@@ -49,6 +50,19 @@
     pub program: Option<std::path::PathBuf>,
 }
 
+/// Callers of the door that say nothing whole, beside whom it is asked.
+const BAD_CALLERS: usize = 200;
+
+/// What came of a bench.
+pub struct Measured {
+    /// The plain proxy.
+    pub beside: Figures,
+    /// The dispatcher.
+    pub measured: Figures,
+    /// Its door at saturation, without and with bad callers; none where it has none.
+    pub door: Option<(Answers, Answers)>,
+}
+
 /// One subject's figures.
 #[derive(Clone, Debug)]
 pub struct Figures {
@@ -308,7 +322,7 @@
 /// Measures a subject that runs already.
 fn figures(
     pid: u32, at: SocketAddr, target: std::net::TcpListener, settings: &Settings, journal: Option<&Path>,
-) -> io::Result<Figures> {
+) -> io::Result<(Figures, std::net::TcpListener)> {
     let idle = resident_kb(pid).unwrap_or(0);
     let length = || journal.and_then(|path| std::fs::metadata(path).ok()).map(|meta| meta.len());
     let before = length();
@@ -319,8 +333,8 @@
     let written =
         before.zip(length()).map(|(before, after)| (after - before) as f64 / messages.max(1) as f64);
     let loaded = resident_kb(pid).unwrap_or(0);
-    let (half, _target) = load(at, target, settings, Some(full.rate / 2.0))?;
-    Ok(Figures {
+    let (half, target) = load(at, target, settings, Some(full.rate / 2.0))?;
+    let figures = Figures {
         rate: full.rate,
         refused: full.counts.refused.load(Ordering::Relaxed),
         answered: take(&half.counts.answered),
@@ -328,7 +342,8 @@
         resident_kb: (idle, loaded.max(resident_kb(pid).unwrap_or(0))),
         written,
         cpu_us,
-    })
+    };
+    Ok((figures, target))
 }
 
 /// CPU time of a process in the kernel's ticks (proc(5), utime and stime).
@@ -350,7 +365,7 @@
 ///
 /// # Errors
 /// What keeps either from starting or ends the load.
-pub fn run(program: &Path, folder: &Path, settings: &Settings) -> io::Result<(Figures, Figures)> {
+pub fn run(program: &Path, folder: &Path, settings: &Settings) -> io::Result<Measured> {
     // The platform goes on while this thread waits for the load.
     let runtime = crate::stage::handle();
     let subject = cores().into_iter().take(1).collect::<Vec<_>>();
@@ -370,11 +385,11 @@
     runtime.block_on(proxy.start(to))?;
     let pid = proxy.id().ok_or(io::ErrorKind::NotFound)?;
     bind(Some(pid), &subject);
-    let beside = figures(pid, listen, listener, settings, None)?;
+    let (beside, _) = figures(pid, listen, listener, settings, None)?;
     stop(runtime, &proxy);
 
     let (listener, to) = target()?;
-    let listen = free()?;
+    let (listen, control) = (free()?, free()?);
     let host = Host {
         name: "bench".into(),
         dial: vec![to, to],
@@ -387,7 +402,7 @@
     let (platform, mut notices) = Platform::new(vec![host], recorder.clone());
     let discovery = runtime.block_on(platform.agent(1, SocketAddr::from(([127, 0, 0, 1], 0))))?;
     let config = json!({
-        "name": "bench", "listen": listen.to_string(), "discovery": discovery.to_string(), "seed": "1",
+        "name": "bench", "listen": listen.to_string(), "control": control.to_string(), "discovery": discovery.to_string(), "seed": "1",
         "limits": {"cores": 1.0, "memory_mb": 256, "sockets": 4096, "disk_mb": 16384},
         "known": platform.known(1),
         "settings": {
@@ -407,10 +422,21 @@
     let dispatcher = start(1, measured, Vec::new(), listen, &config)?;
     runtime.block_on(dispatcher.start(discovery))?;
     let pid = dispatcher.id().ok_or(io::ErrorKind::NotFound)?;
-    bind(Some(pid), &subject);
+    // All its threads: the door's shares the core.
+    for thread in std::fs::read_dir(format!("/proc/{pid}/task"))?.flatten() {
+        bind(thread.file_name().to_str().and_then(|id| id.parse().ok()), &subject);
+    }
     runtime.block_on(async { sleep(Duration::from_millis(300)).await });
     let journal = folder.join("n1").join("state").join("journal");
-    let measured = figures(pid, listen, listener, settings, Some(&journal))?;
+    let (measured, listener) = figures(pid, listen, listener, settings, Some(&journal))?;
+    // A program before there was a door is not asked.
+    let mut door = None;
+    if crate::stage::handle().block_on(serves(control)) {
+        let (alone, loaded) = asked(control, 0, || load(listen, listener, settings, None));
+        let (among, loaded) = asked(control, BAD_CALLERS, || load(listen, loaded?.1, settings, None));
+        loaded?;
+        door = Some((alone, among));
+    }
     stop(runtime, &dispatcher);
     let mut ended = 0;
     while notices.try_recv().is_ok() {
@@ -419,7 +445,7 @@
     if ended > 0 {
         eprintln!("{ended} messages ended by a notice: the figures are not of a clean run");
     }
-    Ok((beside, measured))
+    Ok(Measured { beside, measured, door })
 }
 
 fn stop(runtime: &tokio::runtime::Handle, process: &Process) {
@@ -428,7 +454,7 @@
 }
 
 /// The figures as text.
-pub fn text(beside: &Figures, measured: &Figures) -> String {
+pub fn text(Measured { beside, measured, door }: &Measured) -> String {
     let mut text = String::from(
         "              delivered/s  refused  CPU us/message  answered us p50/p99/p99.9  delivered us p50/p99/p99.9  resident MB idle/load  \
          journal B/message\n",
@@ -456,5 +482,8 @@
     }
     let (rate, cpu) = (measured.rate / beside.rate, beside.cpu_us / measured.cpu_us);
     text.push_str(&format!("ratio {rate:.2} by rate, {cpu:.2} by CPU\n"));
+    if let Some((alone, among)) = door {
+        text.push_str(&format!("door at saturation: {alone}\nbeside {BAD_CALLERS} bad callers: {among}\n"));
+    }
     text
 }
--- a/crates/lab/src/command.rs
+++ b/crates/lab/src/command.rs
@@ -137,8 +137,8 @@
     // What is left of it is only in the way.
     let _ = std::fs::remove_dir_all(&folder);
     match measured {
-        Ok((beside, measured)) => {
-            print!("{}", bench::text(&beside, &measured));
+        Ok(measured) => {
+            print!("{}", bench::text(&measured));
             ExitCode::SUCCESS
         }
         Err(error) => {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod bench;
 pub mod clients;
 pub mod command;
+pub mod door;
 pub mod endpoint;
 pub mod fleet;
 pub mod http;
