--- /dev/null
+++ b/crates/node/src/acts.rs
@@ -0,0 +1,182 @@
+//! What the decisions ask for, carried out: calls and their ends, final answers, probes.
+
+use crate::Node;
+use crate::calls::{self, Call, CallEnd, Item};
+use crate::gate::Phase;
+use crate::rest::{Rest, Told};
+use crate::rounds::Input;
+use fawnspoke_control::figures::End;
+use fawnspoke_journal::{Notice, Start};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use waydoor::{Action, DestinationId, Effect, EndpointId, Event, Outcome, Seconds};
+
+/// Records how a call ended as soon as that is known, then tells the round loop.
+pub fn call_ended(node: &Node, endpoint: EndpointId, dest: u32, sent_at: Seconds, end: CallEnd) {
+    for end in end.ends.iter().filter(|end| end.outcome == Outcome::Served) {
+        node.count_end(end.number, End::Fulfilled);
+    }
+    {
+        let mut journal = node.journal.borrow_mut();
+        for end in &end.ends {
+            let never = matches!(
+                end.outcome,
+                Outcome::Full | Outcome::NoConnection | Outcome::Moot | Outcome::Rejected
+            );
+            node.record(match end.closed {
+                true => journal.over(end.number),
+                false => journal.ended(end.number, !never),
+            });
+        }
+    }
+    node.counts.ended(dest, &end);
+    node.send(Input::Ended { endpoint, sent_at, end });
+}
+
+/// Makes a call, and sees to it that its end is known to whoever owns by then.
+pub async fn make_call(node: Rc<Node>, call: Call, sent_at: Seconds) {
+    let one = call.items.first().filter(|_| call.items.len() == 1).map(|item| item.number);
+    let broken_off = Rc::new(Notify::new());
+    one.inspect(|number| drop(node.breaks.borrow_mut().insert(*number, broken_off.clone())));
+    let ended = |outcome: Outcome| {
+        let end =
+            |item: &Item| calls::End { number: item.number, attempt: item.attempt, outcome, closed: false };
+        CallEnd::bare(call.items.iter().map(end).collect(), false)
+    };
+    let (mut end, cut) = tokio::select! {
+        end = calls::call(&node, &call) => (end, false),
+        () = broken_off.notified() => (ended(Outcome::Cancelled), false),
+        () = node.cut.notified() => (ended(Outcome::Reset), true),
+    };
+    node.calls_open.set(node.calls_open.get() - 1);
+    one.inspect(|number| drop(node.breaks.borrow_mut().remove(number)));
+    let (endpoint, dest) = (call.endpoint, call.dest);
+    match node.gate.settled().await {
+        Phase::Over if cut => {}
+        Phase::Over => {
+            // Its connection stays behind.
+            end.kept = false;
+            node.hand(Rest::Told(Told::Call { endpoint: endpoint.0, dest, sent_at, end }));
+        }
+        _ => call_ended(&node, endpoint, dest, sent_at, end),
+    }
+    node.calls_out.set(node.calls_out.get() - 1);
+}
+
+/// The sends of one round, as calls: those to one endpoint share a call as far as its kind allows.
+#[derive(Default)]
+pub struct Calls {
+    calls: Vec<Call>,
+    /// The call with room for more, by endpoint and by whether its messages may never run twice: those are waited
+    /// for, and a call has one time-out.
+    open: BTreeMap<(EndpointId, bool), usize>,
+}
+
+impl Calls {
+    fn add(&mut self, node: &Node, number: u64, endpoint: EndpointId, timeout: Seconds, alone: bool) {
+        let mut journal = node.journal.borrow_mut();
+        let Some(kept) = journal.get(number) else { return };
+        let item = Item { number, attempt: kept.attempts, handed: kept.handed.clone() };
+        let place = node.directory.borrow().place(endpoint).filter(|p| p.dest == item.handed.dest);
+        let zone = place.map_or(0, |place| place.zone);
+        // On record before its first byte, or a call might run that no later life knows of.
+        let recorded = journal.started(number, Start { at: node.unix_now(), zone });
+        let (Some(place), Ok(())) = (place, &recorded) else {
+            node.record(recorded.and(journal.ended(number, false)));
+            let ends =
+                vec![calls::End { number, attempt: item.attempt, outcome: Outcome::Moot, closed: false }];
+            let end = CallEnd::bare(ends, false);
+            node.send(Input::Ended { endpoint, sent_at: node.now(), end });
+            return;
+        };
+        let batch = node.config.settings.kinds.get(place.kind).map_or(1, |kind| kind.batch);
+        let class = node.config.classes.iter().position(|class| *class == item.handed.class);
+        let effect =
+            class.and_then(|class| node.config.settings.classes.get(class)).map(|class| class.effect);
+        let alike = (endpoint, effect == Some(Effect::Unsafe));
+        if !alone
+            && let Some(call) = self.open.get(&alike).and_then(|at| self.calls.get_mut(*at))
+            && call.items.len() < batch
+        {
+            call.items.push(item);
+            call.timeout = call.timeout.min(timeout);
+            return;
+        }
+        if !alone {
+            self.open.insert(alike, self.calls.len());
+        }
+        self.calls.push(Call { endpoint, at: place.dial, dest: place.dest, items: vec![item], timeout });
+    }
+}
+
+/// Carries out what the decisions ask for.
+pub fn act(node: &Rc<Node>, now: Seconds, actions: &[Action], timer: &mut Option<(u32, Seconds)>) {
+    let mut sends = Calls::default();
+    for action in actions {
+        match action {
+            Action::Send { id, endpoint, timeout, alone } => {
+                sends.add(node, id.0, *endpoint, *timeout, *alone);
+            }
+            Action::Refuse(id) => {
+                let dest = node.journal.borrow().get(id.0).map(|kept| DestinationId(kept.handed.dest));
+                dest.inspect(|dest| node.counts.count(dest.0, |count| count.back += 1));
+                let retry_in_ms = dest.map_or(0.0, |dest| node.come_back(dest) * 1000.0).ceil() as u64;
+                node.count_end(id.0, End::Throttled);
+                end(node, id.0, Notice::HandedBack { retry_in_ms });
+            }
+            Action::Fail(id) => {
+                let dest = node.journal.borrow().get(id.0).map(|kept| kept.handed.dest);
+                dest.inspect(|dest| node.counts.count(*dest, |count| count.given_up += 1));
+                node.count_end(id.0, End::Faulted);
+                end(node, id.0, Notice::GivenUp);
+            }
+            Action::SetTimer { token, at } => *timer = Some((*token, *at)),
+            Action::BreakOff { id, .. } => {
+                if let Some(out) = node.breaks.borrow().get(&id.0) {
+                    out.notify_one();
+                }
+            }
+            Action::Probe(endpoint) => {
+                let (node, endpoint) = (node.clone(), *endpoint);
+                if let Some(place) = node.directory.borrow().place(endpoint) {
+                    node.counts.count(place.dest, |count| count.probes += 1);
+                }
+                spawn_local(async move {
+                    let (outcome, allowance) = calls::probe(&node, endpoint).await;
+                    let latency = node.now() - now;
+                    match node.gate.settled().await {
+                        Phase::Over => {
+                            let endpoint = endpoint.0;
+                            node.hand(Rest::Told(Told::Probe { endpoint, outcome, latency, allowance }));
+                        }
+                        _ => node.tell(Event::Probed { endpoint, outcome, latency, allowance }),
+                    }
+                });
+            }
+            Action::CloseIdle(endpoint) => {
+                node.pool.close(*endpoint);
+            }
+            Action::Subscribe => node.resubscribe.notify_one(),
+            Action::Remember { destination, out } => {
+                node.record(node.journal.borrow_mut().outage(destination.0, *out));
+            }
+            Action::Note(text) => println!("{now:.3} {text}"),
+        }
+    }
+    for call in sends.calls {
+        node.counts.count(call.dest, |count| {
+            count.calls += 1;
+            count.messages += call.items.len() as u64;
+        });
+        node.calls_out.set(node.calls_out.get() + 1);
+        node.calls_open.set(node.calls_open.get() + 1);
+        spawn_local(make_call(node.clone(), call, now));
+    }
+}
+
+pub fn end(node: &Node, number: u64, notice: Notice) {
+    node.record(node.journal.borrow_mut().owe(number, notice));
+    node.notices.notify_one();
+}
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -1,10 +1,12 @@
 //! Clients' connections: how many there are, how long each may take, and when one has to go.
 
 use crate::gate::Phase;
-use crate::handover::Rest;
 use crate::intake;
+use crate::rest::Rest;
+use crate::rounds::Input;
+use crate::sizes::{BODY_MOST, HEAD_MOST};
 use crate::wire::{Head, Unread, Wire};
-use crate::{Input, Node, log};
+use crate::{Node, log};
 use hyper::body::Bytes;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -26,8 +28,6 @@
 /// From its connection or its first byte on, a request is there by then, head and body together, or never
 /// will be: its client waits 400 ms for the answer.
 const REQUEST_TIME: Duration = Duration::from_secs(2);
-/// Longest head. It is also what hyper reads ahead of a body.
-pub const HEAD_MOST: usize = 16 * 1024;
 /// After the last answer so much is still read, for so long: closed with bytes unread, a connection is reset
 /// and its client may never hear the answer.
 const LINGER: Duration = Duration::from_millis(300);
@@ -35,7 +35,7 @@
 /// What was found open so long ago is taken to be: a stall of this process that matters is longer.
 const STILL_THERE: Duration = Duration::from_millis(5);
 /// What is kept of a request that is not whole; a longer one is refused in the end.
-const RECORD_MOST: usize = HEAD_MOST + intake::BODY_MOST;
+const RECORD_MOST: usize = HEAD_MOST + BODY_MOST;
 /// Header lines of a request.
 const HEADERS_MOST: usize = 64;
 
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,6 +1,6 @@
 //! The configuration: one JSON file and a few variables, checked once at the start.
 
-use crate::{clients, intake};
+use crate::sizes::{BODY_MOST, HEAD_MOST};
 use fawnspoke_control::{door, record};
 use serde::Deserialize;
 use serde_json::Value;
@@ -64,7 +64,7 @@
 
     /// Connections of clients: half of the descriptors, and no more than can be read at once.
     pub fn clients(&self) -> usize {
-        let each = (clients::HEAD_MOST + intake::BODY_MOST) as f64;
+        let each = (HEAD_MOST + BODY_MOST) as f64;
         let read_at_once = (self.memory_mb * 1e6 * Limits::READING / each) as usize;
         (self.sockets.saturating_sub(self.own()) / 2).min(read_at_once).max(1)
     }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -1,7 +1,7 @@
 //! Where the operators' door meets the dispatcher: orders are put on record and carried out, gauges read.
 
 use crate::gate::Phase;
-use crate::handover::Rest;
+use crate::rest::Rest;
 use crate::{Node, log};
 use fawnspoke_control::door::Order;
 use fawnspoke_control::figures::Gauges;
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -1,13 +1,15 @@
 //! Where the hand-over of an upgrade meets the dispatcher: what the two sides of `fawnspoke_handover` ask for is done
 //! here. Nothing is decided here.
 
-use crate::calls::{self, CallEnd, End, Link as Connection};
+use crate::acts::call_ended;
+use crate::calls::{self, CallEnd, End};
 use crate::config::Config;
 use crate::directory::Directory;
 use crate::gate::Phase;
+use crate::rest::{Rest, Told};
+use crate::start::open_journal;
 use crate::wire::Wire;
-use crate::{Node, call_ended, clients, control, intake, log, open_journal};
-use fawnspoke_control::door::Order;
+use crate::{Node, clients, control, intake, log};
 use fawnspoke_control::figures::Gauges;
 use fawnspoke_control::orders::{Kind, Subject};
 use fawnspoke_handover::frames::{self, CHUNK, FromGiver, FromTaker, Hello, STATE_MOST, VERSION};
@@ -31,7 +33,7 @@
 use tokio::sync::{Semaphore, oneshot};
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{sleep, timeout};
-use waydoor::{Allowance, Dispatcher, EndpointId, Event as Happened, Outcome, Outstanding, Seconds};
+use waydoor::{Dispatcher, EndpointId, Event as Happened, Outcome, Outstanding};
 
 /// How often the giver looks at the time while it hands over.
 const LOOK: Duration = Duration::from_millis(10);
@@ -42,27 +44,6 @@
 /// A packet of the state has gone, or come, by then.
 const PACKET_TIME: Duration = Duration::from_secs(1);
 
-/// What is handed over once the other process owns, and what is told it then.
-pub enum Rest {
-    /// A client's connection.
-    Client { wire: Wire, read: Vec<u8>, asked_ms: Option<u32> },
-    /// An idle connection to an endpoint.
-    Idle { endpoint: EndpointId, link: Connection },
-    /// What came of something that was out.
-    Told(Told),
-    /// An order that came to this process's door.
-    Order(Order),
-}
-
-/// What came of something that was out.
-#[derive(Debug, Deserialize, Serialize)]
-pub enum Told {
-    /// A call.
-    Call { endpoint: u64, dest: u32, sent_at: Seconds, end: CallEnd },
-    /// A probe.
-    Probe { endpoint: u64, outcome: Outcome, latency: Seconds, allowance: Option<Allowance> },
-}
-
 /// All that the dispatcher knows and that is not on record.
 #[derive(Deserialize)]
 pub struct State {
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -1,6 +1,7 @@
 //! Clients' requests: takes messages on, once they stand in the journal, and answers.
 
 use crate::clients::Client;
+use crate::sizes::BODY_MOST;
 use crate::{Node, log};
 use fawnspoke_control::figures;
 use fawnspoke_journal::{End, Handed, UnixMicros};
@@ -11,8 +12,6 @@
 use std::convert::Infallible;
 use waydoor::{DestinationId, Effect, Event, Share};
 
-/// The protocol's limit of a body.
-pub const BODY_MOST: usize = 64 * 1024;
 /// A body that is too long is read so far, or the client would not hear the answer.
 const DISCARD_MOST: usize = 1 << 20;
 /// Longest id or key.
--- /dev/null
+++ b/crates/node/src/rounds.rs
@@ -0,0 +1,168 @@
+//! The rounds: what has happened goes to the decisions, and what they ask for is done. Nothing is decided here.
+
+use crate::acts::act;
+use crate::calls::{self, CallEnd};
+use crate::handover::{self, After, Asked};
+use crate::rest::Rest;
+use crate::{Node, control, log, space};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::signal::unix::Signal;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::sleep_until;
+use waydoor::{AttemptEnd, EndpointId, Event, MessageId, Seconds};
+
+/// From SIGTERM on: no call may be out later than this ...
+const CALLS_END: Seconds = 3.0;
+/// ... and the process ends by then, before the platform kills it.
+const EXIT: Seconds = 3.3;
+/// New connections come for up to 0.4 s; no sooner than this the process ends.
+const EXIT_LEAST: Seconds = 0.8;
+
+/// What passed is told so often.
+const COUNT_EVERY: Seconds = 1.0;
+
+/// What the round loop hears of.
+pub enum Input {
+    Event(Event),
+    /// The client was told that the message is taken.
+    Taken {
+        number: u64,
+    },
+    Ended {
+        endpoint: EndpointId,
+        sent_at: Seconds,
+        end: CallEnd,
+    },
+}
+
+/// Hands one input to the decisions.
+pub fn hear(node: &Node, now: Seconds, input: Input) {
+    let mut dispatcher = node.dispatcher.borrow_mut();
+    match input {
+        Input::Event(event) => dispatcher.handle(now, event),
+        Input::Taken { number } => {
+            if let Some(message) = node.message(number) {
+                node.counts.count(message.destination.0, |count| count.taken += 1);
+                dispatcher.handle(now, Event::Taken(message));
+            }
+        }
+        Input::Ended { endpoint, sent_at, end } => {
+            let CallEnd { ends, wait, allowance, reused, kept } = end;
+            let latency = now - sent_at;
+            for end in ends {
+                let calls::End { number, attempt, outcome, closed } = end;
+                let id = MessageId(number);
+                dispatcher.handle(
+                    now,
+                    Event::Ended(AttemptEnd {
+                        id,
+                        endpoint,
+                        attempt,
+                        outcome,
+                        wait,
+                        closed,
+                        latency,
+                        allowance,
+                        reused,
+                        kept,
+                    }),
+                );
+            }
+        }
+    }
+}
+
+/// What the rounds hear from outside of them.
+pub struct Ears {
+    pub inbox: UnboundedReceiver<Input>,
+    pub terminate: Signal,
+    pub interrupt: Signal,
+    /// Processes that are to take over.
+    pub asked: UnboundedReceiver<Asked>,
+    pub rest: UnboundedReceiver<Rest>,
+}
+
+/// What the process does when the rounds have ended.
+pub enum Finish {
+    End,
+    /// It begins anew.
+    Again,
+}
+
+/// Rounds, until the process is told to stop and has nothing out any more, or another one has taken over.
+pub async fn rounds(node: Rc<Node>, ears: Ears) -> Finish {
+    let Ears { mut inbox, mut terminate, mut interrupt, mut asked, mut rest } = ears;
+    let tick = Duration::from_secs_f64(node.config.tick);
+    let at = |seconds: Seconds| -> tokio::time::Instant {
+        (node.started + Duration::from_secs_f64(seconds.clamp(0.0, 1e9))).into()
+    };
+    let mut timer = None;
+    let mut sweep_at = 0.0;
+    let mut space = space::Space::default();
+    let mut told_at = None;
+    let mut counted_at = 0.0;
+    let mut actions = Vec::new();
+    loop {
+        let due = timer.map_or(sweep_at, |(_, at): (u32, Seconds)| at.min(sweep_at));
+        let mut stop = false;
+        let mut taker = None;
+        let first = tokio::select! {
+            Some(asks) = asked.recv() => { taker = Some(asks); None }
+            input = inbox.recv() => input,
+            () = sleep_until(at(due)) => None,
+            _ = terminate.recv() => { stop = true; None }
+            _ = interrupt.recv() => { stop = true; None }
+        };
+        // What happens within a tick is one round.
+        let next = (node.started.elapsed().as_nanos() / tick.as_nanos() + 1) * tick.as_nanos();
+        sleep_until((node.started + Duration::from_nanos(next as u64)).into()).await;
+        if let Some(taker) = taker {
+            let stopping = told_at.is_some();
+            std::iter::from_fn(|| inbox.try_recv().ok()).for_each(|input| hear(&node, node.now(), input));
+            let signals = (&mut terminate, &mut interrupt);
+            match handover::give(&node, stopping, taker, &mut asked, signals, &mut rest).await {
+                After::Resumed { stopping } => stop |= stopping,
+                After::Ended => return Finish::End,
+                After::Restart => return Finish::Again,
+            }
+        }
+        let now = node.now();
+        if stop && told_at.is_none() {
+            println!("{now:.3} told to stop");
+            told_at = Some(now);
+            node.closing.set(true);
+            node.figures.set_ready(false);
+            node.dispatcher.borrow_mut().handle(now, Event::Closing(now + CALLS_END));
+        }
+        let rest = std::iter::from_fn(|| inbox.try_recv().ok());
+        first.into_iter().chain(rest).for_each(|input| hear(&node, now, input));
+        if let Some((token, _)) = timer.take_if(|(_, at)| *at <= now) {
+            node.dispatcher.borrow_mut().handle(now, Event::Timer(token));
+        }
+        actions.clear();
+        node.dispatcher.borrow_mut().decide(now, &mut actions);
+        act(&node, now, &actions, &mut timer);
+        space.work(&node);
+        node.figures.set(control::gauges(&node));
+        if now >= counted_at + COUNT_EVERY {
+            counted_at = now;
+            let journal = node.journal.borrow();
+            let open = journal.iter().filter(|(_, kept)| kept.notice.is_none());
+            let ages = open.map(|(_, kept)| (kept.handed.dest, -node.seconds(kept.handed.taken) + now));
+            node.counts.line(now, ages).inspect(|line| log::line(line));
+        }
+        if now >= sweep_at {
+            sweep_at = now + if told_at.is_some() { 0.05 } else { 0.5 };
+            node.pool.sweep(calls::keepalive(&node), node.config.limits.idle(node.config.settings.slots));
+        }
+        if let Some(told_at) = told_at {
+            let journal = node.journal.borrow();
+            let idle = journal.iter().next().is_none() && now - told_at >= EXIT_LEAST;
+            let quiet = node.calls_out.get() == 0 && (idle || now - told_at >= CALLS_END);
+            if quiet || now - told_at >= EXIT {
+                return Finish::End;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/start.rs
@@ -0,0 +1,193 @@
+//! The start of a dispatcher: the journal, the signals, the parts in their order.
+
+use crate::calls::Pool;
+use crate::clients::{self, Clients};
+use crate::config::Config;
+use crate::directory::Directory;
+use crate::gate::Gate;
+use crate::rounds::{Ears, Finish, hear, rounds};
+use crate::{Node, clock, control, counts, discovery, handover, inherited};
+use fawnspoke_control::door;
+use fawnspoke_control::figures::Figures;
+use fawnspoke_journal::plan::{self, Limits};
+use fawnspoke_journal::{Durability, Journal, Options, Recovery};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::sync::{Notify, watch};
+use tokio::task::spawn_local;
+use waydoor::Dispatcher;
+
+/// Less is no clock that was set back, but one that is read by two processes; in microseconds.
+const CLOCK_SLACK: u64 = 1000;
+
+/// Messages that are over and remembered as such, some 200 KB: a client that comes again does so within seconds.
+const ENDS: usize = 4096;
+
+/// The signals that the process heeds. They are asked for before clients can know of it.
+pub struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn heed() -> std::io::Result<Signals> {
+        Ok(Signals {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
+/// Reads the configuration anew at each SIGHUP. Discovery's address is followed at once; all else is what
+/// this process was started with. A file that is no configuration changes nothing.
+pub async fn reload(node: Rc<Node>, mut hangup: Signal) {
+    while hangup.recv().await.is_some() {
+        match Config::from_environment() {
+            Ok(config) => {
+                let kept = node.config.differences(&config);
+                let kept = if kept.is_empty() {
+                    String::new()
+                } else {
+                    format!("; restart for {}", kept.join(", "))
+                };
+                println!("configuration read anew: discovery at {}{kept}", config.discovery);
+                node.discovery
+                    .send_if_modified(|at| std::mem::replace(at, config.discovery) != config.discovery);
+            }
+            Err(error) => println!("configuration not read, the old one stays: {error}"),
+        }
+    }
+}
+
+/// Opens the journal and tells what was found; with it, by how many microseconds the clock is behind.
+pub fn open_journal(config: &Config) -> Result<(Journal, u64), String> {
+    let now = clock();
+    let options = Options {
+        // The platform's own count may have a block more than ours.
+        limits: Limits::of(config.limits.journal().saturating_sub(plan::BLOCK)),
+        durability: Durability::None,
+        now,
+        identity: u128::from(config.seed) << 64 | u128::from(now),
+        ends: ENDS,
+    };
+    let (journal, recovery) = Journal::open(&config.state, options)
+        .map_err(|error| format!("GW_STATE: {}: {error}", config.state.display()))?;
+    let Recovery { torn, damage, carried, latest } = recovery;
+    if torn > 0 {
+        println!("journal: {torn} bytes of a torn record left out");
+    }
+    if let Some(messages) = carried {
+        println!("journal: {messages} messages carried over from the format before");
+    }
+    for damage in damage {
+        println!("journal: damaged: {damage}");
+    }
+    let behind = latest.saturating_sub(now);
+    if behind > CLOCK_SLACK {
+        println!(
+            "clock: {:.3} s behind what an earlier life saw; counted on from there",
+            behind as f64 / 1e6
+        );
+    }
+    Ok((journal, behind))
+}
+
+pub async fn run(config: Config) -> Result<Finish, String> {
+    let mut signals = Signals::heed().map_err(|error| format!("signals: {error}"))?;
+    let figures = Arc::new(Figures::new(&config.classes));
+    let (asked, orders) = unbounded_channel();
+    if let Some(control) = config.control {
+        // Operators are answered from now on, while the journal is read too.
+        let at = door::open(control, figures.clone(), asked);
+        let at = at.map_err(|error| format!("control: {control}: {error}"))?;
+        println!("{} answers operators at {at}", config.name);
+    }
+    let (locks, taken) = tokio::select! {
+        arrived = handover::arrive(&config) => arrived,
+        // It owns nothing yet.
+        _ = signals.terminate.recv() => return Ok(Finish::End),
+        _ = signals.interrupt.recv() => return Ok(Finish::End),
+    };
+    let (mut journal, behind) = open_journal(&config)?;
+    let (state, given) = taken.map_or((None, None), |mut taken| (taken.state.take(), Some(taken)));
+    let adopted = state.is_some();
+    let (started, dispatcher, directory) = match state {
+        Some(mut state) => {
+            let started = state.started();
+            journal.recall(state.ended);
+            state.decisions.moved();
+            (started, state.decisions, state.directory)
+        }
+        None => {
+            let dispatcher = Dispatcher::new(config.settings.clone(), config.seed);
+            (Instant::now(), dispatcher.map_err(|error| error.to_string())?, Directory::default())
+        }
+    };
+    let (given, passed) = given.map_or((None, None), |mut given| (given.listener.take(), Some(given)));
+    let listener = inherited::listener(config.listen, given).await?;
+    println!("{} listens at {}", config.name, listener.local_addr().map_err(|e| e.to_string())?);
+    let (sender, mut inbox) = unbounded_channel();
+    let (doorstep, asked) = handover::Doorstep::new(&config.state);
+    let (rest, handed) = unbounded_channel();
+    let node = Rc::new(Node {
+        started,
+        behind,
+        inbox: sender,
+        dispatcher: RefCell::new(dispatcher),
+        journal: RefCell::new(journal),
+        directory: RefCell::new(directory),
+        pool: Pool::default(),
+        counts: counts::Counts::default(),
+        figures,
+        control: control::Control::open(&config.state),
+        discovery: watch::Sender::new(config.discovery),
+        unheard: RefCell::default(),
+        clients: Clients::default(),
+        calls_out: Cell::new(0),
+        calls_open: Cell::new(0),
+        closing: Cell::new(false),
+        notices: Notify::new(),
+        resubscribe: Notify::new(),
+        stopping: Notify::new(),
+        listener: Rc::new(listener),
+        gate: Gate::default(),
+        lock: RefCell::new(locks.owner),
+        calls_lock: RefCell::new(locks.calls),
+        doorstep,
+        rest,
+        cut: Notify::new(),
+        breaks: RefCell::default(),
+        adopted,
+        config,
+    });
+    if !adopted {
+        discovery::list(&node, node.config.file["known"].to_string().as_bytes());
+    }
+    node.resume();
+    // The decisions know the list and what is owed before the first client is heard.
+    std::iter::from_fn(|| inbox.try_recv().ok()).for_each(|input| hear(&node, node.now(), input));
+    if let Some(passed) = passed {
+        spawn_local(handover::own(node.clone(), passed));
+    }
+    node.doorstep.open();
+    spawn_local(discovery::watch(node.clone()));
+    spawn_local(discovery::notices(node.clone()));
+    // Clients come once all that was owed is taken up again; nothing here waits for discovery.
+    spawn_local(clients::serve(node.clone()));
+    spawn_local(control::obey(node.clone(), orders));
+    node.figures.set(control::gauges(&node));
+    node.figures.set_ready(true);
+    spawn_local(reload(node.clone(), signals.hangup));
+    let Signals { terminate, interrupt, .. } = signals;
+    let finish = rounds(node.clone(), Ears { inbox, terminate, interrupt, asked, rest: handed }).await;
+    // Idle clients hear that the connection ends; a request that is being answered is still answered.
+    node.stopping.notify_waiters();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    Ok(finish)
+}
