crates/cluster, crates/duty, crates/frames: members, one agreed log, terms with epochs, by seed

Need: dispatchers share nothing, so nothing can be one member's affair (docs/design/duties.md). Change: the core around tikv's raft, free of I/O, with our own forms for all that comes from links and files; the record on disk, synced before it is answered for; links over TCP with the hand-over's framing, moved to crates/frames; the thread. Duties on it: an agreed roll whose epochs only grow, a member's term counted from before its question, the granter's guard, tries at a place that is out, questions to discovery. Nothing of it is wired in yet.

--- /dev/null
+++ b/crates/cluster/src/core.rs
@@ -0,0 +1,661 @@
+//! A member without sockets, files and clocks. Times, frames and the dispatcher's facts go in; records to be synced,
+//! frames and news come out. The caller's order is: [`Core::poll`], sync what it gives, [`Core::synced`], send
+//! [`Core::take_frames`].
+
+use crate::file::{File, MEMBERS_MOST};
+use crate::forms::{Conf, ENTRIES_MOST, Entry, Hard, Message, Snapshot};
+use crate::identity::{Identity, Mark, Seen};
+use crate::members::{Change, Known, Members};
+use crate::memory::{ENTRY, Memory};
+use crate::part::{Part, View};
+use crate::store::Record;
+use crate::wire::{Frame, Refusal};
+use crate::{Id, Seconds};
+use raft::prelude::{ConfChange, ConfChangeType, EntryType, MessageType};
+use raft::{Config, RawNode, Ready, SnapshotStatus, StateRole};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// Heartbeats without a leader after which a follower is a candidate, at least; up to twice as many, by chance.
+const ELECTION_BEATS: usize = 10;
+/// After a stall no more beats than this are made up for.
+const BEATS_MOST: u32 = 2;
+/// Bytes of entries in one message.
+const MESSAGE_BYTES: u64 = 64 << 10;
+/// Messages of entries on their way to one member.
+const INFLIGHT: usize = 32;
+/// Bytes of entries that are proposed and not agreed; more are turned away.
+const UNAGREED_BYTES: u64 = 1 << 20;
+/// An observer that is so few entries behind has caught up.
+const CAUGHT_UP: u64 = 64;
+/// Whoever asked to join and was not heard for so many beats asks no more.
+const ASKING_BEATS: f64 = 20.0;
+/// A question to a majority that was not answered for so many beats is asked anew.
+const BATCH_BEATS: f64 = 4.0;
+/// Questions that wait for an answer.
+const QUESTIONS_MOST: usize = 4 * MEMBERS_MOST;
+/// Bytes of a proposal.
+const PROPOSAL_MOST: usize = 16 << 10;
+/// Births of which is remembered what they acknowledged.
+const SEEN_MOST: usize = 4 * MEMBERS_MOST;
+
+/// Why a member can't begin.
+#[derive(Debug, thiserror::Error)]
+pub enum CoreError {
+    /// The library refuses what is on record.
+    #[error("the agreed log: {0}")]
+    Library(#[from] raft::Error),
+    /// The state in the snapshot can't be read.
+    #[error("the snapshot can't be read; another program's?")]
+    Snapshot,
+}
+
+/// The state in a snapshot.
+#[derive(Serialize, Deserialize)]
+struct Image {
+    members: Members,
+    part: Vec<u8>,
+}
+
+/// What a majority is being asked: whether this leader still leads.
+struct Batch {
+    number: u64,
+    questions: Vec<(Id, u64)>,
+    at: Seconds,
+}
+
+/// A member.
+pub struct Core<P: Part> {
+    file: Arc<File>,
+    identity: Identity,
+    raw: RawNode<Memory>,
+    part: P,
+    members: Members,
+    beat_at: Seconds,
+    rng: fastrand::Rng,
+    /// Being synced.
+    pending: Option<Ready>,
+    frames: Vec<(Id, Frame)>,
+    news: Vec<P::News>,
+    cut: bool,
+    leads: bool,
+    term: u64,
+    applied: u64,
+    /// As a leader: who wants to join, and since when it has not said so.
+    asking: BTreeMap<Id, (String, Seconds)>,
+    questions: Vec<(Id, u64)>,
+    batch: Option<Batch>,
+    batches: u64,
+    /// What others have acknowledged.
+    seen: BTreeMap<Id, Seen>,
+    /// Members with a link: their names.
+    linked: BTreeMap<Id, String>,
+    /// Members that have looked at this one's hello and found nothing missing.
+    looked: BTreeSet<Id>,
+    /// Snapshots on their way: whether they came is found out by the next probe.
+    snapshots: Vec<Id>,
+    /// It may speak: it is no voter, or enough have looked.
+    speaks: bool,
+}
+
+/// The first record of a fleet, with one voter.
+pub fn founded(identity: &Identity, part: &impl Part) -> Result<Vec<Record>, CoreError> {
+    let mut members = Members::default();
+    members.apply(&Change::Join { id: identity.birth, name: identity.name.clone() });
+    members.apply(&Change::Promote(identity.birth));
+    let data = image(&members, part)?;
+    let conf = Conf { voters: vec![identity.birth], learners: Vec::new() };
+    let hard = Hard { term: 1, vote: 0, commit: 1 };
+    Ok(vec![Record::Snapshot(Snapshot { index: 1, term: 1, conf, data }), Record::Hard(hard)])
+}
+
+fn image(members: &Members, part: &impl Part) -> Result<Vec<u8>, CoreError> {
+    let image = Image { members: members.clone(), part: part.snapshot() };
+    postcard::to_stdvec(&image).map_err(|_| CoreError::Snapshot)
+}
+
+impl<P: Part> Core<P> {
+    /// A member with what is on record. Equal seeds and inputs give equal outputs.
+    ///
+    /// # Errors
+    /// Where the record can't be used.
+    pub fn new(
+        file: Arc<File>, identity: Identity, records: Vec<Record>, part: P, now: Seconds, seed: u64,
+    ) -> Result<Core<P>, CoreError> {
+        let memory = Memory::of(records);
+        let applied = memory.snapshot.index;
+        let image = memory.snapshot.data.clone();
+        let config = Config {
+            id: identity.birth,
+            election_tick: ELECTION_BEATS,
+            heartbeat_tick: 1,
+            applied,
+            max_size_per_msg: MESSAGE_BYTES,
+            max_inflight_msgs: INFLIGHT,
+            check_quorum: true,
+            pre_vote: true,
+            max_uncommitted_size: UNAGREED_BYTES,
+            ..Config::default()
+        };
+        let logger = slog::Logger::root(slog::Discard, slog::o!());
+        let mut core = Core {
+            raw: RawNode::new(&config, memory, &logger)?,
+            file,
+            identity,
+            part,
+            members: Members::default(),
+            beat_at: now,
+            rng: fastrand::Rng::with_seed(seed),
+            pending: None,
+            frames: Vec::new(),
+            news: Vec::new(),
+            cut: false,
+            leads: false,
+            term: 0,
+            applied,
+            asking: BTreeMap::new(),
+            questions: Vec::new(),
+            batch: None,
+            batches: 0,
+            seen: BTreeMap::new(),
+            linked: BTreeMap::new(),
+            looked: BTreeSet::new(),
+            snapshots: Vec::new(),
+            speaks: false,
+        };
+        core.part.begin(core.identity.birth);
+        if applied > 0 {
+            core.restore(now, &image)?;
+        }
+        core.draw();
+        Ok(core)
+    }
+
+    /// Who this is.
+    pub fn identity(&self) -> &Identity {
+        &self.identity
+    }
+
+    /// How far its record goes.
+    pub fn mark(&self) -> Mark {
+        let memory = self.raw.store();
+        Mark { term: memory.hard.term, voted: memory.hard.vote != 0, last: memory.last() }
+    }
+
+    /// The members, as agreed.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// What stands on the log.
+    pub fn part(&self) -> &P {
+        &self.part
+    }
+
+    /// Whether this member leads, as far as it knows.
+    pub fn leads(&self) -> bool {
+        self.leads
+    }
+
+    /// The leader, as far as it knows.
+    pub fn leader(&self) -> Option<Id> {
+        Some(self.raw.raft.leader_id).filter(|id| *id != 0)
+    }
+
+    /// All up to this place is applied.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// The library's term.
+    pub fn term(&self) -> u64 {
+        self.raw.raft.term
+    }
+
+    /// When [`Core::tick`] is due next.
+    pub fn due(&self) -> Seconds {
+        self.beat_at
+    }
+
+    /// Whether it takes part in the library's protocol yet.
+    pub fn speaks(&self) -> bool {
+        self.speaks
+    }
+
+    /// A link has come up. The other side's record is judged by what it has acknowledged here.
+    ///
+    /// # Errors
+    /// Where it is an older copy.
+    pub fn link(&mut self, id: Id, name: &str, life: u64, mark: &Mark) -> Result<(), Refusal> {
+        let seen = self.seen.entry(id).or_default();
+        if seen.is_ahead_of(life, mark) {
+            return Err(Refusal::OlderCopy);
+        }
+        seen.life = life;
+        // Its last places may be a former leader's, and go; what it acknowledges in a term stays.
+        seen.mark.note(mark.term, mark.voted, 0);
+        while self.seen.len() > SEEN_MOST {
+            let stranger = self.seen.keys().find(|id| !self.members.0.contains_key(id)).copied();
+            let Some(stranger) = stranger else { break };
+            self.seen.remove(&stranger);
+        }
+        self.linked.insert(id, name.to_string());
+        Ok(())
+    }
+
+    /// The other side has looked at this one's hello and speaks with it.
+    pub fn looked(&mut self, id: Id) {
+        self.looked.insert(id);
+    }
+
+    /// A link has ended.
+    pub fn unlink(&mut self, id: Id) {
+        self.linked.remove(&id);
+        self.raw.report_unreachable(id);
+    }
+
+    /// Members that are linked.
+    pub fn linked(&self) -> &BTreeMap<Id, String> {
+        &self.linked
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now: Seconds) {
+        self.may_speak();
+        let beat = self.file.beat();
+        let mut beats = 0;
+        while now >= self.beat_at {
+            self.beat_at += beat;
+            beats += 1;
+            if beats <= BEATS_MOST && self.speaks {
+                self.raw.tick();
+            }
+            if beats > BEATS_MOST {
+                self.beat_at = self.beat_at.max(now);
+            }
+        }
+        for to in std::mem::take(&mut self.snapshots) {
+            self.raw.report_snapshot(to, SnapshotStatus::Finish);
+        }
+        self.draw();
+        let member = self.members.0.contains_key(&self.identity.birth);
+        if beats > 0 && !member {
+            let linked: Vec<Id> = self.linked.keys().copied().collect();
+            self.frames.extend(linked.into_iter().map(|id| (id, Frame::Join)));
+        }
+        // Whoever does not know yet that it is a member has nothing to hold.
+        if member && let Some(question) = self.part.question(now) {
+            match self.leader() {
+                Some(id) if id == self.identity.birth => self.ask(now, id, question),
+                Some(id) => self.frames.push((id, Frame::Question(question))),
+                None => {}
+            }
+        }
+        if self.leads {
+            self.change_members(now);
+        }
+        self.decide(now);
+    }
+
+    /// A voter whose record may be an older copy says nothing until a majority has looked at it.
+    fn may_speak(&mut self) {
+        if self.speaks {
+            return;
+        }
+        let me = self.identity.birth;
+        let voters: BTreeSet<Id> = self.members.voters().collect();
+        let looked = voters.iter().filter(|id| **id == me || self.looked.contains(id)).count();
+        self.speaks = !voters.contains(&me) || 2 * looked > voters.len();
+    }
+
+    /// The time to the next election, by this member's own chance: the library's is no seed's.
+    fn draw(&mut self) {
+        let term = self.raw.raft.term;
+        let reset = self.raw.raft.randomized_election_timeout();
+        let drawn = |rng: &mut fastrand::Rng| ELECTION_BEATS + rng.usize(0..ELECTION_BEATS);
+        if std::mem::replace(&mut self.term, term) != term || reset >= 2 * ELECTION_BEATS {
+            let drawn = drawn(&mut self.rng);
+            self.raw.raft.set_randomized_election_timeout(drawn);
+        }
+    }
+
+    /// A frame has come from a member with a link.
+    pub fn hear(&mut self, now: Seconds, from: Id, frame: Frame) {
+        match frame {
+            Frame::Log(message) => {
+                if message.from != from || message.to != self.identity.birth || !self.speaks {
+                    return;
+                }
+                if let Some((term, voted, last)) = message.acknowledges() {
+                    self.seen.entry(from).or_default().mark.note(term, voted, last);
+                }
+                if let Ok(message) = message.lib() {
+                    // What the library finds out of place is as good as lost.
+                    let _ = self.raw.step(message);
+                }
+                self.draw();
+            }
+            Frame::Join => {
+                if let Some(name) = self.linked.get(&from).filter(|_| self.leads) {
+                    self.asking.insert(from, (name.clone(), now));
+                }
+            }
+            Frame::Question(question) => self.ask(now, from, question),
+            Frame::Confirmed { question, after } if self.leader() == Some(from) => {
+                self.part.confirmed(now, question, after);
+            }
+            Frame::Confirmed { .. } => {}
+            Frame::Propose(entry) => self.propose(entry),
+        }
+        self.decide(now);
+    }
+
+    /// The dispatcher tells something.
+    pub fn fact(&mut self, now: Seconds, fact: P::Fact) {
+        self.part.fact(now, fact);
+        self.decide(now);
+    }
+
+    /// A question has come to this member, or is its own.
+    fn ask(&mut self, now: Seconds, from: Id, question: u64) {
+        if !self.leads || !self.members.0.contains_key(&from) {
+            return;
+        }
+        self.part.heard(now, from);
+        if self.questions.len() < QUESTIONS_MOST {
+            self.questions.push((from, question));
+        }
+        self.ask_majority(now);
+    }
+
+    /// Asks a majority whether this member still leads, for all questions that wait.
+    fn ask_majority(&mut self, now: Seconds) {
+        let overdue = |batch: &Batch| now - batch.at >= BATCH_BEATS * self.file.beat();
+        if self.batch.as_ref().is_some_and(|batch| !overdue(batch)) {
+            return;
+        }
+        // One that was not answered is gone: whoever asked asks again.
+        self.batch = None;
+        if self.questions.is_empty() || !self.raw.raft.commit_to_current_term() {
+            return;
+        }
+        self.batches += 1;
+        let questions = std::mem::take(&mut self.questions);
+        self.batch = Some(Batch { number: self.batches, questions, at: now });
+        self.raw.read_index(self.batches.to_be_bytes().to_vec());
+    }
+
+    fn answer(&mut self, now: Seconds, context: &[u8]) {
+        let Some(batch) = self.batch.take_if(|batch| batch.number.to_be_bytes() == context) else { return };
+        // What this leader has given away so far has its place at or before its log's end.
+        let after = self.raw.raft.raft_log.last_index();
+        for (to, question) in batch.questions {
+            if to == self.identity.birth {
+                self.part.confirmed(now, question, after);
+            } else {
+                self.frames.push((to, Frame::Confirmed { question, after }));
+            }
+        }
+        self.ask_majority(now);
+    }
+
+    fn propose(&mut self, entry: Vec<u8>) {
+        if self.leads && entry.len() <= PROPOSAL_MOST {
+            // Turned away is as good as lost: whoever wants it says so again.
+            let _ = self.raw.propose(Vec::new(), entry);
+        }
+    }
+
+    fn change_members(&mut self, now: Seconds) {
+        let patience = ASKING_BEATS * self.file.beat();
+        self.asking.retain(|id, (_, at)| now - *at < patience && !self.members.0.contains_key(id));
+        if self.raw.raft.has_pending_conf() {
+            return;
+        }
+        let asking = self.asking.iter().map(|(id, (name, _))| (*id, name.clone())).collect();
+        let (last, me) = (self.raw.raft.raft_log.committed, self.identity.birth);
+        let progress = self.raw.raft.prs();
+        let caught_up = |id: Id| {
+            id != me
+                && progress
+                    .get(id)
+                    .is_some_and(|p| p.recent_active && p.matched > 0 && p.matched + CAUGHT_UP >= last)
+        };
+        let change = self.members.next(&Known {
+            asking: &asking,
+            named: &|name| self.file.member.get(name).map(|peer| peer.voter),
+            lapsed: &|id| self.part.lapsed(now, id),
+            caught_up: &caught_up,
+            most: MEMBERS_MOST,
+        });
+        let Some(change) = change else { return };
+        let (kind, id) = match &change {
+            Change::Join { id, .. } => (ConfChangeType::AddLearnerNode, *id),
+            Change::Promote(id) => (ConfChangeType::AddNode, *id),
+            Change::Remove(id) => (ConfChangeType::RemoveNode, *id),
+        };
+        let mut asked = ConfChange { node_id: id, ..ConfChange::default() };
+        asked.set_change_type(kind);
+        if let Ok(context) = postcard::to_stdvec(&change) {
+            let _ = self.raw.propose_conf_change(context, asked);
+        }
+    }
+
+    fn decide(&mut self, now: Seconds) {
+        let view = View {
+            me: self.identity.birth,
+            name: &self.identity.name,
+            leader: Some(self.raw.raft.leader_id).filter(|id| *id != 0),
+            members: &self.members,
+            log: self.raw.store().length(),
+        };
+        let wants = self.part.decide(now, &view);
+        self.cut |= wants.cut;
+        self.news.extend(wants.news);
+        for entry in wants.propose {
+            match self.leader() {
+                Some(id) if id == self.identity.birth => self.propose(entry),
+                Some(id) => self.frames.push((id, Frame::Propose(entry))),
+                None => {}
+            }
+        }
+    }
+
+    /// What has to be synced next, and whether it has to; nothing while something is, or where nothing is to be done.
+    pub fn poll(&mut self) -> Option<(Vec<Record>, bool)> {
+        if self.pending.is_some() || !self.raw.has_ready() {
+            return None;
+        }
+        let ready = self.raw.ready();
+        let mut records = Vec::new();
+        if !ready.snapshot().is_empty() {
+            records.push(Record::Snapshot(Snapshot::of(ready.snapshot())));
+        }
+        records.extend(ready.entries().iter().map(|entry| Record::Entry(Entry::of(entry))));
+        records.extend(ready.hs().map(|hard| Record::Hard(Hard::of(hard))));
+        let sync = ready.must_sync();
+        self.pending = Some(ready);
+        Some((records, sync))
+    }
+
+    /// What [`Core::poll`] gave is synced: what was agreed is applied, and frames may go.
+    ///
+    /// # Errors
+    /// Where a leader's snapshot can't be read: the member can't go on.
+    pub fn synced(&mut self, now: Seconds) -> Result<(), CoreError> {
+        let Some(mut ready) = self.pending.take() else { return Ok(()) };
+        if !ready.snapshot().is_empty() {
+            let snapshot = Snapshot::of(ready.snapshot());
+            let (index, data) = (snapshot.index, snapshot.data.clone());
+            self.raw.mut_store().replace(snapshot);
+            self.restore(now, &data)?;
+            self.applied = index;
+            self.part.applied(index);
+        }
+        for entry in ready.entries() {
+            self.raw.mut_store().take(Record::Entry(Entry::of(entry)));
+        }
+        if let Some(hard) = ready.hs() {
+            self.raw.mut_store().hard = Hard::of(hard);
+        }
+        if let Some(soft) = ready.ss() {
+            let leads = soft.raft_state == StateRole::Leader;
+            if std::mem::replace(&mut self.leads, leads) != leads {
+                (self.batch, self.questions) = (None, Vec::new());
+                self.asking.clear();
+                self.part.leads(now, leads);
+            }
+        }
+        let reads = ready.take_read_states();
+        let messages = ready.take_messages();
+        let after = ready.take_persisted_messages();
+        self.send(messages.iter().chain(&after));
+        self.apply(now, ready.take_committed_entries());
+        let mut light = self.raw.advance(ready);
+        if let Some(commit) = light.commit_index() {
+            self.raw.mut_store().hard.commit = commit;
+        }
+        let messages = light.take_messages();
+        self.send(messages.iter());
+        self.apply(now, light.take_committed_entries());
+        self.raw.advance_apply();
+        for read in reads {
+            self.answer(now, &read.request_ctx);
+        }
+        if self.raw.store().wanted.take() {
+            let made = self.make_snapshot()?;
+            self.raw.mut_store().made = Some(made);
+        }
+        self.draw();
+        self.decide(now);
+        Ok(())
+    }
+
+    fn send<'a>(&mut self, messages: impl Iterator<Item = &'a raft::prelude::Message>) {
+        let messages = messages.inspect(|message| {
+            if message.get_msg_type() == MessageType::MsgSnapshot {
+                self.snapshots.push(message.to);
+            }
+        });
+        let frames = messages.map(|message| (message.to, Frame::Log(Box::new(Message::of(message)))));
+        self.frames.extend(frames);
+    }
+
+    fn apply(&mut self, now: Seconds, entries: Vec<raft::prelude::Entry>) {
+        for entry in entries {
+            self.applied = entry.index;
+            if entry.get_entry_type() == EntryType::EntryNormal {
+                if !entry.data.is_empty() {
+                    self.part.agreed(now, entry.index, &entry.data);
+                }
+            } else if let Ok(change) = postcard::from_bytes::<Change>(&entry.context) {
+                let (kind, id) = match &change {
+                    Change::Join { id, .. } => (ConfChangeType::AddLearnerNode, *id),
+                    Change::Promote(id) => (ConfChangeType::AddNode, *id),
+                    Change::Remove(id) => (ConfChangeType::RemoveNode, *id),
+                };
+                let mut agreed = ConfChange { node_id: id, ..ConfChange::default() };
+                agreed.set_change_type(kind);
+                // The library refuses what would leave it without a voter; then nothing has changed.
+                if let Ok(conf) = self.raw.apply_conf_change(&agreed) {
+                    self.raw.mut_store().conf = Conf::of(&conf);
+                    self.members.apply(&change);
+                }
+            }
+            self.part.applied(self.applied);
+        }
+    }
+
+    fn restore(&mut self, now: Seconds, data: &[u8]) -> Result<(), CoreError> {
+        let image: Image = postcard::from_bytes(data).map_err(|_| CoreError::Snapshot)?;
+        if !self.part.restore(now, &image.part) {
+            return Err(CoreError::Snapshot);
+        }
+        self.members = image.members;
+        Ok(())
+    }
+
+    fn make_snapshot(&self) -> Result<Snapshot, CoreError> {
+        let memory = self.raw.store();
+        let term = memory.term_at(self.applied).unwrap_or(memory.snapshot.term);
+        let data = image(&self.members, &self.part)?;
+        Ok(Snapshot { index: self.applied, term, conf: memory.conf.clone(), data })
+    }
+
+    /// Cuts the log where that is due, or where `forced`: the records that take the place of all that were written.
+    ///
+    /// # Errors
+    /// Where the state can't be written as a snapshot.
+    pub fn take_cut(&mut self, forced: bool) -> Result<Option<Vec<Record>>, CoreError> {
+        if self.pending.is_some() || !(std::mem::take(&mut self.cut) || forced) {
+            return Ok(None);
+        }
+        if self.applied <= self.raw.store().snapshot.index {
+            return Ok(None);
+        }
+        let snapshot = self.make_snapshot()?;
+        let memory = self.raw.mut_store();
+        memory.made = Some(snapshot.clone());
+        memory.take(Record::Snapshot(snapshot));
+        Ok(Some(self.raw.store().records()))
+    }
+
+    /// What is to be sent, to whom. Only after what [`Core::poll`] gave is synced.
+    pub fn take_frames(&mut self) -> Vec<(Id, Frame)> {
+        std::mem::take(&mut self.frames)
+    }
+
+    /// What the dispatcher is to hear.
+    pub fn take_news(&mut self) -> Vec<P::News> {
+        std::mem::take(&mut self.news)
+    }
+
+    /// The member stops: its part gives on what it holds.
+    pub fn leave(&mut self, now: Seconds) {
+        self.part.leave(now);
+        self.decide(now);
+    }
+
+    /// Whether all that it held has been given on.
+    pub fn left(&self) -> bool {
+        self.part.left()
+    }
+
+    /// Gives the leadership to another voter that has caught up, before this member stops.
+    pub fn give_leadership(&mut self) {
+        let me = self.identity.birth;
+        let progress = self.raw.raft.prs();
+        let next = self.members.voters().filter(|id| *id != me && self.linked.contains_key(id));
+        let next = next.max_by_key(|id| progress.get(*id).map_or(0, |p| p.matched));
+        if let Some(next) = next.filter(|_| self.leads) {
+            self.raw.transfer_leader(next);
+        }
+    }
+
+    /// How things are, for operators, as JSON.
+    pub fn show(&self, now: Seconds) -> serde_json::Value {
+        let me = self.identity.birth;
+        let name = |id: Id| self.members.0.get(&id).map(|member| member.name.clone());
+        let members = self.members.0.iter().map(|(id, member)| {
+            serde_json::json!({
+                "name": member.name, "birth": format!("{id:016x}"), "voter": member.voter,
+                "leads": self.leader() == Some(*id), "self": *id == me,
+                "linked": *id == me || self.linked.contains_key(id),
+            })
+        });
+        serde_json::json!({
+            "cluster": self.file.cluster, "name": self.identity.name, "birth": format!("{me:016x}"),
+            "life": self.identity.life, "member": self.members.0.contains_key(&me), "speaks": self.speaks,
+            "leader": self.leader().and_then(name), "term": self.raw.raft.term, "applied": self.applied,
+            "log": self.raw.store().length(), "members": members.collect::<Vec<_>>(),
+            "part": self.part.show(now, &View {
+                me, name: &self.identity.name, leader: self.leader(), members: &self.members,
+                log: self.raw.store().length(),
+            }),
+        })
+    }
+}
+
+const _: () =
+    assert!(MESSAGE_BYTES / ENTRY <= ENTRIES_MOST as u64, "a message has no more entries than is read");
--- /dev/null
+++ b/crates/cluster/src/links.rs
@@ -0,0 +1,292 @@
+//! The connections between members: TCP, one a pair, a length before each packet. A peer that is slow, silent or sends
+//! what nobody can read costs its own link and nothing else.
+
+use crate::Id;
+use crate::file::File;
+use crate::wire::{Frame, HELLO_TIME, Hello, PACKET_MOST};
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{Receiver, Sender, UnboundedSender, channel};
+use tokio::sync::oneshot;
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+/// Packets in a link's queue; a frame more is dropped, as one that was lost.
+const QUEUE: usize = 256;
+/// A packet is written by then, or the link ends.
+const WRITE_TIME: Duration = Duration::from_secs(5);
+/// A connection comes up by then.
+const CONNECT_TIME: Duration = Duration::from_secs(1);
+/// Before a member is called again.
+const AGAIN: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
+/// After a refusal.
+const REFUSED: Duration = Duration::from_secs(1);
+/// Connections that have not said hello yet.
+const STRANGERS_MOST: usize = 32;
+/// Nothing for so many terms, and the link is dead.
+const SILENT_TERMS: f64 = 4.0;
+
+/// What the thread hears of links.
+pub enum Event {
+    /// The other side's hello has come: whether to speak with it goes back, as a hello of the own or a refusal in one.
+    Hello {
+        /// What it says.
+        hello: Box<Hello>,
+        /// This side called, so its hello has gone already and was accepted by the other.
+        called: bool,
+        /// The own answer; the frames that go out, once it is accepted.
+        answer: oneshot::Sender<(Hello, bool)>,
+        /// The link, for sending.
+        link: Link,
+    },
+    /// A frame.
+    Frame(Id, u64, Frame),
+    /// A link has ended.
+    Ended(Id, u64),
+    /// The other side does not speak with this one.
+    Refused {
+        /// Whom this side called.
+        name: String,
+        /// Why.
+        hello: Box<Hello>,
+    },
+}
+
+/// A link, for sending.
+#[derive(Clone)]
+pub struct Link {
+    /// Counts the links of this process.
+    pub number: u64,
+    queue: Sender<Vec<u8>>,
+    /// Bytes in all queues.
+    bytes: Rc<Cell<usize>>,
+    most: usize,
+    abort: Rc<RefCell<Option<AbortHandle>>>,
+}
+
+impl Link {
+    /// Sends a frame, unless the queue is full: then it is lost.
+    pub fn send(&self, packet: Vec<u8>) -> bool {
+        let after = self.bytes.get() + packet.len();
+        if packet.len() > PACKET_MOST || after > self.most {
+            return false;
+        }
+        let sent = self.queue.try_send(packet).is_ok();
+        if sent {
+            self.bytes.set(after);
+        }
+        sent
+    }
+
+    /// Ends it.
+    pub fn end(&self) {
+        if let Some(task) = self.abort.borrow_mut().take() {
+            task.abort();
+        }
+    }
+}
+
+/// What all links share.
+#[derive(Clone)]
+pub struct Links {
+    file: Rc<File>,
+    name: Rc<str>,
+    events: UnboundedSender<Event>,
+    count: Rc<Cell<u64>>,
+    strangers: Rc<Cell<usize>>,
+    bytes: Rc<Cell<usize>>,
+    /// The hello of now, by whom it is for.
+    hello: Rc<RefCell<Option<Hello>>>,
+}
+
+fn codec(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+    // Small frames that others wait for.
+    let _ = stream.set_nodelay(true);
+    LengthDelimitedCodec::builder().max_frame_length(PACKET_MOST).new_framed(stream)
+}
+
+impl Links {
+    /// None yet.
+    pub fn new(file: Rc<File>, name: &str, events: UnboundedSender<Event>) -> Links {
+        Links {
+            file,
+            name: name.into(),
+            events,
+            count: Rc::default(),
+            strangers: Rc::default(),
+            bytes: Rc::default(),
+            hello: Rc::default(),
+        }
+    }
+
+    /// Listens, and calls whom this member has to call, for as long as the thread runs. `hello` is asked for anew at each
+    /// call.
+    ///
+    /// # Errors
+    /// Where the address can't be listened at.
+    pub async fn open(&self) -> io::Result<Option<SocketAddr>> {
+        let mut at = None;
+        let listens = self.file.member.keys().any(|other| self.file.calls(other, &self.name));
+        if let Some(me) = self.file.member.get(&*self.name).filter(|_| listens) {
+            let listener = TcpListener::bind(me.listen.unwrap_or(me.at)).await?;
+            at = Some(listener.local_addr()?);
+            spawn_local(self.clone().accept(listener));
+        }
+        for (name, peer) in self.file.member.iter().filter(|(name, _)| self.file.calls(&self.name, name)) {
+            spawn_local(self.clone().call(name.clone(), peer.at));
+        }
+        Ok(at)
+    }
+
+    /// What this member says of itself from now on; nobody is called before the first.
+    pub fn present(&self, hello: Hello) {
+        self.hello.replace(Some(hello));
+    }
+
+    fn link(&self) -> (Link, Receiver<Vec<u8>>) {
+        let (queue, frames) = channel(QUEUE);
+        self.count.set(self.count.get() + 1);
+        let most = (self.file.memory_mb * 1e6) as usize;
+        let (number, bytes) = (self.count.get(), self.bytes.clone());
+        (Link { number, queue, bytes, most, abort: Rc::default() }, frames)
+    }
+
+    async fn accept(self, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                sleep(AGAIN.0).await;
+                continue;
+            };
+            if self.strangers.get() >= STRANGERS_MOST {
+                continue;
+            }
+            self.strangers.set(self.strangers.get() + 1);
+            let links = self.clone();
+            let (link, frames) = self.link();
+            let abort = link.abort.clone();
+            let task = spawn_local(async move {
+                let mut wire = codec(stream);
+                let patience = Duration::from_secs_f64(HELLO_TIME);
+                let greeted = timeout(patience, links.greeted(&mut wire, link.clone())).await.ok().flatten();
+                links.strangers.set(links.strangers.get() - 1);
+                if let Some(id) = greeted {
+                    links.run(id, wire, &link, frames).await;
+                }
+            });
+            abort.replace(Some(task.abort_handle()));
+        }
+    }
+
+    /// Waits for a caller's hello and answers it.
+    async fn greeted(&self, wire: &mut Framed<TcpStream, LengthDelimitedCodec>, link: Link) -> Option<Id> {
+        let packet = wire.next().await?.ok()?;
+        let hello: Hello = fawnspoke_frames::read_hello(&packet).ok()?;
+        let id = hello.birth;
+        let (answer, answered) = oneshot::channel();
+        let hello = Box::new(hello);
+        self.events.send(Event::Hello { hello, called: false, answer, link }).ok()?;
+        let (own, accepted) = answered.await.ok()?;
+        wire.send(Bytes::from(fawnspoke_frames::hello_packet(&own).ok()?)).await.ok()?;
+        accepted.then_some(id)
+    }
+
+    /// Calls one member over and over.
+    async fn call(self, name: String, at: SocketAddr) {
+        let mut pause = AGAIN.0;
+        loop {
+            let (link, frames) = self.link();
+            let (links, other) = (self.clone(), name.clone());
+            let abort = link.abort.clone();
+            let task = spawn_local(async move { links.once(&other, at, link, frames).await });
+            abort.replace(Some(task.abort_handle()));
+            match task.await {
+                Ok(Some(true)) => pause = AGAIN.0,
+                Ok(Some(false)) => pause = REFUSED,
+                _ => pause = (pause * 2).min(AGAIN.1),
+            }
+            sleep(pause).await;
+        }
+    }
+
+    /// One connection to its end: whether the other side spoke; nothing where it never came up.
+    async fn once(&self, name: &str, at: SocketAddr, link: Link, frames: Receiver<Vec<u8>>) -> Option<bool> {
+        let hello = Hello { to: name.into(), ..self.hello.borrow().clone()? };
+        let patience = Duration::from_secs_f64(HELLO_TIME);
+        let stream = timeout(CONNECT_TIME, TcpStream::connect(at)).await.ok()?.ok()?;
+        let mut wire = codec(stream);
+        let said = async {
+            wire.send(Bytes::from(fawnspoke_frames::hello_packet(&hello).ok()?)).await.ok()?;
+            let packet = wire.next().await?.ok()?;
+            fawnspoke_frames::read_hello::<Hello>(&packet).ok()
+        };
+        let theirs = Box::new(timeout(patience, said).await.ok().flatten()?);
+        if theirs.refused.is_some() {
+            let _ = self.events.send(Event::Refused { name: name.into(), hello: theirs });
+            return Some(false);
+        }
+        let id = theirs.birth;
+        let (answer, answered) = oneshot::channel();
+        self.events.send(Event::Hello { hello: theirs, called: true, answer, link: link.clone() }).ok()?;
+        let (_, accepted) = answered.await.ok()?;
+        if !accepted {
+            return Some(false);
+        }
+        self.run(id, wire, &link, frames).await;
+        Some(true)
+    }
+
+    /// Carries frames both ways until one side ends.
+    async fn run(
+        &self, id: Id, wire: Framed<TcpStream, LengthDelimitedCodec>, link: &Link,
+        mut frames: Receiver<Vec<u8>>,
+    ) {
+        let _ended = Ended { links: self.clone(), id, number: link.number };
+        let (mut sink, mut source) = wire.split::<Bytes>();
+        let silent = Duration::from_secs_f64(SILENT_TERMS * self.file.term_s);
+        let write = async {
+            while let Some(packet) = frames.recv().await {
+                let bytes = packet.len();
+                let written = timeout(WRITE_TIME, sink.send(Bytes::from(packet))).await;
+                self.bytes.set(self.bytes.get().saturating_sub(bytes));
+                if !matches!(written, Ok(Ok(()))) {
+                    break;
+                }
+            }
+            // What waits is lost with the link.
+            frames.close();
+            while let Ok(packet) = frames.try_recv() {
+                self.bytes.set(self.bytes.get().saturating_sub(packet.len()));
+            }
+        };
+        let read = async {
+            while let Ok(Some(Ok(packet))) = timeout(silent, source.next()).await {
+                // What can't be read ends its link.
+                let Ok(frame) = fawnspoke_frames::read::<Frame>(&packet) else { break };
+                if self.events.send(Event::Frame(id, link.number, frame)).is_err() {
+                    break;
+                }
+            }
+        };
+        tokio::select! { () = write => {} () = read => {} }
+    }
+}
+
+/// Tells that a link has ended, however it did.
+struct Ended {
+    links: Links,
+    id: Id,
+    number: u64,
+}
+
+impl Drop for Ended {
+    fn drop(&mut self) {
+        let _ = self.links.events.send(Event::Ended(self.id, self.number));
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/wire.rs
@@ -0,0 +1,159 @@
+//! What passes between members: a hello of each side, then frames.
+
+use crate::forms::Message;
+use crate::identity::Mark;
+use crate::{Id, Seconds};
+use serde::{Deserialize, Serialize};
+
+/// The version of the frames.
+pub const VERSION: u32 = 1;
+/// The longest packet, in bytes: a snapshot fits.
+pub const PACKET_MOST: usize = 1 << 20;
+/// A hello is there by then, or the link ends, in seconds.
+pub const HELLO_TIME: Seconds = 2.0;
+
+/// The first word of each side. Later versions may say more.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// The versions of frames that it knows, from and to.
+    pub versions: (u32, u32),
+    /// Its fleet.
+    pub cluster: String,
+    /// Its name.
+    pub name: String,
+    /// Whom it wants to speak with.
+    pub to: String,
+    /// Its birth.
+    pub birth: Id,
+    /// Its life.
+    pub life: u64,
+    /// How far its record goes.
+    pub mark: Mark,
+    /// Why it does not speak with the other side; nothing follows then.
+    pub refused: Option<Refusal>,
+}
+
+/// Why a member is not spoken with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Refusal {
+    /// Another fleet's.
+    #[error("a member of another fleet")]
+    OtherFleet,
+    /// It wants somebody else.
+    #[error("whom it calls is not here")]
+    NotMe,
+    /// The file does not name it.
+    #[error("a stranger: the file does not name it")]
+    Stranger,
+    /// No version of frames in common.
+    #[error("no version of the frames in common")]
+    Version,
+    /// Its folder is an older copy.
+    #[error("its folder is an older copy of what it was")]
+    OlderCopy,
+    /// Its birth is here.
+    #[error("its birth is this member's own: two processes of one folder")]
+    MyBirth,
+}
+
+/// A frame between two members that have said hello.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Frame {
+    /// Of the library's protocol.
+    Log(Box<Message>),
+    /// The sender is to be a member.
+    Join,
+    /// A member's question whether this one leads.
+    Question(u64),
+    /// The answer: it led after the question had come.
+    Confirmed {
+        /// The question.
+        question: u64,
+        /// What it gave away by then lies in the log up to here.
+        after: u64,
+    },
+    /// To be agreed, if the receiver leads.
+    Propose(Vec<u8>),
+}
+
+/// Who a member is when it judges a hello.
+pub struct Me<'a> {
+    /// Its fleet.
+    pub cluster: &'a str,
+    /// Its name.
+    pub name: &'a str,
+    /// Its birth.
+    pub birth: Id,
+}
+
+impl Hello {
+    /// Whether the sender is one to speak with. `named`: whether the file has a name.
+    ///
+    /// # Errors
+    /// Why not.
+    pub fn judge(&self, me: &Me, named: impl Fn(&str) -> bool) -> Result<(), Refusal> {
+        let (from, to) = self.versions;
+        if !(from..=to).contains(&VERSION) {
+            Err(Refusal::Version)
+        } else if self.cluster != me.cluster {
+            Err(Refusal::OtherFleet)
+        } else if self.to != me.name {
+            Err(Refusal::NotMe)
+        } else if !named(&self.name) || self.name == me.name || self.birth == 0 {
+            Err(Refusal::Stranger)
+        } else if self.birth == me.birth {
+            Err(Refusal::MyBirth)
+        } else {
+            Ok(())
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    #[test]
+    fn each_stranger_gets_one_reason() {
+        let hello = Hello {
+            versions: (1, 3),
+            cluster: "m".into(),
+            name: "a".into(),
+            to: "b".into(),
+            birth: 5,
+            life: 1,
+            mark: Mark::default(),
+            refused: None,
+        };
+        let judged =
+            |hello: &Hello| hello.judge(&Me { cluster: "m", name: "b", birth: 6 }, |name| name < "c");
+        assert_eq!(judged(&hello), Ok(()));
+        let with = |change: &dyn Fn(&mut Hello)| {
+            let mut other = hello.clone();
+            change(&mut other);
+            judged(&other).unwrap_err()
+        };
+        assert_eq!(with(&|h| h.versions = (2, 3)), Refusal::Version);
+        assert_eq!(with(&|h| h.cluster = "n".into()), Refusal::OtherFleet);
+        assert_eq!(with(&|h| h.to = "c".into()), Refusal::NotMe);
+        assert_eq!(with(&|h| h.name = "z".into()), Refusal::Stranger);
+        assert_eq!(with(&|h| h.name = "b".into()), Refusal::Stranger);
+        assert_eq!(with(&|h| h.birth = 6), Refusal::MyBirth);
+        let read = |text: &str| fawnspoke_frames::read_hello::<Hello>(text.as_bytes());
+        let packet = fawnspoke_frames::hello_packet(&hello).unwrap();
+        assert_eq!(fawnspoke_frames::read_hello::<Hello>(&packet).unwrap(), hello);
+        assert!(read("{\"versions\":[1,1]}").is_err());
+    }
+
+    proptest! {
+        #[test]
+        fn bytes_that_are_no_frame_are_an_error_and_no_more(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+            if let Ok(Frame::Log(message)) = fawnspoke_frames::read::<Frame>(&bytes) {
+                let _ = message.lib();
+            }
+            let _ = fawnspoke_frames::read_hello::<Hello>(&bytes);
+        }
+    }
+}
--- a/crates/handover/src/frames.rs
+++ b/crates/handover/src/frames.rs
@@ -3,7 +3,7 @@
 //! The first packet of each side is a [`Hello`], in JSON, which every version reads; what follows is of the version that
 //! both know.
 
-use serde::de::DeserializeOwned;
+pub use fawnspoke_frames::{FrameError, packet, read};
 use serde::{Deserialize, Serialize};
 
 /// The version of the frames. One that differs is no partner: the new process waits until the old one has ended.
@@ -79,24 +79,13 @@
     },
 }
 
-/// A packet that is no frame.
-#[derive(Debug, thiserror::Error)]
-pub enum FrameError {
-    /// Not in JSON, or not a hello.
-    #[error("no hello: {0}")]
-    Hello(#[from] serde_json::Error),
-    /// Not a frame of this version.
-    #[error("no frame: {0}")]
-    Frame(#[from] postcard::Error),
-}
-
 impl Hello {
     /// As a packet.
     ///
     /// # Errors
     /// None that is known.
     pub fn packet(&self) -> Result<Vec<u8>, FrameError> {
-        Ok(serde_json::to_vec(self)?)
+        fawnspoke_frames::hello_packet(self)
     }
 
     /// Reads a packet.
@@ -104,26 +93,10 @@
     /// # Errors
     /// Where it is no hello.
     pub fn read(packet: &[u8]) -> Result<Hello, FrameError> {
-        Ok(serde_json::from_slice(packet)?)
+        fawnspoke_frames::read_hello(packet)
     }
 }
 
-/// A frame as a packet.
-///
-/// # Errors
-/// None that is known.
-pub fn packet(frame: &impl Serialize) -> Result<Vec<u8>, FrameError> {
-    Ok(postcard::to_stdvec(frame)?)
-}
-
-/// Reads a packet.
-///
-/// # Errors
-/// Where it is no frame of this kind.
-pub fn read<T: DeserializeOwned>(packet: &[u8]) -> Result<T, FrameError> {
-    Ok(postcard::from_bytes(packet)?)
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
