--- a/crates/cluster/src/core.rs
+++ b/crates/cluster/src/core.rs
@@ -80,6 +80,8 @@
     news: Vec<P::News>,
     cut: bool,
     leads: bool,
+    /// The term of that leadership.
+    led: u64,
     term: u64,
     applied: u64,
     /// As a leader: who wants to join, and since when it has not said so.
@@ -152,6 +154,7 @@
             news: Vec::new(),
             cut: false,
             leads: false,
+            led: 0,
             term: 0,
             applied,
             asking: BTreeMap::new(),
@@ -346,7 +349,8 @@
                 self.part.confirmed(now, question, after);
             }
             Frame::Confirmed { .. } => {}
-            Frame::Propose(entry) => self.propose(entry),
+            Frame::Propose(entry) if self.part.proposable(&entry) => self.propose(entry),
+            Frame::Propose(_) => {}
         }
         self.decide(now);
     }
@@ -453,6 +457,11 @@
         let wants = self.part.decide(now, &view);
         self.cut |= wants.cut;
         self.news.extend(wants.news);
+        // The library may have lost the leadership, or lost and won it again, and the part not heard of it yet.
+        let leads = self.leads && self.raw.raft.state == StateRole::Leader && self.raw.raft.term == self.led;
+        for entry in wants.grants.into_iter().filter(|_| leads) {
+            self.propose(entry);
+        }
         for entry in wants.propose {
             match self.leader() {
                 Some(id) if id == self.identity.birth => self.propose(entry),
@@ -501,7 +510,8 @@
         }
         if let Some(soft) = ready.ss() {
             let leads = soft.raft_state == StateRole::Leader;
-            if std::mem::replace(&mut self.leads, leads) != leads {
+            let led = std::mem::replace(&mut self.led, self.raw.raft.term);
+            if std::mem::replace(&mut self.leads, leads) != leads || led != self.led {
                 (self.batch, self.questions) = (None, Vec::new());
                 self.asking.clear();
                 self.part.leads(now, leads);
--- a/crates/cluster/src/file.rs
+++ b/crates/cluster/src/file.rs
@@ -46,6 +46,9 @@
     /// The keeper writes a round into the log so often, in seconds.
     #[serde(default = "keeper_round")]
     pub keeper_round_s: Seconds,
+    /// Each act under a duty, and each word, is a line in the log: for tests and for looking into a fault.
+    #[serde(default)]
+    pub history: bool,
     /// Every member by its name, which is the dispatcher's in its configuration.
     pub member: BTreeMap<String, Peer>,
 }
--- a/crates/cluster/src/links.rs
+++ b/crates/cluster/src/links.rs
@@ -234,8 +234,10 @@
         let id = theirs.birth;
         let (answer, answered) = oneshot::channel();
         self.events.send(Event::Hello { hello: theirs, called: true, answer, link: link.clone() }).ok()?;
-        let (_, accepted) = answered.await.ok()?;
+        let (own, accepted) = answered.await.ok()?;
         if !accepted {
+            // The one that was called learns why.
+            let _ = wire.send(Bytes::from(fawnspoke_frames::hello_packet(&own).ok()?)).await;
             return Some(false);
         }
         self.run(id, wire, &link, frames).await;
@@ -267,8 +269,17 @@
         };
         let read = async {
             while let Ok(Some(Ok(packet))) = timeout(silent, source.next()).await {
-                // What can't be read ends its link.
-                let Ok(frame) = fawnspoke_frames::read::<Frame>(&packet) else { break };
+                let Ok(frame) = fawnspoke_frames::read::<Frame>(&packet) else {
+                    // What can't be read ends its link, and so does a caller's refusal.
+                    if let Ok(hello) = fawnspoke_frames::read_hello::<Hello>(&packet)
+                        && hello.refused.is_some()
+                    {
+                        let _ = self
+                            .events
+                            .send(Event::Refused { name: hello.name.clone(), hello: Box::new(hello) });
+                    }
+                    break;
+                };
                 if self.events.send(Event::Frame(id, link.number, frame)).is_err() {
                     break;
                 }
--- a/crates/cluster/src/part.rs
+++ b/crates/cluster/src/part.rs
@@ -23,6 +23,8 @@
 pub struct Wants<N> {
     /// To be agreed; a member that does not lead sends it to the leader, and it may be lost.
     pub propose: Vec<Vec<u8>>,
+    /// What a leader has decided on what it knows as one: proposed under that leadership or never.
+    pub grants: Vec<Vec<u8>>,
     /// For the dispatcher.
     pub news: Vec<N>,
     /// The log is to be cut here: all up to what is applied now goes into a snapshot.
@@ -31,7 +33,7 @@
 
 impl<N> Default for Wants<N> {
     fn default() -> Wants<N> {
-        Wants { propose: Vec::new(), news: Vec::new(), cut: false }
+        Wants { propose: Vec::new(), grants: Vec::new(), news: Vec::new(), cut: false }
     }
 }
 
@@ -44,6 +46,8 @@
 
     /// The member's number; before all else.
     fn begin(&mut self, me: Id);
+    /// Whether another member may have this proposed: nothing that only a leader decides.
+    fn proposable(&self, entry: &[u8]) -> bool;
     /// An entry was agreed, at this place.
     fn agreed(&mut self, now: Seconds, at: u64, entry: &[u8]);
     /// All up to this place is applied.
--- a/crates/cluster/src/shell.rs
+++ b/crates/cluster/src/shell.rs
@@ -125,6 +125,12 @@
     Ok(identity)
 }
 
+/// Descriptors that the member of this name takes.
+pub fn descriptors(file: &File, name: &str) -> usize {
+    let linked = file.member.keys().filter(|other| file.calls(name, other) || file.calls(other, name));
+    DESCRIPTORS + linked.count()
+}
+
 /// Bytes that the record may take.
 pub fn disk(file: &File) -> u64 {
     (file.disk_mb * 1e6) as u64
--- a/crates/control/src/door.rs
+++ b/crates/control/src/door.rs
@@ -36,6 +36,15 @@
 /// After a failed accept.
 const PAUSE: Duration = Duration::from_millis(20);
 
+/// What the dispatcher's thread is asked.
+#[derive(Debug)]
+pub enum Asked {
+    /// To carry out an order.
+    Order(Order),
+    /// How the fleet stands.
+    Fleet(oneshot::Sender<Result<String, String>>),
+}
+
 /// An order for the dispatcher's thread.
 #[derive(Debug)]
 pub struct Order {
@@ -51,7 +60,7 @@
 ///
 /// # Errors
 /// Where the address can't be listened at, or no thread be started.
-pub fn open(at: SocketAddr, figures: Arc<Figures>, orders: UnboundedSender<Order>) -> io::Result<SocketAddr> {
+pub fn open(at: SocketAddr, figures: Arc<Figures>, orders: UnboundedSender<Asked>) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind(at)?;
     listener.set_nonblocking(true)?;
     let at = listener.local_addr()?;
@@ -70,7 +79,7 @@
 
 struct Door {
     figures: Arc<Figures>,
-    orders: UnboundedSender<Order>,
+    orders: UnboundedSender<Asked>,
     /// Callers that have said nothing whole, the oldest first.
     waiting: RefCell<VecDeque<Rc<Notify>>>,
     callers: Cell<usize>,
@@ -138,16 +147,16 @@
     }
 
     async fn answer(&self, call: Call) -> String {
-        let (id, given) = match call {
+        let (answer, answered) = oneshot::channel();
+        let asked = match call {
             Call::Status if self.figures.ready() => return yes("serving"),
             Call::Status => return no("not serving"),
             Call::Metrics => return format!("{}{END_OF_FIGURES}\n", self.figures.lines()),
-            Call::Suspend(id) => (id, true),
-            Call::Restore(id) => (id, false),
+            Call::Suspend(id) => Asked::Order(Order { subject: subject(id), given: true, answer }),
+            Call::Restore(id) => Asked::Order(Order { subject: subject(id), given: false, answer }),
+            Call::Fleet => Asked::Fleet(answer),
         };
-        let (answer, answered) = oneshot::channel();
-        let order = Order { subject: Subject { kind: Kind::Hold, id }, given, answer };
-        if self.orders.send(order).is_err() {
+        if self.orders.send(asked).is_err() {
             return no("this process takes no orders any more");
         }
         match timeout(ORDER_TIME, answered).await {
@@ -159,6 +168,10 @@
     }
 }
 
+fn subject(id: String) -> Subject {
+    Subject { kind: Kind::Hold, id }
+}
+
 type Read = Result<Call, crate::protocol::Malformed>;
 
 async fn read(stream: &mut TcpStream) -> io::Result<Read> {
--- a/crates/control/src/protocol.rs
+++ b/crates/control/src/protocol.rs
@@ -21,6 +21,8 @@
     Suspend(String),
     /// An endpoint may serve again.
     Restore(String),
+    /// How the fleet stands, as this member sees it: members and duties, as JSON.
+    Fleet,
 }
 
 impl Call {
@@ -29,6 +31,7 @@
         match self {
             Call::Status => "STATUS\n".into(),
             Call::Metrics => "METRICS\n".into(),
+            Call::Fleet => "FLEET\n".into(),
             Call::Suspend(id) => format!("SUSPEND {id}\n"),
             Call::Restore(id) => format!("RESTORE {id}\n"),
         }
@@ -57,7 +60,8 @@
         match (verb, id) {
             ("STATUS", None) => Ok(Call::Status),
             ("METRICS", None) => Ok(Call::Metrics),
-            ("STATUS" | "METRICS", Some(_)) => Err(Malformed::TooManyWords),
+            ("FLEET", None) => Ok(Call::Fleet),
+            ("STATUS" | "METRICS" | "FLEET", Some(_)) => Err(Malformed::TooManyWords),
             ("SUSPEND", id) => named(id).map(Call::Suspend),
             ("RESTORE", id) => named(id).map(Call::Restore),
             _ => Err(Malformed::Unknown),
--- a/crates/duty/src/duties.rs
+++ b/crates/duty/src/duties.rs
@@ -29,6 +29,8 @@
 /// What the dispatcher hears.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum News {
+    /// The duties begin, and know nothing of what was told before.
+    Began,
     /// What binds its tries at a destination.
     Tries(u32, tries::Bound),
     /// What binds its questions to discovery.
@@ -275,6 +277,11 @@
 
     fn begin(&mut self, me: Id) {
         self.me = me;
+        self.news.push(News::Began);
+    }
+
+    fn proposable(&self, entry: &[u8]) -> bool {
+        postcard::from_bytes::<Entry>(entry).is_ok_and(|entry| !matches!(entry, Entry::Give { .. }))
     }
 
     fn agreed(&mut self, now: Seconds, _at: u64, entry: &[u8]) {
@@ -368,7 +375,7 @@
         if !view.members.0.contains_key(&self.me) {
             entries.clear();
         }
-        entries.extend(self.granter.decide(now, &self.roll, view.members));
+        let grants = self.granter.decide(now, &self.roll, view.members);
         let bounds = self.tries.bounds(now, self.term.until());
         self.news.extend(bounds.into_iter().map(|(destination, bound)| News::Tries(destination, bound)));
         self.news.extend(self.lists.pace(now).map(News::Lists));
@@ -377,6 +384,7 @@
         }
         Wants {
             propose: entries.iter().filter_map(|entry| postcard::to_stdvec(entry).ok()).collect(),
+            grants: grants.iter().filter_map(|entry| postcard::to_stdvec(entry).ok()).collect(),
             news: std::mem::take(&mut self.news),
             cut: std::mem::take(&mut self.cut),
         }
--- /dev/null
+++ b/crates/fawnspoke/src/fleet.rs
@@ -0,0 +1,115 @@
+//! `fawnspoke fleet` and what `fawnspoke door` shows of a fleet.
+
+use clap::Subcommand;
+use fawnspoke_cluster::file::File;
+use fawnspoke_cluster::shell::{self, Settings};
+use fawnspoke_duty::duties::{Duties, Settings as DutySettings};
+use serde_json::Value;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+#[derive(Subcommand)]
+pub enum Fleet {
+    /// Read the fleet's file for one member and say what is wrong with it
+    Check {
+        /// The file, in HCL
+        file: PathBuf,
+        /// The dispatcher's name
+        name: String,
+    },
+    /// Found a fleet: this member becomes its first voter. Once, at one member; the others join by themselves
+    Found {
+        /// The file, in HCL
+        file: PathBuf,
+        /// The dispatcher's name
+        name: String,
+        /// Its folder that lasts
+        state: PathBuf,
+    },
+}
+
+/// Exit code 0, or 2 with one line that says what is wrong.
+pub fn run(asked: Fleet) -> ExitCode {
+    let done = match asked {
+        Fleet::Check { file, name } => File::read(&file, &name).map(|read| {
+            let (members, voters) = (read.member.len(), read.voters().count());
+            let (term, guard) = (read.term_s, read.guard());
+            format!(
+                "{}: {}: {members} members, {voters} of them vote; a term of {term} s, given anew after {guard:.2} s",
+                file.display(),
+                read.cluster
+            )
+        }),
+        Fleet::Found { file, name, state } => File::read(&file, &name).and_then(|read| {
+            let part = Duties::new(DutySettings::of(&read), 0);
+            let identity = shell::found(&Settings { file: read.clone(), name, state }, &part)?;
+            Ok(format!("{} is founded by {}, birth {:016x}", read.cluster, identity.name, identity.birth))
+        }),
+    };
+    match done {
+        Ok(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("fawnspoke: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn text(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Null => "-".into(),
+        other => other.to_string(),
+    }
+}
+
+/// The members as a table for people.
+pub fn members(fleet: &Value) -> String {
+    let head = format!(
+        "{} of {}, birth {}, life {}; {} leads, term {}; log applied to {}, {} entries since it was cut\n",
+        text(&fleet["name"]),
+        text(&fleet["cluster"]),
+        text(&fleet["birth"]),
+        text(&fleet["life"]),
+        fleet["leader"].as_str().unwrap_or("nobody known"),
+        text(&fleet["term"]),
+        text(&fleet["applied"]),
+        text(&fleet["log"])
+    );
+    let rows = fleet["members"].as_array().into_iter().flatten().map(|member| {
+        let yes = |key: &str, word: &'static str| if member[key] == true { word } else { "" };
+        format!(
+            "{:<20} {}  {:<8} {:<6} {:<6} {}",
+            text(&member["name"]),
+            text(&member["birth"]),
+            if member["voter"] == true { "votes" } else { "follows" },
+            yes("leads", "leads"),
+            if member["linked"] == true { "linked" } else { "" },
+            yes("self", "this one")
+        )
+    });
+    let rows: Vec<String> = rows.map(|row| row.trim_end().to_string()).collect();
+    head + &rows.join("\n")
+}
+
+/// The duties as a table for people.
+pub fn duties(fleet: &Value) -> String {
+    let part = &fleet["part"];
+    let left =
+        part["term_left_s"].as_f64().map_or("no term here".into(), |left| format!("{left:.2} s left here"));
+    let rows = part["duties"].as_array().into_iter().flatten().map(|duty| {
+        format!(
+            "{:<16} epoch {:<6} {:<20} wanted by {:<4} {}",
+            text(&duty["name"]),
+            text(&duty["epoch"]),
+            text(&duty["holder"]),
+            text(&duty["wanted"]),
+            text(&duty["word"])
+        )
+    });
+    let rows: Vec<String> = rows.map(|row| row.trim_end().to_string()).collect();
+    format!("{left}\n{}", rows.join("\n"))
+}
--- a/crates/fawnspoke/src/main.rs
+++ b/crates/fawnspoke/src/main.rs
@@ -1,5 +1,7 @@
 //! The program: reads its arguments and hands over to the part that is asked for.
 
+mod fleet;
+
 use clap::{Args, Parser, Subcommand};
 use fawnspoke_control::client;
 use fawnspoke_control::protocol::{Call, Reply};
@@ -44,6 +46,9 @@
     Journal(Journal),
     /// Ask a running dispatcher, or order it something
     Door(Door),
+    /// The operators' file of a fleet, and its first member
+    #[command(subcommand)]
+    Fleet(fleet::Fleet),
 }
 
 #[derive(Args)]
@@ -67,6 +72,10 @@
     Status,
     /// The figures
     Metrics,
+    /// The fleet's members, as this one sees them
+    Members,
+    /// The fleet's duties: who holds which, under which epoch
+    Duties,
     /// Take an endpoint out, until it is called back
     Suspend {
         /// The endpoint's id in discovery's list
@@ -254,6 +263,7 @@
         Command::Lab(Lab::Proxy { listen, to }) => command::proxy(listen, to),
         Command::Lab(Lab::Naive { fault }) => command::naive(&fault),
         Command::Door(asked) => door(asked),
+        Command::Fleet(asked) => fleet::run(asked),
         Command::Journal(asked) => match journal(&asked) {
             Ok(code) => code,
             // Who reads has had enough.
@@ -268,9 +278,15 @@
 
 /// Exit code 0 for a yes or figures, 1 for a no, 2 where nobody answered.
 fn door(asked: Door) -> ExitCode {
+    let shown: Option<fn(&serde_json::Value) -> String> = match asked.ask {
+        Ask::Members => Some(fleet::members),
+        Ask::Duties => Some(fleet::duties),
+        _ => None,
+    };
     let call = match asked.ask {
         Ask::Status => Call::Status,
         Ask::Metrics => Call::Metrics,
+        Ask::Members | Ask::Duties => Call::Fleet,
         Ask::Suspend { id } => Call::Suspend(id),
         Ask::Restore { id } => Call::Restore(id),
     };
@@ -282,6 +298,10 @@
         }
     };
     let (text, code) = match (&reply, asked.json) {
+        (Reply::Yes(text), json) if shown.is_some() => match (serde_json::from_str(text), shown) {
+            (Ok(fleet), Some(shown)) if !json => (shown(&fleet), 0),
+            _ => (text.clone(), 0),
+        },
         (Reply::Yes(text), true) => (serde_json::json!({"success": true, "text": text}).to_string(), 0),
         (Reply::No(text), true) => (serde_json::json!({"success": false, "text": text}).to_string(), 1),
         (Reply::Yes(text), false) => (format!("yes: {text}"), 0),
--- /dev/null
+++ b/crates/lab/src/members.rs
@@ -0,0 +1,205 @@
+//! Several processes of the program as one fleet, a relay between each two that speak, for tests and measures that are
+//! not asynchronous themselves.
+
+use crate::history::{self, Line};
+use crate::relay::{Relay, Way};
+use crate::stage::{Dispatcher, Platform, eventually};
+use fawnspoke_control::protocol::{Call, Reply};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+
+/// How a fleet is made.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    /// Members that vote, from the first on.
+    pub voters: usize,
+    /// Members that follow.
+    pub observers: usize,
+    /// Further lines of the fleet's file.
+    pub settings: String,
+}
+
+/// A fleet of processes.
+pub struct Members {
+    /// The processes, by number; `n0` and so on by name.
+    pub dispatchers: Vec<Dispatcher>,
+    program: PathBuf,
+    folder: PathBuf,
+    relays: BTreeMap<(usize, usize), Relay>,
+}
+
+impl Members {
+    /// Makes the folders, files and relays of a fleet; nothing runs yet. `known`: the list that each starts with.
+    ///
+    /// # Errors
+    /// Those of the folder and of relays.
+    pub fn new(
+        program: &Path, parent: &Path, shape: &Shape, platforms: &[&Platform], known: &[Value],
+    ) -> io::Result<Members> {
+        let count = shape.voters + shape.observers;
+        let mut dispatchers: Vec<Dispatcher> = (0..count)
+            .map(|i| Dispatcher::new(program, parent, platforms[i % platforms.len()], known))
+            .collect();
+        let folder = dispatchers[0].state().with_file_name("fleet-files");
+        fs::create_dir_all(&folder)?;
+        let votes = |i: usize| i < shape.voters;
+        // As the program's file has it: who does not vote calls who does, and voters call those after them by name.
+        let calls = |i: usize, j: usize| match (votes(i), votes(j)) {
+            (false, voter) => voter,
+            (true, true) => format!("n{i}") < format!("n{j}"),
+            (true, false) => false,
+        };
+        let mut relays = BTreeMap::new();
+        for (i, j) in
+            (0..count).flat_map(|i| (0..count).map(move |j| (i, j))).filter(|(i, j)| i != j && calls(*i, *j))
+        {
+            relays.insert((i, j), Relay::start(dispatchers[j].members_at())?);
+        }
+        for (i, dispatcher) in dispatchers.iter_mut().enumerate() {
+            let mut text = format!("cluster = \"lab\"\nhistory = true\n{}\n", shape.settings);
+            for j in 0..count {
+                // Who is never called from here needs an address all the same.
+                let at =
+                    relays.get(&(i, j)).map_or(format!("127.0.0.1:{}", 1 + j), |relay| relay.at.to_string());
+                let _ = writeln!(
+                    text,
+                    "member \"n{j}\" {{\n  at = \"{at}\"\n  listen = \"127.0.0.1:0\"\n  voter = {}\n}}",
+                    votes(j)
+                );
+            }
+            let file = folder.join(format!("n{i}.hcl"));
+            fs::write(&file, text)?;
+            dispatcher.config["name"] = format!("n{i}").into();
+            dispatcher.door = true;
+            dispatcher.before = format!("FAWNSPOKE_FLEET='{}'; export FAWNSPOKE_FLEET;", file.display());
+        }
+        Ok(Members { dispatchers, program: program.to_path_buf(), folder, relays })
+    }
+
+    /// Where a member's file of the fleet is.
+    pub fn file(&self, i: usize) -> PathBuf {
+        self.folder.join(format!("n{i}.hcl"))
+    }
+
+    /// Makes the first member the fleet's founder.
+    ///
+    /// # Errors
+    /// What the program says.
+    pub fn found(&self) -> Result<(), String> {
+        let found = Command::new(&self.program)
+            .args(["fleet", "found"])
+            .arg(self.file(0))
+            .arg("n0")
+            .arg(self.dispatchers[0].state())
+            .stdout(Stdio::null())
+            .output()
+            .map_err(|error| error.to_string())?;
+        if found.status.success() { Ok(()) } else { Err(String::from_utf8_lossy(&found.stderr).into_owned()) }
+    }
+
+    /// Founds the fleet, starts all, and waits until all are members and the keeper's duty is held.
+    ///
+    /// # Panics
+    /// Where that does not come.
+    pub fn start(&mut self) {
+        self.found().expect("a founded fleet");
+        self.dispatchers.iter_mut().for_each(Dispatcher::start);
+        let all = self.dispatchers.len();
+        eventually("all members, and a keeper", || {
+            (0..all).all(|i| {
+                self.show(i).is_some_and(|fleet| fleet["members"].as_array().map_or(0, Vec::len) == all)
+            }) && self.voters(0) == self.relayed_voters()
+                && self.holder("keeper").is_some()
+        });
+    }
+
+    fn relayed_voters(&self) -> usize {
+        let text = fs::read_to_string(self.file(0)).unwrap_or_default();
+        text.matches("voter = true").count()
+    }
+
+    fn voters(&self, i: usize) -> usize {
+        let fleet = self.show(i).unwrap_or_default();
+        fleet["members"].as_array().into_iter().flatten().filter(|member| member["voter"] == true).count()
+    }
+
+    /// How a member sees the fleet; nothing where it does not say.
+    pub fn show(&self, i: usize) -> Option<Value> {
+        match self.dispatchers[i].ask(&Call::Fleet) {
+            Reply::Yes(text) => serde_json::from_str(&text).ok(),
+            _ => None,
+        }
+    }
+
+    /// Who holds a duty, by its own word that its term runs: the member's number, and the epoch.
+    pub fn holder(&self, duty: &str) -> Option<(usize, u64)> {
+        (0..self.dispatchers.len()).filter(|i| self.dispatchers[*i].runs()).find_map(|i| {
+            let fleet = self.show(i)?;
+            let held = fleet["part"]["duties"]
+                .as_array()?
+                .iter()
+                .find(|one| one["name"] == duty && one["mine"] == true)?;
+            Some((i, held["epoch"].as_u64()?))
+        })
+    }
+
+    /// Who leads, as a member sees it: the number.
+    pub fn leader(&self, by: usize) -> Option<usize> {
+        let fleet = self.show(by)?;
+        fleet["leader"].as_str()?.strip_prefix('n')?.parse().ok()
+    }
+
+    /// Changes the relay between two members, whoever of them calls. `from_first`: as the one that is named first sees it,
+    /// what it says is `there`.
+    pub fn between(&self, one: usize, other: usize, cut: (bool, bool)) {
+        let set = |relay: &Relay, (there, back): (bool, bool)| {
+            relay.set(|way| (way.there_cut, way.back_cut) = (there, back));
+        };
+        if let Some(relay) = self.relays.get(&(one, other)) {
+            set(relay, cut);
+        }
+        if let Some(relay) = self.relays.get(&(other, one)) {
+            set(relay, (cut.1, cut.0));
+        }
+    }
+
+    /// Cuts a member off from all others: what it says, what it hears, or both.
+    pub fn cut_off(&self, one: usize, (says, hears): (bool, bool)) {
+        (0..self.dispatchers.len())
+            .filter(|i| *i != one)
+            .for_each(|other| self.between(one, other, (says, hears)));
+    }
+
+    /// Changes all relays.
+    pub fn relays(&self, change: impl Fn(&mut Way)) {
+        self.relays.values().for_each(|relay| relay.set(&change));
+    }
+
+    /// The histories of all members, by name.
+    pub fn histories(&self) -> BTreeMap<String, Vec<Line>> {
+        let lines = |dispatcher: &Dispatcher| {
+            dispatcher.log().iter().filter_map(|line| history::read(line)).collect()
+        };
+        self.dispatchers.iter().enumerate().map(|(i, one)| (format!("n{i}"), lines(one))).collect()
+    }
+
+    /// What is wrong with them.
+    pub fn faults(&self) -> Vec<String> {
+        history::faults(&self.histories())
+    }
+
+    /// The first act as a duty under a later epoch than this: when, and which epoch.
+    pub fn acted_after(&self, duty: &str, epoch: u64) -> Option<(f64, u64)> {
+        let histories = self.histories();
+        let acts = histories.values().flatten().filter_map(|line| match line {
+            Line::Acted { at, duty: of, epoch: under } if of == duty && *under > epoch => Some((*at, *under)),
+            _ => None,
+        });
+        acts.min_by(|one, other| one.0.total_cmp(&other.0))
+    }
+}
--- /dev/null
+++ b/crates/lab/src/relay.rs
@@ -0,0 +1,98 @@
+//! A relay between two processes: what it carries each way may be held up, slowed or broken off, on demand.
+
+use crate::stage::handle;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+/// Where a relay leads, once that is known.
+pub type Target = Arc<Mutex<Option<SocketAddr>>>;
+
+/// What a relay does to what it carries.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Way {
+    /// What the caller says is held up.
+    pub there_cut: bool,
+    /// What the called one says is held up.
+    pub back_cut: bool,
+    /// Each piece comes so much later, in seconds.
+    pub delay_s: f64,
+    /// Counts the times at which all connections break off; in the middle of a frame, if one is under way.
+    pub resets: u64,
+}
+
+/// A relay. It ends with its process.
+#[derive(Clone)]
+pub struct Relay {
+    /// Where it listens.
+    pub at: SocketAddr,
+    way: Arc<watch::Sender<Way>>,
+}
+
+impl Relay {
+    /// Starts one that carries all as it comes.
+    ///
+    /// # Errors
+    /// Where it can't listen.
+    pub fn start(target: Target) -> io::Result<Relay> {
+        let way = Arc::new(watch::Sender::new(Way::default()));
+        let listener = handle().block_on(TcpListener::bind(("127.0.0.1", 0)))?;
+        let at = listener.local_addr()?;
+        let ways = way.clone();
+        handle().spawn(async move {
+            while let Ok((caller, _)) = listener.accept().await {
+                handle().spawn(carry(caller, target.clone(), ways.subscribe()));
+            }
+        });
+        Ok(Relay { at, way })
+    }
+
+    /// From now on.
+    pub fn set(&self, change: impl FnOnce(&mut Way)) {
+        self.way.send_modify(change);
+    }
+}
+
+async fn carry(caller: TcpStream, target: Target, mut way: watch::Receiver<Way>) {
+    // A connection comes up only where both ways are open.
+    if way.wait_for(|way| !way.there_cut && !way.back_cut).await.is_err() {
+        return;
+    }
+    let resets = way.borrow().resets;
+    let at = *target.lock().unwrap_or_else(PoisonError::into_inner);
+    let Some(at) = at else { return };
+    let Ok(called) = TcpStream::connect(at).await else { return };
+    let _ = (caller.set_nodelay(true), called.set_nodelay(true));
+    let ((caller_in, caller_out), (called_in, called_out)) = (caller.into_split(), called.into_split());
+    let mut reset = way.clone();
+    tokio::select! {
+        () = pump(caller_in, called_out, way.clone(), |way| way.there_cut) => {}
+        () = pump(called_in, caller_out, way, |way| way.back_cut) => {}
+        _ = reset.wait_for(|way| way.resets != resets) => {}
+    }
+}
+
+async fn pump(
+    mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut way: watch::Receiver<Way>, cut: fn(&Way) -> bool,
+) {
+    let mut piece = vec![0; 16 << 10];
+    while let Ok(read) = from.read(&mut piece).await {
+        if read == 0 {
+            return;
+        }
+        let delay = way.borrow().delay_s;
+        if delay > 0.0 {
+            sleep(Duration::from_secs_f64(delay)).await;
+        }
+        // It is held up and not lost, as by a network that comes back.
+        if way.wait_for(|way| !cut(way)).await.is_err() || to.write_all(&piece[..read]).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -298,6 +298,8 @@
     /// Whether it has a door for operators.
     pub door: bool,
     control: Option<SocketAddr>,
+    /// Where other members of its fleet reach it.
+    members: Arc<Mutex<Option<SocketAddr>>>,
 }
 
 impl Dispatcher {
@@ -343,9 +345,25 @@
             before: String::new(),
             door: false,
             control: None,
+            members: Arc::default(),
         }
     }
 
+    /// Where other members of its fleet reach it, once it has said so.
+    pub fn members_at(&self) -> Arc<Mutex<Option<SocketAddr>>> {
+        self.members.clone()
+    }
+
+    /// Its log so far, over all its processes.
+    pub fn log(&self) -> Vec<String> {
+        lock(&self.log).clone()
+    }
+
+    /// Whether it runs, as far as this side has not ended it.
+    pub fn runs(&self) -> bool {
+        self.child.is_some()
+    }
+
     /// The folder that outlasts its processes.
     pub fn state(&self) -> PathBuf {
         self.folder.join("state")
@@ -424,11 +442,17 @@
             if at.is_some() {
                 break;
             }
+            note(&self.members, &line);
             lock(&self.log).push(line);
         }
         // The log is read on, or the process would stand still once the pipe is full.
-        let log = self.log.clone();
-        thread::spawn(move || lines.map_while(Result::ok).for_each(|line| lock(&log).push(line)));
+        let (log, members) = (self.log.clone(), self.members.clone());
+        thread::spawn(move || {
+            lines.map_while(Result::ok).for_each(|line| {
+                note(&members, &line);
+                lock(&log).push(line);
+            });
+        });
         self.at = Some(at.expect("the process listens"));
         child
     }
@@ -502,6 +526,13 @@
     }
 }
 
+/// Takes note of where other members of a fleet reach a process.
+fn note(members: &Mutex<Option<SocketAddr>>, line: &str) {
+    if let Some(at) = line.split_once("members are heard at ").and_then(|(_, at)| at.parse().ok()) {
+        *lock(members) = Some(at);
+    }
+}
+
 impl Drop for Dispatcher {
     fn drop(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/crates/node/src/acts.rs
+++ b/crates/node/src/acts.rs
@@ -32,6 +32,7 @@
         }
     }
     node.counts.ended(dest, &end);
+    node.bounds.ended(dest, end.ends.iter().map(|end| end.outcome));
     node.send(Input::Ended { endpoint, sent_at, end });
 }
 
@@ -80,6 +81,7 @@
         let Some(kept) = journal.get(number) else { return };
         let item = Item { number, attempt: kept.attempts, handed: kept.handed.clone() };
         let place = node.directory.borrow().place(endpoint).filter(|p| p.dest == item.handed.dest);
+        let place = place.filter(|place| node.bounds.may_try(place.dest));
         let zone = place.map_or(0, |place| place.zone);
         // On record before its first byte, or a call might run that no later life knows of.
         let recorded = journal.started(number, Start { at: node.unix_now(), zone });
@@ -140,9 +142,8 @@
             }
             Action::Probe(endpoint) => {
                 let (node, endpoint) = (node.clone(), *endpoint);
-                if let Some(place) = node.directory.borrow().place(endpoint) {
-                    node.counts.count(place.dest, |count| count.probes += 1);
-                }
+                let dest = node.directory.borrow().place(endpoint).map(|place| place.dest);
+                dest.inspect(|dest| node.counts.count(*dest, |count| count.probes += 1));
                 spawn_local(async move {
                     let (outcome, allowance) = calls::probe(&node, endpoint).await;
                     let latency = node.now() - now;
@@ -151,7 +152,10 @@
                             let endpoint = endpoint.0;
                             node.hand(Rest::Told(Told::Probe { endpoint, outcome, latency, allowance }));
                         }
-                        _ => node.tell(Event::Probed { endpoint, outcome, latency, allowance }),
+                        _ => {
+                            dest.inspect(|dest| node.bounds.ended(*dest, [outcome]));
+                            node.tell(Event::Probed { endpoint, outcome, latency, allowance });
+                        }
                     }
                 });
             }
@@ -160,6 +164,7 @@
             }
             Action::Subscribe => node.resubscribe.notify_one(),
             Action::Remember { destination, out } => {
+                node.bounds.out(node, destination.0, *out);
                 node.record(node.journal.borrow_mut().outage(destination.0, *out));
             }
             Action::Note(text) => println!("{now:.3} {text}"),
--- /dev/null
+++ b/crates/node/src/bounds.rs
@@ -0,0 +1,243 @@
+//! The one place where parts outside of the decisions meet the rounds: they get facts and the time, and give bounds back.
+//! A bound holds back or hastens, and ends by itself; nothing here waits for a part.
+
+use crate::config::Config;
+use crate::gate::Phase;
+use crate::{Node, log};
+use fawnspoke_cluster::clock;
+use fawnspoke_cluster::shell::{self, Member};
+use fawnspoke_duty::duties::{Duties, Fact, News, Settings};
+use fawnspoke_duty::lists::Pace;
+use fawnspoke_duty::tries::{Bound, Fact as Of};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use waydoor::{Event, Outcome};
+
+/// The thread answers an operator by then, or the answer is no.
+const SHOW_TIME: Duration = Duration::from_millis(500);
+
+/// What binds this dispatcher, and the parts that say so. Without the fleet's file there are none.
+pub struct Bounds {
+    member: RefCell<Option<Member<Fact>>>,
+    news: UnboundedSender<News>,
+    heard: RefCell<Option<UnboundedReceiver<News>>>,
+    /// Destinations that are out for the decisions, and what binds tries there.
+    out: RefCell<BTreeMap<u32, Bound>>,
+    /// Destinations held back now.
+    back: RefCell<BTreeSet<u32>>,
+    pace: Cell<Pace>,
+    seq: Cell<Option<u64>>,
+    /// Each act under a duty is a line in the log.
+    history: bool,
+}
+
+impl Bounds {
+    /// None are in force.
+    pub fn new(config: &Config) -> Bounds {
+        let (news, heard) = unbounded_channel();
+        Bounds {
+            member: RefCell::default(),
+            news,
+            heard: RefCell::new(Some(heard)),
+            out: RefCell::default(),
+            back: RefCell::default(),
+            pace: Cell::new(Pace::Own),
+            seq: Cell::new(None),
+            history: config.fleet.as_ref().is_some_and(|file| file.history),
+        }
+    }
+
+    /// Begins the member, where this dispatcher is to be one. It takes its record once whoever has it lets it go.
+    pub fn begin(&self, config: &Config) {
+        let Some(file) = &config.fleet else { return };
+        let of =
+            shell::Settings { file: file.clone(), name: config.name.clone(), state: config.state.clone() };
+        let duties = Settings { rules: planted(), ..Settings::of(file) };
+        let part = move || Duties::new(duties.clone(), fastrand::u64(..u64::MAX / 2));
+        match shell::begin(of, part, self.news.clone()) {
+            Ok(member) => drop(self.member.replace(Some(member))),
+            Err(error) => log::line(format_args!("fleet: no thread: {error}; this dispatcher is alone")),
+        }
+    }
+
+    fn tell(&self, fact: Fact) {
+        if let Some(member) = &*self.member.borrow() {
+            member.tell(fact);
+        }
+    }
+
+    /// The decisions take a destination for out, or no more.
+    pub fn out(&self, node: &Node, destination: u32, out: bool) {
+        if self.member.borrow().is_none() || node.directory.borrow().routes_apart(&node.config, destination) {
+            return;
+        }
+        if out {
+            self.out.borrow_mut().entry(destination).or_insert(Bound::Free);
+            self.tell(Fact::Tries(Of::Out(destination)));
+        } else if self.out.borrow_mut().remove(&destination).is_some() {
+            self.tell(Fact::Tries(Of::Well(destination)));
+        }
+    }
+
+    /// How a call or a probe ended at a destination.
+    pub fn ended(&self, destination: u32, outcomes: impl IntoIterator<Item = Outcome>) {
+        if !self.out.borrow().contains_key(&destination) {
+            return;
+        }
+        for outcome in outcomes {
+            match outcome {
+                Outcome::Served => self.tell(Fact::Tries(Of::Served(destination))),
+                Outcome::Error | Outcome::TimedOut | Outcome::NoConnection | Outcome::Reset => {
+                    self.tell(Fact::Tries(Of::Failed(destination)));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Discovery's watch has ended.
+    pub fn list_failed(&self) {
+        self.tell(Fact::ListFailed);
+    }
+
+    /// A list has come.
+    pub fn list_came(&self, seq: u64) {
+        self.seq.set(Some(seq));
+        self.tell(Fact::List(seq));
+    }
+
+    /// Whether a call may go to a destination now. A holder looks at its term here, right before the act.
+    pub fn may_try(&self, destination: u32) -> bool {
+        let Some(bound) = self.out.borrow().get(&destination).copied() else { return true };
+        let now = clock::now();
+        match bound {
+            Bound::Held(until) => now >= until,
+            Bound::Mine(epoch, until) => {
+                let mine = now < until;
+                if mine && self.history {
+                    println!("fleet: {now:.6} acts tries/{destination} epoch {epoch}");
+                }
+                mine
+            }
+            Bound::Free => true,
+        }
+    }
+
+    /// Whether discovery is asked slowly now, because another member asks: how long to wait.
+    pub fn slowly(&self) -> Option<Duration> {
+        match self.pace.get() {
+            Pace::Slow(spacing, until) if clock::now() < until => Some(Duration::from_secs_f64(spacing)),
+            _ => None,
+        }
+    }
+
+    /// Puts bounds that have begun or ended in force.
+    pub fn look(&self, node: &Node) {
+        if self.out.borrow().is_empty() && self.back.borrow().is_empty() {
+            return;
+        }
+        let now = clock::now();
+        let bound = |bound: &Bound| matches!(bound, Bound::Held(until) if now < *until);
+        let due: BTreeSet<u32> =
+            self.out.borrow().iter().filter(|(_, b)| bound(b)).map(|(number, _)| *number).collect();
+        let before = self.back.replace(due.clone());
+        for destination in before.symmetric_difference(&due) {
+            let entries = node.directory.borrow_mut().hold_back(*destination, due.contains(destination));
+            if !entries.is_empty() {
+                node.tell(Event::ListChanged(entries));
+            }
+        }
+    }
+
+    /// Lifts all bounds, and lets the member's record go: another process of this dispatcher goes on.
+    pub fn give(&self, node: &Node) {
+        if let Some(member) = self.member.take() {
+            member.stop();
+        }
+        self.out.borrow_mut().clear();
+        self.pace.set(Pace::Own);
+        for destination in self.back.take() {
+            let entries = node.directory.borrow_mut().hold_back(destination, false);
+            node.dispatcher.borrow_mut().handle(node.now(), Event::ListChanged(entries));
+        }
+    }
+
+    /// The other process has not taken over: the member goes on here.
+    pub fn resume(&self, node: &Node) {
+        self.begin(&node.config);
+        let out: Vec<u32> = node.journal.borrow().outages().collect();
+        out.into_iter().for_each(|destination| self.out(node, destination, true));
+    }
+
+    /// The dispatcher stops: what its member holds is given on.
+    pub async fn leave(&self) {
+        let member = self.member.borrow().clone();
+        if let Some(member) = member {
+            member.leave().await;
+        }
+    }
+
+    /// How the fleet is, as this member sees it: JSON.
+    ///
+    /// # Errors
+    /// Where there is none, or it does not answer.
+    pub async fn show(&self) -> Result<String, String> {
+        let member = self.member.borrow().clone().ok_or("this dispatcher is no member of a fleet")?;
+        member.show(SHOW_TIME).await.ok_or_else(|| "the member does not answer".into())
+    }
+}
+
+/// Hears what parts have to say, for as long as the process runs.
+pub async fn hear(node: Rc<Node>) {
+    let Some(mut heard) = node.bounds.heard.take() else { return };
+    while let Some(news) = heard.recv().await {
+        if node.gate.phase() != Phase::Serving {
+            continue;
+        }
+        let bounds = &node.bounds;
+        match news {
+            News::Began => {
+                // It has forgotten what it was told.
+                let out: Vec<u32> = bounds.out.borrow().keys().copied().collect();
+                out.iter().for_each(|number| bounds.tell(Fact::Tries(Of::Out(*number))));
+                bounds.seq.get().into_iter().for_each(|seq| bounds.tell(Fact::List(seq)));
+            }
+            News::Tries(destination, bound) => {
+                if let Some(known) = bounds.out.borrow_mut().get_mut(&destination) {
+                    *known = bound;
+                }
+                bounds.look(&node);
+            }
+            News::Lists(pace) => bounds.pace.set(pace),
+            News::AskNow => node.resubscribe.notify_one(),
+            News::Given(name, epoch, holder) => {
+                let who = holder.map_or("nobody".into(), |id| format!("{id:016x}"));
+                println!("fleet: {:.6} given {name} epoch {epoch} to {who}", clock::now());
+            }
+            News::Refused(name, epoch, now_at) => {
+                println!("fleet: {:.6} refused {name} epoch {epoch}, {now_at} is given", clock::now());
+            }
+            News::Told(name, epoch, word) if bounds.history => {
+                println!("fleet: {:.6} told {name} epoch {epoch} {word:?}", clock::now());
+            }
+            News::Acts(name, epoch, at) if bounds.history => {
+                println!("fleet: {at:.6} acts {name} epoch {epoch}");
+            }
+            News::Told(..) | News::Acts(..) => {}
+        }
+    }
+}
+
+/// All rules hold; with the feature `planted`, which is for tests alone, all but the one that a variable names.
+fn planted() -> fawnspoke_duty::Rules {
+    #[cfg(feature = "planted")]
+    if let Some(rules) =
+        std::env::var("FAWNSPOKE_PLANTED").ok().and_then(|name| fawnspoke_duty::Rules::without(&name))
+    {
+        return rules;
+    }
+    fawnspoke_duty::Rules::default()
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,6 +1,8 @@
 //! The configuration: one JSON file and a few variables, checked once at the start.
 
 use crate::sizes::{BODY_MOST, HEAD_MOST};
+use fawnspoke_cluster::file::File;
+use fawnspoke_cluster::shell;
 use fawnspoke_control::{door, record};
 use serde::Deserialize;
 use serde_json::Value;
@@ -17,6 +19,8 @@
     /// Where operators call, where they do.
     pub control: Option<SocketAddr>,
     pub state: PathBuf,
+    /// The operators' file of the fleet, where this dispatcher is a member of one.
+    pub fleet: Option<File>,
     pub seed: u64,
     pub limits: Limits,
     /// The file as it was read; its `known` is the list of endpoints, in discovery's form.
@@ -59,6 +63,8 @@
     const OWN: usize = 20;
     /// Share of the clients' connections that may stand idle.
     const IDLE_CLIENTS: f64 = 1.0 / 3.0;
+    /// Share of the disk that the record of a fleet may take.
+    const FLEET: f64 = 0.5;
     /// Share of the memory that clients' requests may take while they are read.
     const READING: f64 = 0.5;
 
@@ -229,17 +235,20 @@
             Ok(at) => Some(at.parse().map_err(|error| format!("GW_CONTROL: {at}: {error}"))?),
             Err(_) => None,
         };
-        Config::read(&text, state.into(), control)
+        let fleet = std::env::var_os("FAWNSPOKE_FLEET").map(PathBuf::from);
+        Config::read(&text, state.into(), control, fleet.as_deref())
     }
 
     /// Reads a configuration that is not to be run: it has no folder.
     pub fn from_file(file: &Path) -> Result<Config, String> {
         let text = std::fs::read(file).map_err(|error| error.to_string())?;
-        Config::read(&text, PathBuf::new(), None)
+        Config::read(&text, PathBuf::new(), None, None)
     }
 
     /// `control`: the door's address by the environment, which is this process's own; the file may be another's too.
-    fn read(text: &[u8], state: PathBuf, control: Option<SocketAddr>) -> Result<Config, String> {
+    fn read(
+        text: &[u8], state: PathBuf, control: Option<SocketAddr>, fleet: Option<&Path>,
+    ) -> Result<Config, String> {
         let mut reader = serde_json::Deserializer::from_slice(text);
         let mut raw: Raw = serde_path_to_error::deserialize(&mut reader)
             .map_err(|error| format!("{}: {}", error.path(), error.inner()))?;
@@ -247,6 +256,18 @@
         if control.is_some() {
             raw.limits.taken = Taken { descriptors: door::DESCRIPTORS, disk: record::BYTES_MOST };
         }
+        let fleet = fleet.map(|path| File::read(path, &raw.name)).transpose()?;
+        if let Some(file) = &fleet {
+            raw.limits.taken.descriptors += shell::descriptors(file, &raw.name);
+            raw.limits.taken.disk += shell::disk(file);
+            let most = raw.limits.disk_mb * 1e6 * Limits::FLEET;
+            if shell::disk(file) as f64 > most {
+                return Err(format!(
+                    "FAWNSPOKE_FLEET: disk_mb: {} of {} MB; the journal needs at least half of them",
+                    file.disk_mb, raw.limits.disk_mb
+                ));
+            }
+        }
         let seed = u64::from_str_radix(&raw.seed, 16).map_err(|error| format!("seed: {error}"))?;
         let given = raw.settings;
         let mut classes = Vec::new();
@@ -332,6 +353,7 @@
             discovery: raw.discovery,
             control,
             state,
+            fleet,
             seed,
             limits: raw.limits,
             file: serde_json::from_slice(text).map_err(|error| error.to_string())?,
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -3,7 +3,7 @@
 use crate::gate::Phase;
 use crate::rest::Rest;
 use crate::{Node, log};
-use fawnspoke_control::door::Order;
+use fawnspoke_control::door::Asked;
 use fawnspoke_control::figures::Gauges;
 use fawnspoke_control::orders::{Change, ORDERS_MOST, Orders, Step, Subject};
 use fawnspoke_control::record::File;
@@ -12,6 +12,7 @@
 use std::path::Path;
 use std::rc::Rc;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::task::spawn_local;
 use waydoor::Event;
 
 /// The orders in force, and where they are on record.
@@ -43,8 +44,16 @@
 }
 
 /// Carries out what operators order, for as long as the process runs.
-pub async fn obey(node: Rc<Node>, mut orders: UnboundedReceiver<Order>) {
-    while let Some(order) = orders.recv().await {
+pub async fn obey(node: Rc<Node>, mut orders: UnboundedReceiver<Asked>) {
+    while let Some(asked) = orders.recv().await {
+        let order = match asked {
+            Asked::Order(order) => order,
+            Asked::Fleet(answer) => {
+                let node = node.clone();
+                spawn_local(async move { answer.send(node.bounds.show().await) });
+                continue;
+            }
+        };
         // While this process hands over, nobody owns the orders; then they are the other one's.
         if node.gate.settled().await == Phase::Over {
             node.hand(Rest::Order(order));
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -1,5 +1,6 @@
 //! The endpoints as listed now: who they are, where, and what may go there.
 
+use crate::config::Config;
 use crate::log;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -16,8 +17,10 @@
     pub kind: usize,
     pub zone: u16,
     pub ready: bool,
-    /// What the list says of it, an order of operators aside.
+    /// What the list says of it, orders of operators and bounds aside.
     up: bool,
+    /// Out by hand.
+    held: bool,
     rate: f64,
 }
 
@@ -54,6 +57,9 @@
     names: Names,
     seq: u64,
     named: u64,
+    /// Destinations held back by a bound, which no other process of this dispatcher knows.
+    #[serde(skip)]
+    back: HashSet<u32>,
 }
 
 /// A list in discovery's form.
@@ -83,6 +89,20 @@
     Removed,
 }
 
+impl Place {
+    /// Whether anything may go there; whether that has changed.
+    fn judge(&mut self, back: &HashSet<u32>) -> bool {
+        let ready = self.up && !self.held && !back.contains(&self.dest);
+        std::mem::replace(&mut self.ready, ready) != ready
+    }
+
+    /// The entry that tells the decisions.
+    fn entry(&self, endpoint: EndpointId) -> Entry {
+        let listed = if self.ready { Listed::Ready } else { Listed::Draining };
+        entry(endpoint, *self, self.rate, listed)
+    }
+}
+
 impl Directory {
     pub fn place(&self, endpoint: EndpointId) -> Option<Place> {
         self.places.get(&endpoint).copied()
@@ -119,9 +139,27 @@
     pub fn hold(&mut self, host: &str, held: bool) -> Option<Entry> {
         let endpoint = *self.hosts.get(host)?;
         let place = self.places.get_mut(&endpoint)?;
-        let before = std::mem::replace(&mut place.ready, place.up && !held);
-        let listed = if place.ready { Listed::Ready } else { Listed::Draining };
-        (before != place.ready).then(|| entry(endpoint, *place, place.rate, listed))
+        place.held = held;
+        place.judge(&self.back).then(|| place.entry(endpoint))
+    }
+
+    /// Nothing goes to a destination from now on, or that is no more so. The entries tell the decisions.
+    pub fn hold_back(&mut self, destination: u32, back: bool) -> Vec<Entry> {
+        if back {
+            self.back.insert(destination);
+        } else {
+            self.back.remove(&destination);
+        }
+        let there = self.places.iter_mut().filter(|(_, place)| place.dest == destination);
+        let changed = there.filter_map(|(id, place)| place.judge(&self.back).then(|| place.entry(*id)));
+        changed.collect()
+    }
+
+    /// Whether the endpoints of a destination are routes of their own, each with its own outages.
+    pub fn routes_apart(&self, config: &Config, destination: u32) -> bool {
+        let place = self.places.values().find(|place| place.dest == destination);
+        let kind = place.and_then(|place| config.settings.kinds.get(place.kind));
+        kind.is_some_and(|kind| kind.routes_apart)
     }
 
     /// The version of the list.
@@ -152,8 +190,11 @@
             };
             let zone = zones.iter().position(|zone| *zone == host.site).unwrap_or(zones.len()) as u16;
             let (up, rate) = (host.health == Health::Up, host.share);
-            let ready = up && !held(&host.host);
-            let place = Place { dial: host.dial, dest: host.block, kind, zone, ready, up, rate };
+            let held = held(&host.host);
+            let mut place =
+                Place { dial: host.dial, dest: host.block, kind, zone, ready: false, up, held, rate };
+            place.judge(&self.back);
+            let ready = place.ready;
             self.names.add(&host.host);
             // One that serves another destination now is another endpoint.
             let old = self.hosts.get(&host.host).copied();
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -37,6 +37,7 @@
             // Nothing goes there any more, and somebody else may come to the address.
             left.into_iter().for_each(|endpoint| node.pool.close(endpoint));
             node.tell(event);
+            node.bounds.list_came(node.directory.borrow().seq());
             control::restarted(node);
         }
         Err(error) => log::line(format_args!("discovery: line left out: {error}")),
@@ -62,6 +63,7 @@
             heard = follow(&node, at, seq) => {
                 log::line(format_args!("discovery: watch ended: {}", heard.unwrap_or_else(|error| error.to_string())));
                 node.tell(Event::ListFailed);
+                node.bounds.list_failed();
             }
             () = node.resubscribe.notified() => {
                 if asked {
@@ -85,8 +87,12 @@
         // A watch that brought something was a good one.
         let news = node.directory.borrow().seq() != seq;
         backoff = if news { BACKOFF } else { (backoff * 2).min(BACKOFF_MOST) };
-        // A new address is tried at once.
-        let _ = timeout(backoff, moved.wait_for(|now| *now != at)).await;
+        // A new address is tried at once, and so is the known one where another dispatcher has heard it answer.
+        let pause = node.bounds.slowly().map_or(backoff, |slow| slow.max(backoff));
+        tokio::select! {
+            _ = timeout(pause, moved.wait_for(|now| *now != at)) => {}
+            () = node.resubscribe.notified() => {}
+        }
     }
 }
 
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -195,6 +195,8 @@
                     for number in node.clients.leave_unheard() {
                         intake::withdraw(node, number);
                     }
+                    // The decisions' state goes over without what others have bound.
+                    node.bounds.give(node);
                     node.lock.replace(None);
                     let given = match &link {
                         Some(link) => send_all(node, link, first.hello.decisions).await,
@@ -224,6 +226,7 @@
                     }
                     node.doorstep.open();
                     node.gate.set(Phase::Serving);
+                    node.bounds.resume(node);
                     let took = began.elapsed().as_secs_f64();
                     log::line(format_args!("handover: not taken; serving again after {took:.3} s"));
                 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! and what they ask for is done. Nothing is decided here.
 
 mod acts;
+mod bounds;
 mod calls;
 mod clients;
 mod config;
@@ -65,6 +66,8 @@
     figures: Arc<Figures>,
     /// What operators have ordered.
     control: control::Control,
+    /// What parts outside of the decisions say.
+    bounds: bounds::Bounds,
     /// Where discovery is now; a new configuration may move it.
     discovery: watch::Sender<SocketAddr>,
     /// Taken in the journal, but the 202 is not written yet.
--- a/crates/node/src/records.rs
+++ b/crates/node/src/records.rs
@@ -63,6 +63,9 @@
         for destination in journal.outages().filter(|_| !self.adopted) {
             self.tell(Event::Remembered(DestinationId(destination)));
         }
+        for destination in journal.outages() {
+            self.bounds.out(self, destination, true);
+        }
         for Level { customer, left, at } in journal.levels().filter(|_| !self.adopted) {
             let Some(tenant) = self.tenant(&customer) else { continue };
             self.tell(Event::Counted { tenant, left: f64::from(left) / 1000.0, at: self.seconds(at) });
--- a/crates/node/src/rounds.rs
+++ b/crates/node/src/rounds.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use tokio::signal::unix::Signal;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::task::spawn_local;
 use tokio::time::sleep_until;
 use waydoor::{AttemptEnd, EndpointId, Event, MessageId, Seconds};
 
@@ -127,11 +128,14 @@
                 After::Restart => return Finish::Again,
             }
         }
+        node.bounds.look(&node);
         let now = node.now();
         if stop && told_at.is_none() {
             println!("{now:.3} told to stop");
             told_at = Some(now);
             node.closing.set(true);
+            let leaving = node.clone();
+            spawn_local(async move { leaving.bounds.leave().await });
             node.figures.set_ready(false);
             node.dispatcher.borrow_mut().handle(now, Event::Closing(now + CALLS_END));
         }
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -1,5 +1,6 @@
 //! The start of a dispatcher: the journal, the signals, the parts in their order.
 
+use crate::bounds::{self, Bounds};
 use crate::calls::Pool;
 use crate::clients::{self, Clients};
 use crate::config::Config;
@@ -145,6 +146,7 @@
         pool: Pool::default(),
         counts: counts::Counts::default(),
         figures,
+        bounds: Bounds::new(&config),
         control: control::Control::open(&config.state),
         discovery: watch::Sender::new(config.discovery),
         unheard: RefCell::default(),
@@ -169,6 +171,7 @@
     if !adopted {
         discovery::list(&node, node.config.file["known"].to_string().as_bytes());
     }
+    node.bounds.begin(&node.config);
     node.resume();
     // The decisions know the list and what is owed before the first client is heard.
     std::iter::from_fn(|| inbox.try_recv().ok()).for_each(|input| hear(&node, node.now(), input));
@@ -180,6 +183,7 @@
     spawn_local(discovery::notices(node.clone()));
     // Clients come once all that was owed is taken up again; nothing here waits for discovery.
     spawn_local(clients::serve(node.clone()));
+    spawn_local(bounds::hear(node.clone()));
     spawn_local(control::obey(node.clone(), orders));
     node.figures.set(control::gauges(&node));
     node.figures.set_ready(true);
