lab run: a scenario's dispatchers as a fleet, with trouble between them by seed, judged by two checkers

Need: hundreds of runs of processes under load with mixed faults, judged by the auditor and by the histories. Exit code 1 on a break of a rule or of a promise.

--- a/crates/lab/src/command.rs
+++ b/crates/lab/src/command.rs
@@ -1,6 +1,6 @@
 //! The lab's subcommands.
 
-use crate::auditor::{Verdict, audit as judge};
+use crate::auditor::audit as judge;
 use crate::killer::Kills;
 use crate::process::Program;
 use crate::record;
@@ -15,6 +15,9 @@
 /// The scenario of `demo`.
 pub const DEMO: &str = include_str!("../scenarios/demo.toml");
 
+/// Breaks of a fleet's promises that are shown of one run.
+const FAULTS_SHOWN: usize = 10;
+
 /// How a scenario is to be played.
 #[derive(Clone, Debug)]
 pub struct Play {
@@ -182,7 +185,7 @@
     let mut broken = Vec::new();
     for seed in first..first.saturating_add(play.seeds) {
         match one(scenario, seed, play, &program) {
-            Ok(verdict) if verdict.clean() => {}
+            Ok(true) => {}
             Ok(_) => broken.push(seed),
             Err(error) => {
                 eprintln!("fawnspoke: {error}");
@@ -196,7 +199,7 @@
     code(broken.is_empty())
 }
 
-fn one(scenario: &Scenario, seed: u64, play: &Play, program: &Program) -> std::io::Result<Verdict> {
+fn one(scenario: &Scenario, seed: u64, play: &Play, program: &Program) -> std::io::Result<bool> {
     let script = Script::draw(scenario, seed);
     println!(
         "{}: seed {seed}, {} messages in {} s to {} partners, {} dispatchers, {} faults, script {:016x}",
@@ -244,5 +247,10 @@
         println!("fell over: {}", outcome.fallen.join(", "));
     }
     print!("{}", table::verdict(&verdict));
-    Ok(verdict)
+    let told = outcome.fleet.unwrap_or_default();
+    if told.epochs > 0 {
+        println!("the fleet: {} acts under {} epochs, {} breaks", told.acts, told.epochs, told.faults.len());
+        told.faults.iter().take(FAULTS_SHOWN).for_each(|fault| println!("  {fault}"));
+    }
+    Ok(verdict.clean() && told.faults.is_empty())
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod ledger;
 pub mod loss;
 pub mod members;
+pub mod mischief;
 pub mod naive;
 pub mod partner;
 pub mod platform;
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -97,6 +97,11 @@
         self.folder.join("state")
     }
 
+    /// The folder of all that is its own.
+    pub fn folder(&self) -> PathBuf {
+        self.folder.clone()
+    }
+
     /// Its number.
     pub fn index(&self) -> usize {
         self.index
@@ -172,6 +177,10 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .kill_on_drop(true);
+        let fleet = self.folder.join("fleet.hcl");
+        if fleet.exists() {
+            command.env("FAWNSPOKE_FLEET", fleet);
+        }
         if let Some(control) = control {
             command.env("GW_CONTROL", control.to_string());
         }
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -41,13 +41,21 @@
     /// # Errors
     /// Where it can't listen.
     pub fn start(target: Target) -> io::Result<Relay> {
+        handle().block_on(Relay::open(target))
+    }
+
+    /// The same, on the runtime that runs.
+    ///
+    /// # Errors
+    /// Where it can't listen.
+    pub async fn open(target: Target) -> io::Result<Relay> {
         let way = Arc::new(watch::Sender::new(Way::default()));
-        let listener = handle().block_on(TcpListener::bind(("127.0.0.1", 0)))?;
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let at = listener.local_addr()?;
         let ways = way.clone();
-        handle().spawn(async move {
+        tokio::spawn(async move {
             while let Ok((caller, _)) = listener.accept().await {
-                handle().spawn(carry(caller, target.clone(), ways.subscribe()));
+                tokio::spawn(carry(caller, target.clone(), ways.subscribe()));
             }
         });
         Ok(Relay { at, way })
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -4,7 +4,8 @@
 use crate::endpoint::{Door as Sockets, Endpoint, Traits};
 use crate::killer::{Counter, Kills};
 use crate::ledger::Ledger;
-use crate::partner::{Door, Partner, Trouble};
+use crate::mischief::{self, Folder, Relays, Told, Trouble};
+use crate::partner::{Door, Partner, Trouble as Ill};
 use crate::platform::{Host, Platform};
 use crate::process::{Process, Program};
 use crate::record::{self, Effect, End, Entry, Listed, Micros, Recorder, Rules, Sig, What};
@@ -31,6 +32,9 @@
 /// What is due by the rules is waited for, and so much more.
 const SETTLE: Duration = Duration::from_secs(4);
 
+/// Where members of a fleet listen, each at its own address.
+const MEMBERS_PORT: u16 = 7100;
+
 /// How a run is to be played.
 pub struct Options {
     /// What is run as a dispatcher.
@@ -55,6 +59,8 @@
     pub kills: Kills,
     /// Upgrades by the scenario's upgrader.
     pub upgrades: Upgrades,
+    /// What the members of the scenario's fleet told, where it has one.
+    pub fleet: Option<Told>,
 }
 
 /// Addresses of one run: a network of its own in 127.0.0.0/8, so that two runs at once do not meet.
@@ -99,6 +105,8 @@
     rng: Mutex<fastrand::Rng>,
     /// Highest resident memory, by dispatcher.
     peaks: Peaks,
+    /// Between members of a fleet.
+    relays: Relays,
 }
 
 fn micros(seconds: f64) -> Micros {
@@ -193,6 +201,9 @@
     for index in 0..stage.processes.len() {
         stage.configure(index)?;
     }
+    if scenario.fleet.voters > 0 {
+        mischief::found(&options.program.path, &stage.processes[0].folder()).await?;
+    }
     for (index, process) in stage.processes.iter().enumerate() {
         process.start(stage.agent(index)?).await?;
     }
@@ -227,6 +238,11 @@
             }
         }));
     }
+    if scenario.fleet.troubles > 0 {
+        let (stage, rng) = (stage.clone(), fastrand::Rng::with_seed(script.seed ^ 0xf1ee7));
+        let stop = stage.recorder.instant(began + micros(scenario.length_s * 0.8));
+        turning.push(tokio::spawn(async move { stage.trouble(rng, stop).await }));
+    }
     let upgrades = Arc::new(Mutex::new(Upgrades::default()));
     for index in 0..stage.processes.len() {
         let (stage, upgrades) = (stage.clone(), upgrades.clone());
@@ -280,7 +296,9 @@
     for index in 0..stage.processes.len() {
         upgrades.read_log(&options.folder.join(format!("n{index}.log")));
     }
-    Ok(Outcome { entries, resident_kb, never: stage.crowd.never(), fallen, kills, upgrades })
+    let members = (scenario.fleet.voters > 0).then_some(stage.processes.len());
+    let fleet = members.map(|count| mischief::read_logs(&options.folder, count));
+    Ok(Outcome { entries, resident_kb, never: stage.crowd.never(), fallen, kills, upgrades, fleet })
 }
 
 async fn set_up(
@@ -330,6 +348,11 @@
         configs.push(configuration(scenario, index, listen));
         listens.push(listen);
     }
+    let folders: Vec<_> = processes.iter().map(Process::folder).collect();
+    let relays = match scenario.fleet.voters {
+        0 => Relays::new(),
+        _ => mischief::set_up(&scenario.fleet, &folders, |i| network.at(1 + i as u8, MEMBERS_PORT)).await?,
+    };
     let crowd = Crowd::new(scenario.clone(), recorder.clone(), ledger, listens);
     tokio::spawn(crowd.clone().hear(notices));
     Ok(Stage {
@@ -346,6 +369,7 @@
         renamed: AtomicU64::new(0),
         rng: Mutex::new(fastrand::Rng::with_seed(script.seed)),
         peaks: Mutex::default(),
+        relays,
     })
 }
 
@@ -410,7 +434,7 @@
         Ok(())
     }
 
-    async fn outage(&self, turn: &Turn, trouble: Trouble, door: Sockets) -> io::Result<()> {
+    async fn outage(&self, turn: &Turn, trouble: Ill, door: Sockets) -> io::Result<()> {
         let partner = &self.partners[turn.whom];
         let refusing = door == Sockets::Refusing;
         self.recorder.add(What::Out { dest: partner.dest(), refusing });
@@ -461,20 +485,20 @@
                 self.processes[turn.whom].signal(Sig::Hup);
                 Ok(())
             }
-            Kind::Down => self.outage(turn, Trouble::None, Sockets::Refusing).await,
-            Kind::Silent => self.outage(turn, Trouble::None, Sockets::Silent).await,
-            Kind::Hang => self.outage(turn, Trouble::Hang, Sockets::Open).await,
-            Kind::Shut => self.outage(turn, Trouble::Shut, Sockets::Open).await,
-            Kind::Errors => self.outage(turn, Trouble::Errors, Sockets::Open).await,
+            Kind::Down => self.outage(turn, Ill::None, Sockets::Refusing).await,
+            Kind::Silent => self.outage(turn, Ill::None, Sockets::Silent).await,
+            Kind::Hang => self.outage(turn, Ill::Hang, Sockets::Open).await,
+            Kind::Shut => self.outage(turn, Ill::Shut, Sockets::Open).await,
+            Kind::Errors => self.outage(turn, Ill::Errors, Sockets::Open).await,
             Kind::Slow | Kind::Cuts | Kind::Spoilt => {
                 let partner = &self.partners[turn.whom];
                 partner.set(match turn.kind {
-                    Kind::Slow => Trouble::Slow(turn.factor),
-                    Kind::Cuts => Trouble::Cuts,
-                    _ => Trouble::Spoilt,
+                    Kind::Slow => Ill::Slow(turn.factor),
+                    Kind::Cuts => Ill::Cuts,
+                    _ => Ill::Spoilt,
                 });
                 sleep(span).await;
-                partner.set(Trouble::None);
+                partner.set(Ill::None);
                 Ok(())
             }
             Kind::Drain => {
@@ -520,6 +544,77 @@
         }
     }
 
+    /// Trouble between the members of a fleet, until `stop`; then all is whole again.
+    async fn trouble(self: Arc<Stage>, mut rng: fastrand::Rng, stop: std::time::Instant) {
+        let fleet = &self.scenario.fleet;
+        let count = self.processes.len();
+        let (mut ends, mut folders) = (Vec::new(), 0);
+        for _ in 0..fleet.troubles {
+            sleep(Duration::from_micros(rng.u64(fleet.every_ms[0] * 1000..=fleet.every_ms[1] * 1000))).await;
+            if std::time::Instant::now() >= stop {
+                break;
+            }
+            let (stage, one, other) = (self.clone(), rng.usize(0..count), rng.usize(0..count));
+            let mut trouble = Trouble::draw(&mut rng);
+            while fleet.only.as_ref().is_some_and(|only| !trouble.is(only)) {
+                trouble = Trouble::draw(&mut rng);
+            }
+            // A folder that is gone costs its fleet a voter until another is in its place.
+            if matches!(trouble, Trouble::Kill(Folder::Older | Folder::Emptied)) {
+                folders += 1;
+                if folders > 1 {
+                    trouble = Trouble::Kill(Folder::Kept);
+                }
+            }
+            if rng.bool() {
+                mischief::copy_aside(&self.processes[rng.usize(0..count)]);
+            }
+            ends.push(tokio::spawn(async move { stage.one_trouble(trouble, one, other).await }));
+        }
+        for end in ends {
+            let _ = end.await;
+        }
+        mischief::heal(&self.relays);
+    }
+
+    async fn one_trouble(&self, trouble: Trouble, one: usize, other: usize) {
+        let process = &self.processes[one];
+        let after = |span: f64| sleep(Duration::from_secs_f64(span));
+        match trouble {
+            Trouble::Kill(folder) => {
+                if process.id().is_none() {
+                    return;
+                }
+                process.signal(Sig::Kill);
+                process.ended(Duration::from_secs(10)).await;
+                mischief::turn_back(process, folder);
+                if let Err(error) = self.restart(one).await {
+                    eprintln!("dispatcher {one} after a kill: {error}");
+                }
+            }
+            Trouble::Stop(span) => mischief::stop(process, span).await,
+            Trouble::CutOff(says, hears, span) => {
+                mischief::cut_off(&self.relays, one, says, hears);
+                after(span).await;
+                mischief::cut_off(&self.relays, one, false, false);
+            }
+            Trouble::Pair(there, back, span) => {
+                if let Some(relay) = self.relays.get(&(one, other)) {
+                    relay.set(|way| (way.there_cut, way.back_cut) = (there, back));
+                    after(span).await;
+                    relay.set(|way| (way.there_cut, way.back_cut) = (false, false));
+                }
+            }
+            Trouble::Slow(span, delay) => {
+                self.relays.values().for_each(|relay| {
+                    relay.set(|way| (way.delay_s, way.resets) = (delay, way.resets + 1));
+                });
+                after(span).await;
+                self.relays.values().for_each(|relay| relay.set(|way| way.delay_s = 0.0));
+            }
+        }
+    }
+
     /// A new endpoint under a new name, at the address of one that is gone.
     async fn newcomer(&self, turn: &Turn, old: Arc<Endpoint>) -> io::Result<()> {
         old.set_door(Sockets::Refusing).await?;
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -52,6 +52,9 @@
     /// Upgrades over and over.
     #[serde(default)]
     pub upgrader: Upgrader,
+    /// The dispatchers as a fleet, with trouble between them.
+    #[serde(default)]
+    pub fleet: Fleet,
     /// The figures of returning destinations.
     #[serde(default)]
     pub returning: Returning,
@@ -467,6 +470,28 @@
     }
 }
 
+/// The dispatchers as members of a fleet, and trouble between them over and over.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Fleet {
+    /// How many vote, from the first on; without any there is no fleet. The others follow.
+    pub voters: usize,
+    /// Further lines of the fleet's file.
+    pub settings: String,
+    /// How often something goes wrong, all together, until the last fifth of the run.
+    pub troubles: usize,
+    /// From one trouble to the next it takes a time between these, in milliseconds.
+    pub every_ms: [u64; 2],
+    /// One trouble alone, in place of all kinds: `kill`, `stop`, `cut` or `slow`.
+    pub only: Option<String>,
+}
+
+impl Default for Fleet {
+    fn default() -> Fleet {
+        Fleet { voters: 0, settings: String::new(), troubles: 0, every_ms: [200, 900], only: None }
+    }
+}
+
 /// The figures of returning destinations.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
