--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -549,6 +549,7 @@
         let fleet = &self.scenario.fleet;
         let count = self.processes.len();
         let (mut ends, mut folders) = (Vec::new(), 0);
+        sleep(Duration::from_secs_f64(fleet.from_s)).await;
         for _ in 0..fleet.troubles {
             sleep(Duration::from_micros(rng.u64(fleet.every_ms[0] * 1000..=fleet.every_ms[1] * 1000))).await;
             if std::time::Instant::now() >= stop {
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -480,6 +480,8 @@
     pub settings: String,
     /// How often something goes wrong, all together, until the last fifth of the run.
     pub troubles: usize,
+    /// When the first comes, in seconds: by then all have joined.
+    pub from_s: f64,
     /// From one trouble to the next it takes a time between these, in milliseconds.
     pub every_ms: [u64; 2],
     /// One trouble alone, in place of all kinds: `kill`, `stop`, `cut` or `slow`.
@@ -488,7 +490,14 @@
 
 impl Default for Fleet {
     fn default() -> Fleet {
-        Fleet { voters: 0, settings: String::new(), troubles: 0, every_ms: [200, 900], only: None }
+        Fleet {
+            voters: 0,
+            settings: String::new(),
+            troubles: 0,
+            from_s: 3.0,
+            every_ms: [200, 900],
+            only: None,
+        }
     }
 }
 
