A member that finds a place out late holds back too; lab handing-on and lab tries measure a fleet

Seen: of six members three went on trying (their calls' times and logs side by side): the duty had been given before they had found the place out, and what was given before was not looked up (duties.rs, fact).

--- a/crates/duty/src/duties.rs
+++ b/crates/duty/src/duties.rs
@@ -354,7 +354,16 @@
 
     fn fact(&mut self, now: Seconds, fact: Fact) {
         match fact {
-            Fact::Tries(fact) => self.tries.fact(now, fact),
+            Fact::Tries(fact) => {
+                self.tries.fact(now, fact);
+                // Others may have found it out before, and the duty been given already.
+                if let tries::Fact::Out(destination) = fact
+                    && let Some(duty) = self.roll.get(Tries::name(destination))
+                    && let Some(holder) = duty.holder
+                {
+                    self.tries.known(now, destination, duty.epoch, holder == self.me);
+                }
+            }
             Fact::ListFailed => self.lists.failed(now),
             Fact::List(seq) => self.lists.came(seq),
         }
--- a/crates/duty/src/tries.rs
+++ b/crates/duty/src/tries.rs
@@ -108,6 +108,13 @@
         }
     }
 
+    /// The duty was somebody's before this member found the place out.
+    pub fn known(&mut self, now: Seconds, destination: u32, epoch: u64, mine: bool) {
+        if self.out.get(&destination).is_some_and(|out| out.given.is_none()) {
+            self.given(now, destination, epoch, Some(mine));
+        }
+    }
+
     /// The log has given the duty to somebody.
     pub fn given(&mut self, now: Seconds, destination: u32, epoch: u64, holder: Option<bool>) {
         let Some(out) = self.out.get_mut(&destination) else { return };
@@ -202,6 +209,16 @@
         assert!(tries.bounds(18.1, FOREVER).is_empty());
     }
 
+    #[test]
+    fn a_member_that_finds_it_out_later_holds_back_too() {
+        let mut tries = Tries::new(3.0);
+        tries.given(9.0, 7, 4, Some(false));
+        tries.fact(10.0, Fact::Out(7));
+        assert!(tries.bounds(10.0, FOREVER).is_empty());
+        tries.known(10.0, 7, 4, false);
+        assert_eq!(tries.bounds(10.0, FOREVER), [(7, Bound::Held(13.0))]);
+    }
+
     #[test]
     fn a_holder_tells_what_it_found_and_not_too_often() {
         let mut tries = Tries::new(3.0);
--- a/crates/duty/tests/model.rs
+++ b/crates/duty/tests/model.rs
@@ -160,9 +160,13 @@
         events.extend((holder.applied < world.log.len()).then_some(Event::Applies));
         let held = holder.applied > 0 && world.log[holder.applied - 1] == Given::Holder;
         events.extend((held && !holder.given_up).then_some(Event::GivesUp));
-        events.extend((holder.given_up && room && world.log.last() == Some(&Given::Holder)).then_some(Event::Word));
+        events.extend(
+            (holder.given_up && room && world.log.last() == Some(&Given::Holder)).then_some(Event::Word),
+        );
         for (l, leader) in world.leaders.iter().enumerate() {
-            events.extend((world.latest.1 < self.reach.elections && world.latest.0 != l).then_some(Event::Elected(l)));
+            events.extend(
+                (world.latest.1 < self.reach.elections && world.latest.0 != l).then_some(Event::Elected(l)),
+            );
             if leader.since.is_none() {
                 continue;
             }
@@ -180,7 +184,11 @@
             Event::Passes => {
                 world.step += 1;
                 world.holder.clock += self.rates[0];
-                world.leaders.iter_mut().zip(&self.rates[1..]).for_each(|(leader, rate)| leader.clock += rate);
+                world
+                    .leaders
+                    .iter_mut()
+                    .zip(&self.rates[1..])
+                    .for_each(|(leader, rate)| leader.clock += rate);
             }
             Event::Asks => {
                 world.holder.questions += 1;
--- a/crates/fawnspoke/src/main.rs
+++ b/crates/fawnspoke/src/main.rs
@@ -182,6 +182,27 @@
         #[arg(long)]
         json: bool,
     },
+    /// Measure how long a duty takes to be another member's after a kill, a stall, a cut and an ordinary stop
+    HandingOn {
+        /// Terms, in seconds
+        #[arg(long, value_delimiter = ',', default_value = "1,3,10", value_parser = seconds)]
+        terms: Vec<f64>,
+        /// How often each
+        #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u64).range(1..=1000))]
+        times: u64,
+    },
+    /// Count what dispatchers try at a place that is out, and ask of a discovery that does not answer: alone, as a fleet
+    Tries {
+        /// Dispatchers
+        #[arg(long, default_value_t = 6, value_parser = clap::value_parser!(u64).range(1..=60))]
+        count: u64,
+        /// Seconds for which the place, and then discovery, is out
+        #[arg(long, default_value_t = 30.0, value_parser = seconds)]
+        out_s: f64,
+        /// Messages a second at each
+        #[arg(long, default_value_t = 5.0, value_parser = seconds)]
+        a_second: f64,
+    },
     /// Run the plain proxy that the bench compares with
     #[command(hide = true)]
     Proxy {
@@ -260,6 +281,10 @@
         }
         Command::Lab(Lab::Fleet { logs, every }) => command::fleet(&logs, every),
         Command::Lab(Lab::Losses { logs, before, json }) => command::losses(&logs, before.as_deref(), json),
+        Command::Lab(Lab::HandingOn { terms, times }) => command::handing_on(&terms, times as usize),
+        Command::Lab(Lab::Tries { count, out_s, a_second }) => {
+            command::tries(count as usize, out_s, a_second)
+        }
         Command::Lab(Lab::Proxy { listen, to }) => command::proxy(listen, to),
         Command::Lab(Lab::Naive { fault }) => command::naive(&fault),
         Command::Door(asked) => door(asked),
--- a/crates/lab/src/command.rs
+++ b/crates/lab/src/command.rs
@@ -2,6 +2,7 @@
 
 use crate::auditor::audit as judge;
 use crate::killer::Kills;
+use crate::measures::{self, Fault};
 use crate::process::Program;
 use crate::record;
 use crate::run::{self, Options};
@@ -151,6 +152,41 @@
     }
 }
 
+/// Measures how long duties take to be another one's, at terms in seconds.
+pub fn handing_on(terms: &[f64], times: usize) -> ExitCode {
+    let measured = std::env::current_exe().and_then(|program| {
+        let folder = run::fresh_folder(&std::env::temp_dir())?;
+        let mut clean = true;
+        for term in terms {
+            for fault in [Fault::Kill, Fault::Stall, Fault::Cut, Fault::Word] {
+                let measured = measures::handing_on(&program, &folder, *term, fault, times)?;
+                println!("{measured}");
+                clean &= measured.faults.is_empty();
+            }
+        }
+        std::fs::remove_dir_all(folder)?;
+        Ok(clean)
+    });
+    measured.map_or_else(failed, code)
+}
+
+/// Counts tries and list calls of dispatchers alone and as a fleet.
+pub fn tries(count: usize, out_s: f64, a_second: f64) -> ExitCode {
+    let measured = std::env::current_exe().and_then(|program| {
+        let folder = run::fresh_folder(&std::env::temp_dir())?;
+        for fleet in [false, true] {
+            println!("{}", measures::tried(&program, &folder, count, fleet, out_s, a_second)?);
+        }
+        std::fs::remove_dir_all(folder)
+    });
+    measured.map_or_else(failed, |()| ExitCode::SUCCESS)
+}
+
+fn failed(error: std::io::Error) -> ExitCode {
+    eprintln!("fawnspoke: {error}");
+    ExitCode::FAILURE
+}
+
 /// Runs the plain proxy.
 pub fn proxy(listen: SocketAddr, to: SocketAddr) -> ExitCode {
     match runtime().and_then(|runtime| runtime.block_on(proxy::serve(listen, to))) {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod killer;
 pub mod ledger;
 pub mod loss;
+pub mod measures;
 pub mod members;
 pub mod mischief;
 pub mod naive;
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -359,6 +359,11 @@
         lock(&self.log).clone()
     }
 
+    /// The id of its process, while it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Whether it runs, as far as this side has not ended it.
     pub fn runs(&self) -> bool {
         self.child.is_some()
