--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -1,12 +1,12 @@
 //! Members of a fleet of dispatchers, and one agreed log among them.
 //!
-//! - [`file`]: the operators' file that turns it on;
+//! - [`mod@file`]: the operators' file that turns it on;
 //! - [`identity`]: who a member is: name, birth and lives;
 //! - [`memory`]: the log while it runs;
 //! - [`members`]: who is a member, and the one change that is due next;
 //! - [`forms`]: the agreement library's messages and records in a form of our own;
 //! - [`part`]: what stands on the log, such as duties;
-//! - [`core`]: a member without sockets, files and clocks: events in, records and frames out;
+//! - [`mod@core`]: a member without sockets, files and clocks: events in, records and frames out;
 //! - [`store`]: the record on disk, synced before anything is answered for;
 //! - [`wire`] and [`links`]: what passes between members, and the connections over which it does;
 //! - [`shell`]: the thread that feeds the core and carries out what it asks for.
--- a/crates/duty/tests/model.rs
+++ b/crates/duty/tests/model.rs
@@ -293,7 +293,8 @@
 
 #[test]
 fn each_rule_is_needed() {
-    let without: [(&str, fn(&mut Rules)); 7] = [
+    type TakeOut = fn(&mut Rules);
+    let without: [(&str, TakeOut); 7] = [
         ("from_question", |rules| rules.from_question = false),
         ("leader_waits", |rules| rules.leader_waits = false),
         ("majority", |rules| rules.majority = false),
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -586,6 +586,20 @@
         for (key, x) in [("tick_ms", d.tick_ms), ("memory_mb", d.memory_mb), ("disk_mb", d.disk_mb)] {
             expect(above(x), "dispatchers", 0, key, ABOVE)?;
         }
+        let f = &self.fleet;
+        let voters = [0, 1, 3, 5, 7].contains(&f.voters) && f.voters <= d.count;
+        expect(voters, "fleet", 0, "voters", "must be 0, 1, 3, 5 or 7, and no more than dispatchers")?;
+        expect(f.troubles <= 10_000, "fleet", 0, "troubles", "must be 10000 at most")?;
+        expect(
+            f.every_ms[0] <= f.every_ms[1],
+            "fleet",
+            0,
+            "every_ms",
+            "must be the shortest and the longest",
+        )?;
+        let only = f.only.as_deref().is_none_or(|only| ["kill", "stop", "cut", "slow"].contains(&only));
+        expect(only, "fleet", 0, "only", "must be kill, stop, cut or slow")?;
+        expect(f.from_s.is_finite() && f.from_s >= 0.0, "fleet", 0, "from_s", "must be a number, 0 or more")?;
         let c = &self.clients;
         expect(above(c.rate), "clients", 0, "rate", ABOVE)?;
         let messages = c.rate * length;
