A called voter learns that its caller has looked: five voters could wait for a third look for ever

Seen by lab handing-on: a voter that was started again had links to all and said nothing for 30 s, where the leader was the one that it calls itself: followers that call it have nothing to send, and only what was heard counted as a look. The caller says so now (wire.rs, Looked). The schedules had both sides look at once and could not see it.

--- a/crates/cluster/src/core.rs
+++ b/crates/cluster/src/core.rs
@@ -339,6 +339,8 @@
                 }
                 self.draw();
             }
+            // Whoever sends anything has looked.
+            Frame::Looked => {}
             Frame::Join => {
                 if let Some(name) = self.linked.get(&from).filter(|_| self.leads) {
                     self.asking.insert(from, (name.clone(), now));
--- a/crates/cluster/src/shell.rs
+++ b/crates/cluster/src/shell.rs
@@ -8,7 +8,7 @@
 use crate::links::{Event, Link, Links};
 use crate::part::Part;
 use crate::store::{self, Opened, Store, StoreError};
-use crate::wire::{Hello, Me, Refusal, VERSION};
+use crate::wire::{Frame, Hello, Me, Refusal, VERSION};
 use crate::{Id, Seconds};
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -346,8 +346,11 @@
                     return None;
                 }
                 if called {
-                    // It answered without a refusal: it has looked.
+                    // It answered without a refusal: it has looked. It learns the same of this one, or it might wait for ever.
                     self.core.looked(hello.birth);
+                    if let Ok(packet) = fawnspoke_frames::packet(&Frame::Looked) {
+                        link.send(packet);
+                    }
                 }
                 if answer.send((self.hello(None), true)).is_err() {
                     self.core.unlink(hello.birth);
--- a/crates/cluster/src/wire.rs
+++ b/crates/cluster/src/wire.rs
@@ -62,6 +62,8 @@
 pub enum Frame {
     /// Of the library's protocol.
     Log(Box<Message>),
+    /// The caller has looked at the hello of the called one, and speaks with it.
+    Looked,
     /// The sender is to be a member.
     Join,
     /// A member's question whether this one leads.
--- a/crates/lab/src/measures.rs
+++ b/crates/lab/src/measures.rs
@@ -124,7 +124,22 @@
                 members.dispatchers[holder].start();
             }
         }
-        eventually("its return", || members.show(holder).is_some_and(|fleet| fleet["leader"].is_string()));
+        let back = || members.show(holder).is_some_and(|fleet| fleet["leader"].is_string());
+        let until = Instant::now() + Duration::from_secs_f64(20.0 + 4.0 * term);
+        while !back() {
+            if Instant::now() > until {
+                let log = members.dispatchers[holder].log();
+                let said: Vec<_> = log
+                    .iter()
+                    .rev()
+                    .filter(|l| l.starts_with("fleet:") && !l.contains("acts"))
+                    .take(20)
+                    .collect();
+                let shown = members.show(holder).unwrap_or_default();
+                return Err(io::Error::other(format!("n{holder} does not return; {shown}\n{said:#?}")));
+            }
+            sleep(Duration::from_millis(10));
+        }
     }
     measured.faults = members.faults();
     Ok(measured)
