A word that a place is out still counts as a failed probe of those that hold back

Seen by lab tries: after an outage of 14 s the five that had held back filled the cold place 1.3 times as fast as the one that had tried (43 calls against 33 in 6 s): the decisions date a return between the last own failure and the first success, and their own was 14 s old (outage.rs, learn). Ruled out: a late word (Served was told 0.9 s after the return, at the holder's own trial). Change: the seam tells them of each try that failed (bounds.rs, out_still); no line in policy. lab tries no longer counts broken calls as deliveries.

--- a/crates/lab/src/measures.rs
+++ b/crates/lab/src/measures.rs
@@ -259,6 +259,7 @@
     let of = |i: usize| tried.iter().filter(|id| id.starts_with(&format!("m{i}-"))).count();
     let busiest = (0..count).map(of).max().unwrap_or(0);
     out.store(false, Ordering::SeqCst);
+    let back = endpoint.seen().len();
     hand_in(&members, 3.0);
     let asked_before = platform.watched_from().len();
     platform.set(|mood| mood.silent = true);
@@ -267,8 +268,12 @@
     platform.set(|mood| mood.silent = false);
     let spent = ids.iter().map(|id| cpu(*id)).sum::<f64>() - before_cpu;
     let cpu = spent / began.elapsed().as_secs_f64();
-    let delivered =
-        || endpoint.ids().into_iter().filter(|id| taken.contains(id)).collect::<BTreeSet<_>>().len();
+    // What was broken off is no delivery.
+    let delivered = || {
+        let ids = endpoint.ids();
+        let served = ids[..before].iter().chain(&ids[back..]).filter(|id| taken.contains(*id));
+        served.collect::<BTreeSet<_>>().len()
+    };
     let until = Instant::now() + Duration::from_secs(20);
     while delivered() < taken.len() && Instant::now() < until {
         sleep(Duration::from_millis(50));
--- a/crates/node/src/bounds.rs
+++ b/crates/node/src/bounds.rs
@@ -8,6 +8,7 @@
 use fawnspoke_cluster::shell::{self, Member};
 use fawnspoke_duty::duties::{Duties, Fact, News, Settings};
 use fawnspoke_duty::lists::Pace;
+use fawnspoke_duty::roll::{Name, Word};
 use fawnspoke_duty::tries::{Bound, Fact as Of};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -98,6 +99,17 @@
         }
     }
 
+    /// Another member, which tries for this one, has found a destination out still: as if a probe of the own had failed.
+    /// Without it the decisions would date its return by their own last failure, and fill it too fast.
+    fn out_still(&self, node: &Node, destination: u32) {
+        if !matches!(self.out.borrow().get(&destination), Some(Bound::Held(_))) {
+            return;
+        }
+        let endpoint = node.directory.borrow().endpoint_of(destination);
+        let (outcome, latency, allowance) = (Outcome::Reset, 0.0, None);
+        endpoint.inspect(|at| node.tell(Event::Probed { endpoint: *at, outcome, latency, allowance }));
+    }
+
     /// Discovery's watch has ended.
     pub fn list_failed(&self) {
         self.tell(Fact::ListFailed);
@@ -220,13 +232,18 @@
             News::Refused(name, epoch, now_at) => {
                 println!("fleet: {:.6} refused {name} epoch {epoch}, {now_at} is given", clock::now());
             }
-            News::Told(name, epoch, word) if bounds.history => {
-                println!("fleet: {:.6} told {name} epoch {epoch} {word:?}", clock::now());
+            News::Told(name, epoch, word) => {
+                if bounds.history {
+                    println!("fleet: {:.6} told {name} epoch {epoch} {word:?}", clock::now());
+                }
+                if let (Name::Tries(destination), Word::Out) = (name, word) {
+                    bounds.out_still(&node, destination);
+                }
             }
             News::Acts(name, epoch, at) if bounds.history => {
                 println!("fleet: {at:.6} acts {name} epoch {epoch}");
             }
-            News::Told(..) | News::Acts(..) => {}
+            News::Acts(..) => {}
         }
     }
 }
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -155,6 +155,11 @@
         changed.collect()
     }
 
+    /// One endpoint of a destination.
+    pub fn endpoint_of(&self, destination: u32) -> Option<EndpointId> {
+        self.places.iter().find(|(_, place)| place.dest == destination).map(|(id, _)| *id)
+    }
+
     /// Whether the endpoints of a destination are routes of their own, each with its own outages.
     pub fn routes_apart(&self, config: &Config, destination: u32) -> bool {
         let place = self.places.values().find(|place| place.dest == destination);
