Lines that strangers cause are a few a second; many observers at once, a cut that opens and closes

Cause: a member wrote a line for each stranger's hello and for each failed bind, fifty a second and more (shell.rs); said.rs writes five a second and counts the rest.

--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`mod@core`]: a member without sockets, files and clocks: events in, records and frames out;
 //! - [`store`]: the record on disk, synced before anything is answered for;
 //! - [`wire`] and [`links`]: what passes between members, and the connections over which it does;
+//! - [`said`]: lines that others may cause;
 //! - [`shell`]: the thread that feeds the core and carries out what it asks for.
 //!
 //! What decides knows nothing of sockets, files or clocks.
@@ -22,6 +23,7 @@
 pub mod members;
 pub mod memory;
 pub mod part;
+pub mod said;
 pub mod shell;
 pub mod store;
 pub mod wire;
--- a/crates/cluster/src/shell.rs
+++ b/crates/cluster/src/shell.rs
@@ -7,6 +7,7 @@
 use crate::identity::Identity;
 use crate::links::{Event, Link, Links};
 use crate::part::Part;
+use crate::said::Said;
 use crate::store::{self, Opened, Store, StoreError};
 use crate::wire::{Frame, Hello, Me, Refusal, VERSION};
 use crate::{Id, Seconds};
@@ -155,7 +156,7 @@
 {
     let (events, mut links_say) = unbounded_channel();
     let links = Links::new(Rc::new(settings.file.clone()), &settings.name, events);
-    let (mut listening, mut held) = (false, false);
+    let (mut listening, mut held, mut said) = (false, false, Said::default());
     // Facts from before the record was open.
     loop {
         let opened = match Store::open(&settings.state, &settings.name, disk(&settings.file)) {
@@ -181,7 +182,7 @@
                 }
                 // The process before may have it for a moment yet.
                 Err(error) => {
-                    println!("fleet: its address: {error}");
+                    said.line(now(), format_args!("its address: {error}"));
                     drop(opened);
                     sleep(AGAIN).await;
                     continue;
@@ -208,6 +209,7 @@
                     up: BTreeMap::new(),
                     news: &news,
                     led: None,
+                    said: Said::default(),
                 };
                 life.live(&mut hears, &mut links_say).await
             }
@@ -241,6 +243,7 @@
     up: BTreeMap<Id, Link>,
     news: &'a UnboundedSender<P::News>,
     led: Option<Option<Id>>,
+    said: Said,
 }
 
 impl<P: Part> Drop for Life<'_, P> {
@@ -341,7 +344,9 @@
                 let judged =
                     judged.and_then(|()| self.core.link(hello.birth, &hello.name, hello.life, &hello.mark));
                 if let Err(refusal) = judged {
-                    println!("fleet: {} ({:016x}) is not spoken with: {refusal}", hello.name, hello.birth);
+                    let (name, birth) = (&hello.name, hello.birth);
+                    self.said
+                        .line(now(), format_args!("{name} ({birth:016x}) is not spoken with: {refusal}"));
                     let _ = answer.send((self.hello(Some(refusal)), false));
                     return None;
                 }
@@ -375,7 +380,7 @@
             }
             Event::Refused { name, hello } => {
                 let refusal = hello.refused?;
-                println!("fleet: {name} does not speak with this member: {refusal}");
+                self.said.line(now(), format_args!("{name} does not speak with this member: {refusal}"));
                 if refusal == Refusal::OlderCopy {
                     return Some(End::Older);
                 }
--- a/crates/duty/tests/schedules.rs
+++ b/crates/duty/tests/schedules.rs
@@ -114,6 +114,17 @@
     assert!(one.seen.len() > 100);
 }
 
+/// `OBSERVERS=100` has as many; CI has fewer.
+#[test]
+fn many_observers_join_at_once() {
+    let observers = std::env::var("OBSERVERS").ok().and_then(|text| text.parse().ok()).unwrap_or(30);
+    let mut world = World::new(Plan { voters: 5, observers, ..SOUND }, 1);
+    let whole = world.until(120.0, |world| world.whole().is_ok() && world.kept());
+    assert!(whole.is_some(), "{:?}", world.whole());
+    println!("{observers} observers and five voters are all members after {:.1} s", whole.unwrap());
+    assert!(faults(&world.seen, &world.both).is_empty());
+}
+
 /// Seeds until one finds it.
 fn found(change: impl Fn(&mut Plan)) -> Option<u64> {
     (0..400).find(|seed| {
--- a/crates/duty/tests/world/mod.rs
+++ b/crates/duty/tests/world/mod.rs
@@ -428,6 +428,18 @@
         self.terms = self.members.iter().filter_map(|m| m.core.as_ref()).map(Core::term).max().unwrap_or(0);
     }
 
+    /// Plays without faults until something holds: after how many seconds; none where it does not within a limit.
+    pub fn until(&mut self, limit: Seconds, holds: impl Fn(&World) -> bool) -> Option<Seconds> {
+        let began = self.now;
+        while self.now < began + limit {
+            self.step();
+            if holds(self) {
+                return Some(self.now - began);
+            }
+        }
+        None
+    }
+
     /// The keeper's duty is held, and by one that is there.
     pub fn kept(&self) -> bool {
         (0..self.members.len()).any(|i| {
--- a/crates/fawnspoke/tests/fleet/duties.rs
+++ b/crates/fawnspoke/tests/fleet/duties.rs
@@ -74,6 +74,27 @@
     clean(&stage.members);
 }
 
+#[test]
+fn a_cut_that_opens_and_closes_costs_no_promise_and_work_is_done() {
+    let stage = started(3, 0);
+    let (holder, _) = next_keeper(&stage.members, 0);
+    let acts = |members: &Members| {
+        members.histories().values().flatten().filter(|line| matches!(line, Line::Acted { .. })).count()
+    };
+    let before = acts(&stage.members);
+    for _ in 0..10 {
+        for cut in [true, false] {
+            stage.members.cut_off(holder, (cut, cut));
+            std::thread::sleep(Duration::from_millis(300));
+        }
+    }
+    let changes =
+        |i: usize| stage.members.dispatchers[i].log().iter().filter(|line| line.ends_with(" leads")).count();
+    println!("{} acts in 6 s, {} changes of the leader seen", acts(&stage.members) - before, changes(holder));
+    eventually("that work is done", || acts(&stage.members) > before + 40);
+    clean(&stage.members);
+}
+
 #[test]
 fn an_ordinary_stop_hands_on_by_word() {
     let mut stage = started(3, 0);
