--- a/crates/lab/src/measures.rs
+++ b/crates/lab/src/measures.rs
@@ -114,7 +114,8 @@
             sleep(Duration::from_millis(2));
         }
         let at = acted.ok_or_else(|| io::Error::other("nobody took the duty"))?.0;
-        measured.times.saturating_record(((at - began) * 1000.0).max(0.0) as u64);
+        let took = ((at - began) * 1000.0).max(0.0) as u64;
+        measured.times.record(took).map_err(io::Error::other)?;
         match fault {
             Fault::Kill => members.dispatchers[holder].start(),
             Fault::Stall => members.dispatchers[holder].signal("CONT"),
