--- a/crates/cluster/src/clock.rs
+++ b/crates/cluster/src/clock.rs
@@ -15,6 +15,13 @@
     now
 }
 
+/// A time of [`now`] on the clock that all processes of this machine share: the same, but where a test has one run wrong.
+pub fn of_all(at: Seconds) -> Seconds {
+    #[cfg(feature = "fast-clock")]
+    let at = at / rate();
+    at
+}
+
 /// The rate that the tests' variable asks for.
 #[cfg(feature = "fast-clock")]
 fn rate() -> f64 {
--- a/crates/cluster/src/core.rs
+++ b/crates/cluster/src/core.rs
@@ -2,9 +2,11 @@
 //! frames and news come out. The caller's order is: [`Core::poll`], sync what it gives, [`Core::synced`], send
 //! [`Core::take_frames`].
 
-use crate::file::{File, MEMBERS_MOST};
+use crate::confirm::Confirmations;
+use crate::file::{ELECTION_BEATS, File, MEMBERS_MOST};
 use crate::forms::{Conf, ENTRIES_MOST, Entry, Hard, Message, Snapshot};
-use crate::identity::{Identity, Mark, Seen};
+use crate::identity::{Identity, Mark};
+use crate::looks::Looks;
 use crate::members::{Change, Known, Members};
 use crate::memory::{ENTRY, Memory};
 use crate::part::{Part, View};
@@ -14,11 +16,9 @@
 use raft::prelude::{ConfChange, ConfChangeType, EntryType, MessageType};
 use raft::{Config, RawNode, Ready, SnapshotStatus, StateRole};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// Heartbeats without a leader after which a follower is a candidate, at least; up to twice as many, by chance.
-const ELECTION_BEATS: usize = 10;
 /// After a stall no more beats than this are made up for.
 const BEATS_MOST: u32 = 2;
 /// Bytes of entries in one message.
@@ -27,18 +27,14 @@
 const INFLIGHT: usize = 32;
 /// Bytes of entries that are proposed and not agreed; more are turned away.
 const UNAGREED_BYTES: u64 = 1 << 20;
+/// Whether a snapshot has come is asked so many beats after it was sent.
+const SNAPSHOT_BEATS: u32 = ELECTION_BEATS as u32;
 /// An observer that is so few entries behind has caught up.
 const CAUGHT_UP: u64 = 64;
 /// Whoever asked to join and was not heard for so many beats asks no more.
 const ASKING_BEATS: f64 = 20.0;
-/// A question to a majority that was not answered for so many beats is asked anew.
-const BATCH_BEATS: f64 = 4.0;
-/// Questions that wait for an answer.
-const QUESTIONS_MOST: usize = 4 * MEMBERS_MOST;
 /// Bytes of a proposal.
 const PROPOSAL_MOST: usize = 16 << 10;
-/// Births of which is remembered what they acknowledged.
-const SEEN_MOST: usize = 4 * MEMBERS_MOST;
 
 /// Why a member can't begin.
 #[derive(Debug, thiserror::Error)]
@@ -58,13 +54,6 @@
     part: Vec<u8>,
 }
 
-/// What a majority is being asked: whether this leader still leads.
-struct Batch {
-    number: u64,
-    questions: Vec<(Id, u64)>,
-    at: Seconds,
-}
-
 /// A member.
 pub struct Core<P: Part> {
     file: Arc<File>,
@@ -82,23 +71,17 @@
     leads: bool,
     /// The term of that leadership.
     led: u64,
-    term: u64,
+    /// Beats to the next election, and the term for which they were drawn.
+    drawn: Option<(u64, usize)>,
     applied: u64,
     /// As a leader: who wants to join, and since when it has not said so.
     asking: BTreeMap<Id, (String, Seconds)>,
-    questions: Vec<(Id, u64)>,
-    batch: Option<Batch>,
-    batches: u64,
-    /// What others have acknowledged.
-    seen: BTreeMap<Id, Seen>,
+    confirmations: Confirmations,
+    looks: Looks,
     /// Members with a link: their names.
     linked: BTreeMap<Id, String>,
-    /// Members that have looked at this one's hello and found nothing missing.
-    looked: BTreeSet<Id>,
-    /// Snapshots on their way: whether they came is found out by the next probe.
-    snapshots: Vec<Id>,
-    /// It may speak: it is no voter, or enough have looked.
-    speaks: bool,
+    /// Snapshots on their way, and the beats until a probe finds out whether they have come.
+    snapshots: BTreeMap<Id, u32>,
 }
 
 /// The first record of a fleet, with one voter.
@@ -155,17 +138,13 @@
             cut: false,
             leads: false,
             led: 0,
-            term: 0,
+            drawn: None,
             applied,
             asking: BTreeMap::new(),
-            questions: Vec::new(),
-            batch: None,
-            batches: 0,
-            seen: BTreeMap::new(),
+            confirmations: Confirmations::default(),
+            looks: Looks::default(),
             linked: BTreeMap::new(),
-            looked: BTreeSet::new(),
-            snapshots: Vec::new(),
-            speaks: false,
+            snapshots: BTreeMap::new(),
         };
         core.part.begin(core.identity.birth);
         if applied > 0 {
@@ -223,33 +202,27 @@
 
     /// Whether it takes part in the library's protocol yet.
     pub fn speaks(&self) -> bool {
-        self.speaks
+        self.looks.spoke()
     }
 
-    /// A link has come up. The other side's record is judged by what it has acknowledged here.
+    /// A link has come up. The other side's record is judged by what it has acknowledged here. Another birth of its name that
+    /// has a link gives that up: a name has one link.
     ///
     /// # Errors
     /// Where it is an older copy.
-    pub fn link(&mut self, id: Id, name: &str, life: u64, mark: &Mark) -> Result<(), Refusal> {
-        let seen = self.seen.entry(id).or_default();
-        if seen.is_ahead_of(life, mark) {
-            return Err(Refusal::OlderCopy);
-        }
-        seen.life = life;
-        // Its last places may be a former leader's, and go; what it acknowledges in a term stays.
-        seen.mark.note(mark.term, mark.voted, 0);
-        while self.seen.len() > SEEN_MOST {
-            let stranger = self.seen.keys().find(|id| !self.members.0.contains_key(id)).copied();
-            let Some(stranger) = stranger else { break };
-            self.seen.remove(&stranger);
-        }
+    pub fn link(&mut self, id: Id, name: &str, life: u64, mark: &Mark) -> Result<Option<Id>, Refusal> {
+        self.looks.judge(id, life, mark, &self.members)?;
+        let other =
+            self.linked.iter().find(|(other, of)| **other != id && *of == name).map(|(other, _)| *other);
         self.linked.insert(id, name.to_string());
-        Ok(())
+        Ok(other)
     }
 
-    /// The other side has looked at this one's hello and speaks with it.
-    pub fn looked(&mut self, id: Id) {
-        self.looked.insert(id);
+    /// This side called, and the other speaks with it: it has looked. It learns the same of this one, or it might wait for
+    /// ever for somebody to say something.
+    pub fn called(&mut self, id: Id) {
+        self.looks.looked_by(id);
+        self.frames.push((id, Frame::Looked));
     }
 
     /// A link has ended.
@@ -265,22 +238,20 @@
 
     /// Time has passed.
     pub fn tick(&mut self, now: Seconds) {
-        self.may_speak();
+        let speaks = self.looks.speaks(self.identity.birth, &self.members);
         let beat = self.file.beat();
         let mut beats = 0;
         while now >= self.beat_at {
             self.beat_at += beat;
             beats += 1;
-            if beats <= BEATS_MOST && self.speaks {
+            if beats <= BEATS_MOST && speaks {
                 self.raw.tick();
             }
             if beats > BEATS_MOST {
                 self.beat_at = self.beat_at.max(now);
             }
         }
-        for to in std::mem::take(&mut self.snapshots) {
-            self.raw.report_snapshot(to, SnapshotStatus::Finish);
-        }
+        self.ask_for_snapshots(beats);
         self.draw();
         let member = self.members.0.contains_key(&self.identity.birth);
         if beats > 0 && !member {
@@ -301,37 +272,39 @@
         self.decide(now);
     }
 
-    /// A voter whose record may be an older copy says nothing until a majority has looked at it.
-    fn may_speak(&mut self) {
-        if self.speaks {
-            return;
+    /// Has the library probe whether snapshots have come that were sent a while ago; what was lost goes again.
+    fn ask_for_snapshots(&mut self, beats: u32) {
+        self.snapshots.values_mut().for_each(|left| *left = left.saturating_sub(beats));
+        let due: Vec<Id> = self.snapshots.iter().filter(|(_, left)| **left == 0).map(|(id, _)| *id).collect();
+        for to in due {
+            self.snapshots.remove(&to);
+            self.raw.report_snapshot(to, SnapshotStatus::Finish);
         }
-        let me = self.identity.birth;
-        let voters: BTreeSet<Id> = self.members.voters().collect();
-        let looked = voters.iter().filter(|id| **id == me || self.looked.contains(id)).count();
-        self.speaks = !voters.contains(&me) || 2 * looked > voters.len();
     }
 
-    /// The time to the next election, by this member's own chance: the library's is no seed's.
+    /// The time to the next election, by this member's own chance, one for each term: the library draws anew whenever it
+    /// counts anew, by a chance that is no seed's.
     fn draw(&mut self) {
         let term = self.raw.raft.term;
-        let reset = self.raw.raft.randomized_election_timeout();
-        let drawn = |rng: &mut fastrand::Rng| ELECTION_BEATS + rng.usize(0..ELECTION_BEATS);
-        if std::mem::replace(&mut self.term, term) != term || reset >= 2 * ELECTION_BEATS {
-            let drawn = drawn(&mut self.rng);
-            self.raw.raft.set_randomized_election_timeout(drawn);
+        if self.drawn.is_none_or(|(of, _)| of != term) {
+            self.drawn = Some((term, ELECTION_BEATS + self.rng.usize(0..ELECTION_BEATS)));
+        }
+        if let Some((_, beats)) = self.drawn {
+            self.raw.raft.set_randomized_election_timeout(beats);
         }
     }
 
     /// A frame has come from a member with a link.
     pub fn hear(&mut self, now: Seconds, from: Id, frame: Frame) {
+        // Whoever sends anything has looked.
+        self.looks.looked_by(from);
         match frame {
             Frame::Log(message) => {
-                if message.from != from || message.to != self.identity.birth || !self.speaks {
+                if message.from != from || message.to != self.identity.birth || !self.looks.spoke() {
                     return;
                 }
-                if let Some((term, voted, last)) = message.acknowledges() {
-                    self.seen.entry(from).or_default().mark.note(term, voted, last);
+                if let Some(acknowledged) = message.acknowledges() {
+                    self.looks.acknowledged(from, acknowledged);
                 }
                 if let Ok(message) = message.lib() {
                     // What the library finds out of place is as good as lost.
@@ -339,7 +312,6 @@
                 }
                 self.draw();
             }
-            // Whoever sends anything has looked.
             Frame::Looked => {}
             Frame::Join => {
                 if let Some(name) = self.linked.get(&from).filter(|_| self.leads) {
@@ -369,34 +341,23 @@
             return;
         }
         self.part.heard(now, from);
-        if self.questions.len() < QUESTIONS_MOST {
-            self.questions.push((from, question));
-        }
+        self.confirmations.ask(from, question);
         self.ask_majority(now);
     }
 
     /// Asks a majority whether this member still leads, for all questions that wait.
     fn ask_majority(&mut self, now: Seconds) {
-        let overdue = |batch: &Batch| now - batch.at >= BATCH_BEATS * self.file.beat();
-        if self.batch.as_ref().is_some_and(|batch| !overdue(batch)) {
-            return;
-        }
-        // One that was not answered is gone: whoever asked asks again.
-        self.batch = None;
-        if self.questions.is_empty() || !self.raw.raft.commit_to_current_term() {
-            return;
+        if self.raw.raft.commit_to_current_term()
+            && let Some(context) = self.confirmations.next(now, self.file.beat())
+        {
+            self.raw.read_index(context);
         }
-        self.batches += 1;
-        let questions = std::mem::take(&mut self.questions);
-        self.batch = Some(Batch { number: self.batches, questions, at: now });
-        self.raw.read_index(self.batches.to_be_bytes().to_vec());
     }
 
     fn answer(&mut self, now: Seconds, context: &[u8]) {
-        let Some(batch) = self.batch.take_if(|batch| batch.number.to_be_bytes() == context) else { return };
         // What this leader has given away so far has its place at or before its log's end.
         let after = self.raw.raft.raft_log.last_index();
-        for (to, question) in batch.questions {
+        for (to, question) in self.confirmations.answered(context) {
             if to == self.identity.birth {
                 self.part.confirmed(now, question, after);
             } else {
@@ -514,7 +475,7 @@
             let leads = soft.raft_state == StateRole::Leader;
             let led = std::mem::replace(&mut self.led, self.raw.raft.term);
             if std::mem::replace(&mut self.leads, leads) != leads || led != self.led {
-                (self.batch, self.questions) = (None, Vec::new());
+                self.confirmations.forget();
                 self.asking.clear();
                 self.part.leads(now, leads);
             }
@@ -547,7 +508,7 @@
     fn send<'a>(&mut self, messages: impl Iterator<Item = &'a raft::prelude::Message>) {
         let messages = messages.inspect(|message| {
             if message.get_msg_type() == MessageType::MsgSnapshot {
-                self.snapshots.push(message.to);
+                self.snapshots.entry(message.to).or_insert(SNAPSHOT_BEATS);
             }
         });
         let frames = messages.map(|message| (message.to, Frame::Log(Box::new(Message::of(message)))));
@@ -573,6 +534,9 @@
                 if let Ok(conf) = self.raw.apply_conf_change(&agreed) {
                     self.raw.mut_store().conf = Conf::of(&conf);
                     self.members.apply(&change);
+                    if let Change::Remove(id) = change {
+                        self.part.removed(id);
+                    }
                 }
             }
             self.part.applied(self.applied);
@@ -658,7 +622,7 @@
         });
         serde_json::json!({
             "cluster": self.file.cluster, "name": self.identity.name, "birth": format!("{me:016x}"),
-            "life": self.identity.life, "member": self.members.0.contains_key(&me), "speaks": self.speaks,
+            "life": self.identity.life, "member": self.members.0.contains_key(&me), "speaks": self.looks.spoke(),
             "leader": self.leader().and_then(name), "term": self.raw.raft.term, "applied": self.applied,
             "log": self.raw.store().length(), "members": members.collect::<Vec<_>>(),
             "part": self.part.show(now, &View {
--- a/crates/cluster/src/file.rs
+++ b/crates/cluster/src/file.rs
@@ -10,12 +10,16 @@
 pub const VOTERS: [usize; 4] = [1, 3, 5, 7];
 /// Members at most, voters among them.
 pub const MEMBERS_MOST: usize = 307;
+/// Bytes of a name: all names of a fleet go into each snapshot.
+const NAME_MOST: usize = 64;
 /// The least and longest term, in seconds.
 pub const TERM: (Seconds, Seconds) = (0.5, 60.0);
 /// The largest bound on clocks' rates.
 pub const CLOCK_RATE_MOST: f64 = 0.2;
-/// Heartbeats of a leader in one term; a follower that misses ten is a candidate.
+/// Heartbeats of a leader in one term.
 const BEATS: f64 = 20.0;
+/// Heartbeats without a leader after which a follower is a candidate, at least; up to twice as many, by chance.
+pub const ELECTION_BEATS: usize = 10;
 /// Heartbeats are no closer and no further apart than this, in seconds.
 const BEAT: (Seconds, Seconds) = (0.025, 0.5);
 
@@ -37,7 +41,7 @@
     /// What the agreed log may take on disk, in megabytes.
     #[serde(default = "disk")]
     pub disk_mb: f64,
-    /// What queues of links may take, in megabytes.
+    /// What waits to be sent and to be heard may take, in megabytes: half each, and a packet fits into that.
     #[serde(default = "memory")]
     pub memory_mb: f64,
     /// Entries of the log after which its keeper has it cut.
@@ -122,14 +126,14 @@
             let fault = || format!("{key}: must lie between {least} and {most}");
             (least..=most).contains(&x).then_some(()).ok_or_else(fault)
         };
-        if self.cluster.is_empty() || self.cluster.len() > 64 {
-            return Err("cluster: must be a name of 1 to 64 bytes".into());
+        if self.cluster.is_empty() || self.cluster.len() > NAME_MOST {
+            return Err(format!("cluster: must be a name of 1 to {NAME_MOST} bytes"));
         }
         within("term_s", self.term_s, TERM)?;
         within("clock_rate", self.clock_rate, (0.0, CLOCK_RATE_MOST))?;
         within("hold_most_s", self.hold_most_s, (0.1, 60.0))?;
         within("disk_mb", self.disk_mb, (0.25, 1000.0))?;
-        within("memory_mb", self.memory_mb, (0.25, 1000.0))?;
+        within("memory_mb", self.memory_mb, (2.5, 1000.0))?;
         within("cut_after", self.cut_after as f64, (10.0, 1e6))?;
         within("keeper_round_s", self.keeper_round_s, (0.01, 3600.0))?;
         let voters = self.voters().count();
@@ -140,6 +144,9 @@
             return Err(format!("member: {} are named, {MEMBERS_MOST} at most", self.member.len()));
         }
         for (one, peer) in &self.member {
+            if one.is_empty() || one.len() > NAME_MOST {
+                return Err(format!("member.{one}: a name must have 1 to {NAME_MOST} bytes"));
+            }
             if peer.at.port() == 0 {
                 return Err(format!("member.{one}.at: must have a port"));
             }
@@ -178,6 +185,11 @@
         (self.term_s / BEATS).clamp(BEAT.0, BEAT.1)
     }
 
+    /// The longest time from a leader's last heartbeat until a follower stands for election, in seconds.
+    pub fn election_most(&self) -> Seconds {
+        2.0 * ELECTION_BEATS as f64 * self.beat()
+    }
+
     /// How long a granter waits, on its own clock, so that a term that began before has passed on any clock: each runs
     /// at 1 ± `clock_rate` of true time.
     pub fn guard(&self) -> Seconds {
@@ -216,6 +228,7 @@
             (with("disk_mb = 0"), "disk_mb: must lie"),
             (GOOD.replace("\"m\"", "\"\""), "cluster: must be a name"),
             (GOOD.replace("voter = true", "voter = false"), "member: 0 have voter = true"),
+            (GOOD.replace("\"b\"", &format!("\"{}\"", "b".repeat(65))), "a name must have 1 to 64 bytes"),
             (GOOD.replace("7102", "7101"), "is b's too"),
             (GOOD.replace("7102", "0"), "member.b.at: must have a port"),
             (GOOD.replace("127.0.0.1:7102", "nowhere"), "member.b.at: "),
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -2,6 +2,8 @@
 //!
 //! - [`mod@file`]: the operators' file that turns it on;
 //! - [`identity`]: who a member is: name, birth and lives;
+//! - [`looks`]: who has looked at whose record;
+//! - [`confirm`]: questions whether a leader leads;
 //! - [`memory`]: the log while it runs;
 //! - [`members`]: who is a member, and the one change that is due next;
 //! - [`forms`]: the agreement library's messages and records in a form of our own;
@@ -15,11 +17,13 @@
 //! What decides knows nothing of sockets, files or clocks.
 
 pub mod clock;
+pub mod confirm;
 pub mod core;
 pub mod file;
 pub mod forms;
 pub mod identity;
 pub mod links;
+pub mod looks;
 pub mod members;
 pub mod memory;
 pub mod part;
--- a/crates/cluster/src/links.rs
+++ b/crates/cluster/src/links.rs
@@ -10,10 +10,11 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{Receiver, Sender, UnboundedSender, channel};
-use tokio::sync::oneshot;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
@@ -47,42 +48,66 @@
         link: Link,
     },
     /// A frame.
-    Frame(Id, u64, Frame),
+    Frame {
+        /// From whom.
+        from: Id,
+        /// The link's number.
+        link: u64,
+        /// What it says.
+        frame: Frame,
+        /// Its part of what may wait to be heard.
+        _unheard: OwnedSemaphorePermit,
+    },
     /// A link has ended.
     Ended(Id, u64),
     /// The other side does not speak with this one.
     Refused {
-        /// Whom this side called.
+        /// Its name.
         name: String,
+        /// The own birth that is not spoken with; this member may have another by now.
+        refused: Id,
         /// Why.
         hello: Box<Hello>,
     },
 }
 
+/// A packet that waits to be sent. However its link ends, what it took of the room is free again.
+struct Queued {
+    packet: Vec<u8>,
+    room: Rc<Cell<usize>>,
+}
+
+impl Queued {
+    /// Takes its part of the room of all queues, where there is as much.
+    fn new(packet: Vec<u8>, room: &Rc<Cell<usize>>) -> Option<Queued> {
+        room.set(room.get().checked_sub(packet.len())?);
+        Some(Queued { packet, room: room.clone() })
+    }
+}
+
+impl Drop for Queued {
+    fn drop(&mut self) {
+        self.room.set(self.room.get() + self.packet.len());
+    }
+}
+
 /// A link, for sending.
 #[derive(Clone)]
 pub struct Link {
     /// Counts the links of this process.
     pub number: u64,
-    queue: Sender<Vec<u8>>,
-    /// Bytes in all queues.
-    bytes: Rc<Cell<usize>>,
-    most: usize,
+    queue: Sender<Queued>,
+    /// Bytes that all queues together may take yet.
+    room: Rc<Cell<usize>>,
     abort: Rc<RefCell<Option<AbortHandle>>>,
 }
 
 impl Link {
     /// Sends a frame, unless the queue is full: then it is lost.
     pub fn send(&self, packet: Vec<u8>) -> bool {
-        let after = self.bytes.get() + packet.len();
-        if packet.len() > PACKET_MOST || after > self.most {
-            return false;
-        }
-        let sent = self.queue.try_send(packet).is_ok();
-        if sent {
-            self.bytes.set(after);
-        }
-        sent
+        let fits = packet.len() <= PACKET_MOST;
+        let queued = Some(packet).filter(|_| fits).and_then(|packet| Queued::new(packet, &self.room));
+        queued.is_some_and(|queued| self.queue.try_send(queued).is_ok())
     }
 
     /// Ends it.
@@ -101,8 +126,11 @@
     events: UnboundedSender<Event>,
     count: Rc<Cell<u64>>,
     strangers: Rc<Cell<usize>>,
-    bytes: Rc<Cell<usize>>,
-    /// The hello of now, by whom it is for.
+    /// Bytes that all queues together may take yet.
+    room: Rc<Cell<usize>>,
+    /// Bytes that were read and that the thread has not heard yet, as permits.
+    unheard: Arc<Semaphore>,
+    /// The hello of now, but for whom it is.
     hello: Rc<RefCell<Option<Hello>>>,
 }
 
@@ -115,13 +143,15 @@
 impl Links {
     /// None yet.
     pub fn new(file: Rc<File>, name: &str, events: UnboundedSender<Event>) -> Links {
+        let most = (file.memory_mb * 1e6 / 2.0) as usize;
         Links {
             file,
             name: name.into(),
             events,
             count: Rc::default(),
             strangers: Rc::default(),
-            bytes: Rc::default(),
+            room: Rc::new(Cell::new(most)),
+            unheard: Arc::new(Semaphore::new(most.min(Semaphore::MAX_PERMITS))),
             hello: Rc::default(),
         }
     }
@@ -150,12 +180,11 @@
         self.hello.replace(Some(hello));
     }
 
-    fn link(&self) -> (Link, Receiver<Vec<u8>>) {
+    fn link(&self) -> (Link, Receiver<Queued>) {
         let (queue, frames) = channel(QUEUE);
         self.count.set(self.count.get() + 1);
-        let most = (self.file.memory_mb * 1e6) as usize;
-        let (number, bytes) = (self.count.get(), self.bytes.clone());
-        (Link { number, queue, bytes, most, abort: Rc::default() }, frames)
+        let (number, room) = (self.count.get(), self.room.clone());
+        (Link { number, queue, room, abort: Rc::default() }, frames)
     }
 
     async fn accept(self, listener: TcpListener) {
@@ -176,16 +205,18 @@
                 let patience = Duration::from_secs_f64(HELLO_TIME);
                 let greeted = timeout(patience, links.greeted(&mut wire, link.clone())).await.ok().flatten();
                 links.strangers.set(links.strangers.get() - 1);
-                if let Some(id) = greeted {
-                    links.run(id, wire, &link, frames).await;
+                if let Some((id, own)) = greeted {
+                    links.run(id, own, wire, &link, frames).await;
                 }
             });
             abort.replace(Some(task.abort_handle()));
         }
     }
 
-    /// Waits for a caller's hello and answers it.
-    async fn greeted(&self, wire: &mut Framed<TcpStream, LengthDelimitedCodec>, link: Link) -> Option<Id> {
+    /// Waits for a caller's hello and answers it: its birth, and the own one that it was told.
+    async fn greeted(
+        &self, wire: &mut Framed<TcpStream, LengthDelimitedCodec>, link: Link,
+    ) -> Option<(Id, Id)> {
         let packet = wire.next().await?.ok()?;
         let hello: Hello = fawnspoke_frames::read_hello(&packet).ok()?;
         let id = hello.birth;
@@ -194,7 +225,7 @@
         self.events.send(Event::Hello { hello, called: false, answer, link }).ok()?;
         let (own, accepted) = answered.await.ok()?;
         wire.send(Bytes::from(fawnspoke_frames::hello_packet(&own).ok()?)).await.ok()?;
-        accepted.then_some(id)
+        accepted.then_some((id, own.birth))
     }
 
     /// Calls one member over and over.
@@ -216,7 +247,7 @@
     }
 
     /// One connection to its end: whether the other side spoke; nothing where it never came up.
-    async fn once(&self, name: &str, at: SocketAddr, link: Link, frames: Receiver<Vec<u8>>) -> Option<bool> {
+    async fn once(&self, name: &str, at: SocketAddr, link: Link, frames: Receiver<Queued>) -> Option<bool> {
         let hello = Hello { to: name.into(), ..self.hello.borrow().clone()? };
         let patience = Duration::from_secs_f64(HELLO_TIME);
         let stream = timeout(CONNECT_TIME, TcpStream::connect(at)).await.ok()?.ok()?;
@@ -228,7 +259,8 @@
         };
         let theirs = Box::new(timeout(patience, said).await.ok().flatten()?);
         if theirs.refused.is_some() {
-            let _ = self.events.send(Event::Refused { name: name.into(), hello: theirs });
+            let _ =
+                self.events.send(Event::Refused { name: name.into(), refused: hello.birth, hello: theirs });
             return Some(false);
         }
         let id = theirs.birth;
@@ -240,32 +272,26 @@
             let _ = wire.send(Bytes::from(fawnspoke_frames::hello_packet(&own).ok()?)).await;
             return Some(false);
         }
-        self.run(id, wire, &link, frames).await;
+        self.run(id, own.birth, wire, &link, frames).await;
         Some(true)
     }
 
     /// Carries frames both ways until one side ends.
     async fn run(
-        &self, id: Id, wire: Framed<TcpStream, LengthDelimitedCodec>, link: &Link,
-        mut frames: Receiver<Vec<u8>>,
+        &self, id: Id, own: Id, wire: Framed<TcpStream, LengthDelimitedCodec>, link: &Link,
+        mut frames: Receiver<Queued>,
     ) {
         let _ended = Ended { links: self.clone(), id, number: link.number };
         let (mut sink, mut source) = wire.split::<Bytes>();
         let silent = Duration::from_secs_f64(SILENT_TERMS * self.file.term_s);
         let write = async {
-            while let Some(packet) = frames.recv().await {
-                let bytes = packet.len();
-                let written = timeout(WRITE_TIME, sink.send(Bytes::from(packet))).await;
-                self.bytes.set(self.bytes.get().saturating_sub(bytes));
-                if !matches!(written, Ok(Ok(()))) {
+            // What waits when the link ends is lost with it.
+            while let Some(queued) = frames.recv().await {
+                let packet = Bytes::copy_from_slice(&queued.packet);
+                if !matches!(timeout(WRITE_TIME, sink.send(packet)).await, Ok(Ok(()))) {
                     break;
                 }
             }
-            // What waits is lost with the link.
-            frames.close();
-            while let Ok(packet) = frames.try_recv() {
-                self.bytes.set(self.bytes.get().saturating_sub(packet.len()));
-            }
         };
         let read = async {
             while let Ok(Some(Ok(packet))) = timeout(silent, source.next()).await {
@@ -274,13 +300,16 @@
                     if let Ok(hello) = fawnspoke_frames::read_hello::<Hello>(&packet)
                         && hello.refused.is_some()
                     {
-                        let _ = self
-                            .events
-                            .send(Event::Refused { name: hello.name.clone(), hello: Box::new(hello) });
+                        let (name, hello) = (hello.name.clone(), Box::new(hello));
+                        let _ = self.events.send(Event::Refused { name, refused: own, hello });
                     }
                     break;
                 };
-                if self.events.send(Event::Frame(id, link.number, frame)).is_err() {
+                // A peer that says more than is heard waits, and its socket with it.
+                let bytes = packet.len().max(1) as u32;
+                let Ok(unheard) = self.unheard.clone().acquire_many_owned(bytes).await else { break };
+                let frame = Event::Frame { from: id, link: link.number, frame, _unheard: unheard };
+                if self.events.send(frame).is_err() {
                     break;
                 }
             }
@@ -301,3 +330,32 @@
         let _ = self.links.events.send(Event::Ended(self.id, self.number));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_a_link_took_of_the_room_is_free_once_it_has_ended() {
+        let room = Rc::new(Cell::new(1000));
+        let link = |room: &Rc<Cell<usize>>| {
+            let (queue, frames) = channel(QUEUE);
+            (Link { number: 1, queue, room: room.clone(), abort: Rc::default() }, frames)
+        };
+        for _ in 0..10 {
+            let (link, frames) = link(&room);
+            assert!(link.send(vec![0; 400]) && link.send(vec![0; 400]) && !link.send(vec![0; 400]));
+            assert_eq!(room.get(), 200);
+            // The link ends with both in its queue.
+            drop(frames);
+            drop(link);
+            assert_eq!(room.get(), 1000);
+        }
+        let (link, mut frames) = link(&room);
+        for _ in 0..100 {
+            assert!(link.send(vec![0; 900]));
+            assert_eq!(frames.try_recv().map(|queued| queued.packet.len()).ok(), Some(900));
+        }
+        assert!(!link.send(vec![0; PACKET_MOST + 1]));
+    }
+}
--- a/crates/cluster/src/memory.rs
+++ b/crates/cluster/src/memory.rs
@@ -43,8 +43,11 @@
         match record {
             Record::Hard(hard) => self.hard = hard,
             Record::Snapshot(snapshot) if snapshot.index >= self.snapshot.index => {
-                self.entries.retain(|entry| entry.index > snapshot.index);
-                if self.entries.first().is_some_and(|first| first.index != snapshot.index + 1) {
+                // What lies behind it goes on from it only where the log is the same there: a leader's snapshot that came to
+                // a log of another history takes the place of all of it.
+                if self.term_at(snapshot.index) == Some(snapshot.term) {
+                    self.entries.retain(|entry| entry.index > snapshot.index);
+                } else {
                     self.entries.clear();
                 }
                 self.hard.commit = self.hard.commit.max(snapshot.index);
@@ -62,13 +65,10 @@
         }
     }
 
-    /// A snapshot that came from a leader takes the place of the whole log.
+    /// A snapshot that came from a leader, as [`Memory::take`] has it; the members are those that it knows.
     pub fn replace(&mut self, snapshot: Snapshot) {
-        self.entries.clear();
         self.conf = snapshot.conf.clone();
-        self.hard.commit = snapshot.index;
-        self.hard.term = self.hard.term.max(snapshot.term);
-        self.snapshot = snapshot;
+        self.take(Record::Snapshot(snapshot));
     }
 
     /// The last place.
@@ -172,6 +172,17 @@
         assert_eq!(Memory::of(memory.records()).records(), memory.records());
     }
 
+    #[test]
+    fn a_leaders_snapshot_leaves_nothing_of_another_history() {
+        // The same in the next life as in this one: what stands behind it on record went on from other entries.
+        let records = [entry(1, 1), entry(2, 1), entry(3, 1), entry(4, 1)];
+        let foreign = Snapshot { index: 2, term: 2, ..Snapshot::default() };
+        let mut memory = Memory::of(records.clone());
+        memory.replace(foreign.clone());
+        let next = Memory::of(records.into_iter().chain([Record::Snapshot(foreign)]));
+        assert_eq!((memory.last(), next.last()), (2, 2));
+    }
+
     #[test]
     fn a_snapshot_takes_the_place_of_what_lies_before_it() {
         let mut memory = Memory::of([entry(1, 1), entry(2, 1), entry(3, 1)]);
--- a/crates/cluster/src/part.rs
+++ b/crates/cluster/src/part.rs
@@ -50,6 +50,8 @@
     fn proposable(&self, entry: &[u8]) -> bool;
     /// An entry was agreed, at this place.
     fn agreed(&mut self, now: Seconds, at: u64, entry: &[u8]);
+    /// A member was removed, as agreed, at the place that is applied next.
+    fn removed(&mut self, member: Id);
     /// All up to this place is applied.
     fn applied(&mut self, at: u64);
     /// The agreed state, for a snapshot.
--- a/crates/cluster/src/shell.rs
+++ b/crates/cluster/src/shell.rs
@@ -9,17 +9,19 @@
 use crate::part::Part;
 use crate::said::Said;
 use crate::store::{self, Opened, Store, StoreError};
-use crate::wire::{Frame, Hello, Me, Refusal, VERSION};
+use crate::wire::{Hello, Me, Refusal, VERSION};
 use crate::{Id, Seconds};
+use futures_util::FutureExt;
 use std::collections::BTreeMap;
-use std::path::{Path, PathBuf};
+use std::panic::AssertUnwindSafe;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
 use tokio::task::LocalSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, timeout_at};
 
 /// The thread's stack, in bytes.
 const STACK: usize = 512 << 10;
@@ -156,24 +158,28 @@
 {
     let (events, mut links_say) = unbounded_channel();
     let links = Links::new(Rc::new(settings.file.clone()), &settings.name, events);
-    let (mut listening, mut held, mut said) = (false, false, Said::default());
-    // Facts from before the record was open.
+    let (mut listening, mut said, mut last) = (false, Said::default(), String::new());
+    let mut pause = Duration::ZERO;
     loop {
+        if !deaf(&mut hears, std::mem::take(&mut pause)).await {
+            return;
+        }
         let opened = match Store::open(&settings.state, &settings.name, disk(&settings.file)) {
             Ok(opened) => opened,
-            Err(error @ StoreError::Held(_)) => {
-                if !std::mem::replace(&mut held, true) {
-                    println!("fleet: {error}; waiting for it");
-                }
-                sleep(AGAIN).await;
-                continue;
-            }
             Err(error) => {
-                println!("fleet: {error}; this dispatcher is no member meanwhile");
-                sleep(AGAIN_FAILED).await;
+                let held = matches!(error, StoreError::Held(_));
+                let text = error.to_string();
+                if text != last {
+                    let meanwhile =
+                        if held { "waiting for it" } else { "this dispatcher is no member meanwhile" };
+                    println!("fleet: {text}; {meanwhile}");
+                }
+                last = text;
+                pause = if held { AGAIN } else { AGAIN_FAILED };
                 continue;
             }
         };
+        last.clear();
         if !listening {
             match links.open().await {
                 Ok(at) => {
@@ -183,8 +189,7 @@
                 // The process before may have it for a moment yet.
                 Err(error) => {
                     said.line(now(), format_args!("its address: {error}"));
-                    drop(opened);
-                    sleep(AGAIN).await;
+                    pause = AGAIN;
                     continue;
                 }
             }
@@ -211,7 +216,9 @@
                     led: None,
                     said: Said::default(),
                 };
-                life.live(&mut hears, &mut links_say).await
+                // The library asserts what its peers have to keep to; one that does not is no reason to end for good.
+                let lived = AssertUnwindSafe(life.live(&mut hears, &mut links_say)).catch_unwind().await;
+                lived.unwrap_or_else(|_| End::Again("the agreed log is not as its rules have it".into()))
             }
             Err(error) => End::Again(error.to_string()),
         };
@@ -219,7 +226,7 @@
             End::Stop => return,
             End::Again(error) => {
                 println!("fleet: {error}; the record is opened anew");
-                sleep(AGAIN_FAILED).await;
+                pause = AGAIN_FAILED;
             }
             End::Older => {
                 println!(
@@ -227,13 +234,27 @@
                 );
                 if let Err(error) = store::forget(&settings.state) {
                     println!("fleet: {error}");
-                    sleep(AGAIN_FAILED).await;
+                    pause = AGAIN_FAILED;
                 }
             }
         }
     }
 }
 
+/// Waits while this process is no member: facts are told anew once it is, questions get no answer. False where it is to
+/// end: another process of this member goes on, or the dispatcher stops.
+async fn deaf<F>(hears: &mut UnboundedReceiver<Told<F>>, pause: Duration) -> bool {
+    let until = tokio::time::Instant::now() + pause;
+    loop {
+        // What waits is heard before the record is tried for, however short the pause.
+        match timeout_at(until, hears.recv()).await {
+            Ok(Some(Told::Fact(_) | Told::Show(_))) => {}
+            Ok(Some(Told::Leave(_) | Told::Stop) | None) => return false,
+            Err(_) => return true,
+        }
+    }
+}
+
 /// One life of the core: from the opening of the record to its end.
 struct Life<'a, P: Part> {
     settings: &'a Settings,
@@ -350,25 +371,23 @@
                     let _ = answer.send((self.hello(Some(refusal)), false));
                     return None;
                 }
-                if called {
-                    // It answered without a refusal: it has looked. It learns the same of this one, or it might wait for ever.
-                    self.core.looked(hello.birth);
-                    if let Ok(packet) = fawnspoke_frames::packet(&Frame::Looked) {
-                        link.send(packet);
-                    }
-                }
                 if answer.send((self.hello(None), true)).is_err() {
-                    self.core.unlink(hello.birth);
+                    if !self.up.contains_key(&hello.birth) {
+                        self.core.unlink(hello.birth);
+                    }
                     return None;
                 }
-                if let Some(old) = self.up.insert(hello.birth, link) {
-                    old.end();
+                if let Ok(Some(other)) = judged {
+                    self.up.remove(&other).inspect(Link::end);
+                    self.core.unlink(other);
+                }
+                self.up.insert(hello.birth, link).inspect(Link::end);
+                if called {
+                    self.core.called(hello.birth);
                 }
             }
-            Event::Frame(from, number, frame) => {
-                if self.up.get(&from).is_some_and(|link| link.number == number) {
-                    // It speaks, so it has looked at this member's hello.
-                    self.core.looked(from);
+            Event::Frame { from, link, frame, _unheard } => {
+                if self.up.get(&from).is_some_and(|up| up.number == link) {
                     self.core.hear(now(), from, frame);
                 }
             }
@@ -378,10 +397,11 @@
                     self.core.unlink(id);
                 }
             }
-            Event::Refused { name, hello } => {
+            Event::Refused { name, refused, hello } => {
                 let refusal = hello.refused?;
                 self.said.line(now(), format_args!("{name} does not speak with this member: {refusal}"));
-                if refusal == Refusal::OlderCopy {
+                // Several say so of one birth; it is given up once.
+                if refusal == Refusal::OlderCopy && refused == self.core.identity().birth {
                     return Some(End::Older);
                 }
             }
@@ -411,8 +431,3 @@
         sleep(Duration::from_millis(5)).await;
     }
 }
-
-/// Whether a folder belongs to a member.
-pub fn is_member(state: &Path) -> bool {
-    store::birth(state).is_some()
-}
--- a/crates/cluster/src/store.rs
+++ b/crates/cluster/src/store.rs
@@ -1,7 +1,6 @@
 //! The record on disk: who the member is, and what of the log it has answered for. Synced before it is answered for,
 //! whatever the journal's own durability.
 
-use crate::Id;
 use crate::forms::{Entry, Hard, Snapshot};
 use crate::identity::Identity;
 use fawnspoke_handover::lock::{Lock, try_lock};
@@ -184,12 +183,6 @@
     File::open(&folder)?.sync_all()
 }
 
-/// The birth of the member of a folder, where it has one.
-pub fn birth(state: &Path) -> Option<Id> {
-    let bytes = fs::read(state.join(FOLDER).join(IDENTITY)).ok()?;
-    serde_json::from_slice::<Identity>(&bytes).ok().map(|identity| identity.birth)
-}
-
 /// Writes a file in place of another at one go, and has it outlast the machine.
 fn replace(folder: &Path, name: &str, bytes: &[u8]) -> io::Result<()> {
     let next = folder.join(format!("{name}.next"));
--- a/crates/duty/src/duties.rs
+++ b/crates/duty/src/duties.rs
@@ -2,7 +2,7 @@
 
 use crate::granter::Granter;
 use crate::lists::{Lists, Pace};
-use crate::roll::{Did, Entry, Name, Roll, Word};
+use crate::roll::{Did, Entry, Name, Roll, WANTED_MOST, Word};
 use crate::term::Term;
 use crate::tries::{self, Tries};
 use crate::{Id, Rules, Seconds};
@@ -95,6 +95,7 @@
     words: Vec<(Name, u64, Word)>,
     rounds: u64,
     round_at: Seconds,
+    cut_at: Seconds,
     still_at: Seconds,
     news: Vec<News>,
     cut: bool,
@@ -125,6 +126,7 @@
             words: Vec::new(),
             rounds: 0,
             round_at: 0.0,
+            cut_at: 0.0,
             still_at: 0.0,
             news: Vec::new(),
             cut: false,
@@ -159,8 +161,8 @@
             self.round_at = now + self.settings.round;
             self.tell(now, Name::Keeper, Word::Round(self.rounds + 1));
         }
-        if view.log >= self.settings.cut_after && now >= self.still_at {
-            self.still_at = now + AGAIN * self.settings.term;
+        if view.log >= self.settings.cut_after && now >= self.cut_at {
+            self.cut_at = now + AGAIN * self.settings.term;
             self.tell(now, Name::Keeper, Word::Cut);
         }
     }
@@ -202,14 +204,34 @@
 
     /// Whether something that was asked for is so, or makes no sense any more.
     fn settled(&self, ask: &Ask) -> bool {
-        let wanted = |name| self.roll.get(name).is_some_and(|duty| duty.wanted.contains(&self.me));
         match *ask {
-            Ask::Want(name) => wanted(name),
-            Ask::Unwant(name) => !wanted(name),
+            Ask::Want(name) => {
+                let full = self.roll.get(name).is_some_and(|duty| duty.wanted.len() >= WANTED_MOST);
+                full || self.wants(name)
+            }
+            Ask::Unwant(name) => !self.wants(name),
             Ask::Release(name, epoch) => self.roll.get(name).is_none_or(|duty| duty.epoch != epoch),
         }
     }
 
+    /// Whether it is agreed that this member has use for a duty.
+    fn wants(&self, name: Name) -> bool {
+        self.roll.get(name).is_some_and(|duty| duty.wanted.contains(&self.me))
+    }
+
+    /// What it is agreed to have use for and has none: it has begun anew since, or discovery has answered.
+    fn ask_no_more(&mut self) {
+        let held = self.roll.duties().filter(|(_, duty)| duty.wanted.contains(&self.me));
+        let no_use = held.filter(|(name, _)| match name {
+            Name::Tries(destination) => !self.tries.wants(*destination),
+            Name::Lists => !self.lists.wanted(),
+            Name::Keeper => false,
+        });
+        for ask in no_use.map(|(name, _)| Ask::Unwant(name)).collect::<Vec<_>>() {
+            self.asked.entry(ask).or_insert(None);
+        }
+    }
+
     /// What this member wants of the log now.
     fn ask(&mut self, now: Seconds) -> Vec<Entry> {
         let (wants, words, releases) = self.tries.take();
@@ -230,10 +252,11 @@
         for (destination, epoch) in releases {
             self.asked.insert(Ask::Release(Tries::name(destination), epoch), None);
         }
-        let listed = self.roll.get(Name::Lists).is_some_and(|duty| duty.wanted.contains(&self.me));
-        if self.lists.wanted() && !listed {
+        if self.lists.wanted() && !self.wants(Name::Lists) {
+            self.asked.remove(&Ask::Unwant(Name::Lists));
             self.asked.entry(Ask::Want(Name::Lists)).or_insert(None);
         }
+        self.ask_no_more();
         if self.roll.get(Name::Keeper).is_none() {
             self.asked.entry(Ask::Want(Name::Keeper)).or_insert(None);
         }
@@ -299,6 +322,10 @@
         self.did(now, did);
     }
 
+    fn removed(&mut self, member: Id) {
+        self.roll.forget(member);
+    }
+
     fn applied(&mut self, at: u64) {
         self.term.applied(at);
     }
@@ -318,6 +345,9 @@
             .map(|(name, duty)| Did::Given(name, duty.epoch, duty.holder))
             .collect();
         changed.into_iter().for_each(|did| self.did(now, did));
+        if let Some(Word::Round(number)) = self.roll.get(Name::Keeper).and_then(|duty| duty.word) {
+            self.rounds = self.rounds.max(number);
+        }
         true
     }
 
@@ -373,7 +403,9 @@
         if view.members.0.contains_key(&self.me) {
             self.keep(now, view);
             self.tries.idle(now);
-            if let Some(seq) = self.lists.take_word() {
+            // Nobody hears of lists but those that can't reach discovery.
+            let wanted = self.roll.get(Name::Lists).is_some_and(|duty| !duty.wanted.is_empty());
+            if let Some(seq) = self.lists.take_word().filter(|_| wanted) {
                 self.tell(now, Name::Lists, Word::List(seq));
             } else if now >= self.still_at && self.holds(now, Name::Lists).is_some() && self.lists.wanted() {
                 self.still_at = now + STILL * self.settings.hold_most;
@@ -388,7 +420,7 @@
         let bounds = self.tries.bounds(now, self.term.until());
         self.news.extend(bounds.into_iter().map(|(destination, bound)| News::Tries(destination, bound)));
         self.news.extend(self.lists.pace(now).map(News::Lists));
-        if self.lists.take_ask() {
+        if self.lists.take_ask(now) {
             self.news.push(News::AskNow);
         }
         Wants {
--- a/crates/duty/src/lib.rs
+++ b/crates/duty/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod term;
 pub mod tries;
 
+use fawnspoke_cluster::file::File;
 pub use fawnspoke_cluster::{Id, Seconds};
 
 /// Which of the rules hold. All of them, but in tests that show that checkers find a break.
@@ -66,10 +67,24 @@
     }
 }
 
-/// The longest time from the death of a holder to its duty being given anew, on any clock within the rate, in seconds: an
-/// election of up to two terms where it led too, the guard after that, and two beats until the granter looks. Taken for
-/// granted: a majority, and one election in which votes are not split.
-pub fn bound(term: Seconds, clock_rate: f64, beat: Seconds, led: bool) -> Seconds {
-    let election = if led { 20.0 * beat * 2.0 } else { 0.0 };
-    (fawnspoke_cluster::file::guard(term, clock_rate) + election + 2.0 * beat) / (1.0 - clock_rate)
+/// The longest time from the end of a holder to its duty being another's, on any clock within the rate, in seconds: the
+/// guard and two beats until the granter looks; before that an election, where the holder led too. Taken for granted: a
+/// majority, an election in which votes are not split, and round trips that are short beside a beat.
+pub fn bound(file: &File, led: bool) -> Seconds {
+    let election = if led { file.election_most() } else { 0.0 };
+    (file.guard() + election + 2.0 * file.beat()) / (1.0 - file.clock_rate)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_bound_has_an_election_in_it_where_the_holder_led() {
+        let text = "cluster = \"m\"\nterm_s = 1.0\nmember \"a\" {\n at = \"127.0.0.1:1\"\n voter = true\n}\n";
+        let file = File::parse(text, "a").unwrap();
+        let (alone, led) = (bound(&file, false), bound(&file, true));
+        // (1.02 / 0.98 + 0.1) / 0.98, and a term more for twenty beats.
+        assert!((alone - 1.1641).abs() < 0.001 && (led - alone - 1.0 / 0.98).abs() < 0.001, "{alone} {led}");
+    }
 }
--- a/crates/duty/src/roll.rs
+++ b/crates/duty/src/roll.rs
@@ -8,6 +8,10 @@
 /// Duties at most; one more is not agreed, and each dispatcher does it alone.
 pub const DUTIES_MOST: usize = 512;
 
+/// Members of whom it is agreed that they have use for one duty. More hold back all the same; they get it once others do not
+/// want it any more. All of them go into each snapshot.
+pub const WANTED_MOST: usize = 64;
+
 /// What there is to hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Name {
@@ -138,14 +142,25 @@
         self.duties.iter().filter(move |(_, d)| d.holder == Some(by)).map(|(name, d)| (*name, d.epoch))
     }
 
+    /// A member that is no more wants nothing. What it held is given on once its term has passed.
+    pub fn forget(&mut self, member: Id) {
+        self.duties.values_mut().for_each(|duty| {
+            duty.wanted.remove(&member);
+        });
+        self.tidy();
+    }
+
+    /// A duty that nobody wants is gone; a holder that is there has to give it up first, by its word or its term.
+    fn tidy(&mut self) {
+        self.duties.retain(|_, duty| duty.holder.is_some() || !duty.wanted.is_empty());
+    }
+
     fn give(&mut self, name: Name, to: Option<Id>) -> Did {
         let Some(duty) = self.duties.get_mut(&name) else { return Did::Nothing };
         self.epoch += 1;
         (duty.epoch, duty.holder, duty.word) = (self.epoch, to, None);
         let did = Did::Given(name, self.epoch, to);
-        if to.is_none() && duty.wanted.is_empty() {
-            self.duties.remove(&name);
-        }
+        self.tidy();
         did
     }
 
@@ -154,18 +169,18 @@
         match *entry {
             Entry::Want { name, by } => {
                 if self.duties.len() < DUTIES_MOST || self.duties.contains_key(&name) {
-                    self.duties.entry(name).or_default().wanted.insert(by);
+                    let wanted = &mut self.duties.entry(name).or_default().wanted;
+                    if wanted.len() < WANTED_MOST {
+                        wanted.insert(by);
+                    }
                 }
                 Did::Nothing
             }
             Entry::Unwant { name, by } => {
                 if let Some(duty) = self.duties.get_mut(&name) {
                     duty.wanted.remove(&by);
-                    // A holder that is there has to give it up first, by its word or its term.
-                    if duty.wanted.is_empty() && duty.holder.is_none() {
-                        self.duties.remove(&name);
-                    }
                 }
+                self.tidy();
                 Did::Nothing
             }
             Entry::Give { name, was, to } => match self.duties.get(&name) {
@@ -244,6 +259,14 @@
         assert!(roll.get(T).is_some());
         roll.apply(&Entry::Give { name: T, was: 1, to: None }, Rules::default());
         assert!(roll.get(T).is_none());
+        let many = (1..=WANTED_MOST as Id + 9).map(|by| Entry::Want { name: Name::Keeper, by });
+        for entry in many {
+            roll.apply(&entry, Rules::default());
+        }
+        assert_eq!(roll.get(Name::Keeper).map(|duty| duty.wanted.len()), Some(WANTED_MOST));
+        // Members that are gone leave nothing behind.
+        (1..=WANTED_MOST as Id).for_each(|member| roll.forget(member));
+        assert!(roll.get(Name::Keeper).is_none());
         for number in 0..DUTIES_MOST as u32 + 5 {
             roll.apply(&Entry::Want { name: Name::Tries(number), by: 1 }, Rules::default());
         }
--- a/crates/fawnspoke/src/fleet.rs
+++ b/crates/fawnspoke/src/fleet.rs
@@ -3,6 +3,7 @@
 use clap::Subcommand;
 use fawnspoke_cluster::file::File;
 use fawnspoke_cluster::shell::{self, Settings};
+use fawnspoke_duty::bound;
 use fawnspoke_duty::duties::{Duties, Settings as DutySettings};
 use serde_json::Value;
 use std::path::PathBuf;
@@ -33,9 +34,10 @@
     let done = match asked {
         Fleet::Check { file, name } => File::read(&file, &name).map(|read| {
             let (members, voters) = (read.member.len(), read.voters().count());
-            let (term, guard) = (read.term_s, read.guard());
+            let (follows, led) = (bound(&read, false), bound(&read, true));
             format!(
-                "{}: {}: {members} members, {voters} of them vote; a term of {term} s, given anew after {guard:.2} s",
+                "{}: {}: {members} members, {voters} of them vote; what a member holds that is gone is another's after \
+                 {follows:.2} s, and {led:.2} s where it led",
                 file.display(),
                 read.cluster
             )
--- a/crates/node/src/bounds.rs
+++ b/crates/node/src/bounds.rs
@@ -6,6 +6,7 @@
 use crate::{Node, log};
 use fawnspoke_cluster::clock;
 use fawnspoke_cluster::shell::{self, Member};
+use fawnspoke_duty::Seconds as BootSeconds;
 use fawnspoke_duty::duties::{Duties, Fact, News, Settings};
 use fawnspoke_duty::lists::Pace;
 use fawnspoke_duty::roll::{Name, Word};
@@ -15,7 +16,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use waydoor::{Event, Outcome};
+use waydoor::{Entry, Event, Outcome};
 
 /// The thread answers an operator by then, or the answer is no.
 const SHOW_TIME: Duration = Duration::from_millis(500);
@@ -31,10 +32,36 @@
     back: RefCell<BTreeSet<u32>>,
     pace: Cell<Pace>,
     seq: Cell<Option<u64>>,
+    /// How long a bound holds back that nobody renews.
+    hold_most: BootSeconds,
+    /// Discovery's watch has ended, and nothing has come since.
+    unlisted: Cell<bool>,
     /// Each act under a duty is a line in the log.
     history: bool,
 }
 
+/// What a bound lets this dispatcher do now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Now {
+    /// As alone.
+    Free,
+    /// Nothing goes there.
+    Held,
+    /// It tries for all, under this epoch.
+    Mine(u64),
+}
+
+/// A bound ends by itself, also where the member's thread has ended with it: a holder whose term is over holds back for as
+/// long as others would, and is alone then.
+fn now_by(bound: Bound, now: BootSeconds, hold_most: BootSeconds) -> Now {
+    match bound {
+        Bound::Mine(epoch, until) if now < until => Now::Mine(epoch),
+        Bound::Mine(_, until) if now < until + hold_most => Now::Held,
+        Bound::Held(until) if now < until => Now::Held,
+        _ => Now::Free,
+    }
+}
+
 impl Bounds {
     /// None are in force.
     pub fn new(config: &Config) -> Bounds {
@@ -47,6 +74,8 @@
             back: RefCell::default(),
             pace: Cell::new(Pace::Own),
             seq: Cell::new(None),
+            hold_most: config.fleet.as_ref().map_or(0.0, |file| file.hold_most_s),
+            unlisted: Cell::new(false),
             history: config.fleet.as_ref().is_some_and(|file| file.history),
         }
     }
@@ -112,29 +141,35 @@
 
     /// Discovery's watch has ended.
     pub fn list_failed(&self) {
+        self.unlisted.set(true);
         self.tell(Fact::ListFailed);
     }
 
     /// A list has come.
     pub fn list_came(&self, seq: u64) {
         self.seq.set(Some(seq));
+        self.unlisted.set(false);
         self.tell(Fact::List(seq));
     }
 
+    /// A watch brought a sign of life: discovery answers, and has nothing new.
+    pub fn list_alive(&self, seq: u64) {
+        if self.unlisted.get() {
+            self.list_came(seq);
+        }
+    }
+
     /// Whether a call may go to a destination now. A holder looks at its term here, right before the act.
     pub fn may_try(&self, destination: u32) -> bool {
         let Some(bound) = self.out.borrow().get(&destination).copied() else { return true };
         let now = clock::now();
-        match bound {
-            Bound::Held(until) => now >= until,
-            Bound::Mine(epoch, until) => {
-                let mine = now < until;
-                if mine && self.history {
-                    println!("fleet: {now:.6} acts tries/{destination} epoch {epoch}");
-                }
-                mine
+        match now_by(bound, now, self.hold_most) {
+            Now::Mine(epoch) if self.history => {
+                println!("fleet: {:.6} acts tries/{destination} epoch {epoch}", clock::of_all(now));
+                true
             }
-            Bound::Free => true,
+            Now::Mine(_) | Now::Free => true,
+            Now::Held => false,
         }
     }
 
@@ -152,31 +187,40 @@
             return;
         }
         let now = clock::now();
-        let bound = |bound: &Bound| matches!(bound, Bound::Held(until) if now < *until);
+        let held = |bound: &Bound| now_by(*bound, now, self.hold_most) == Now::Held;
         let due: BTreeSet<u32> =
-            self.out.borrow().iter().filter(|(_, b)| bound(b)).map(|(number, _)| *number).collect();
-        let before = self.back.replace(due.clone());
-        for destination in before.symmetric_difference(&due) {
-            let entries = node.directory.borrow_mut().hold_back(*destination, due.contains(destination));
-            if !entries.is_empty() {
-                node.tell(Event::ListChanged(entries));
-            }
+            self.out.borrow().iter().filter(|(_, b)| held(b)).map(|(number, _)| *number).collect();
+        if *self.back.borrow() != due {
+            self.hold_back(node, due).into_iter().for_each(|entries| node.tell(Event::ListChanged(entries)));
         }
     }
 
+    /// Holds back these destinations and no others; what that changes in the list.
+    fn hold_back(&self, node: &Node, due: BTreeSet<u32>) -> Vec<Vec<Entry>> {
+        let before = self.back.replace(due.clone());
+        let mut directory = node.directory.borrow_mut();
+        let changed = before.symmetric_difference(&due);
+        let entries = changed.map(|destination| directory.hold_back(*destination, due.contains(destination)));
+        entries.filter(|entries| !entries.is_empty()).collect()
+    }
+
     /// Lifts all bounds, and lets the member's record go: another process of this dispatcher goes on.
     pub fn give(&self, node: &Node) {
         if let Some(member) = self.member.take() {
             member.stop();
         }
-        self.out.borrow_mut().clear();
-        self.pace.set(Pace::Own);
-        for destination in self.back.take() {
-            let entries = node.directory.borrow_mut().hold_back(destination, false);
+        for entries in self.lift(node) {
             node.dispatcher.borrow_mut().handle(node.now(), Event::ListChanged(entries));
         }
     }
 
+    /// No bound is in force any more; what that changes in the list.
+    fn lift(&self, node: &Node) -> Vec<Vec<Entry>> {
+        self.out.borrow_mut().clear();
+        self.pace.set(Pace::Own);
+        self.hold_back(node, BTreeSet::new())
+    }
+
     /// The other process has not taken over: the member goes on here.
     pub fn resume(&self, node: &Node) {
         self.begin(&node.config);
@@ -184,11 +228,12 @@
         out.into_iter().for_each(|destination| self.out(node, destination, true));
     }
 
-    /// The dispatcher stops: what its member holds is given on.
-    pub async fn leave(&self) {
-        let member = self.member.borrow().clone();
+    /// The dispatcher stops: what its member holds is given on, and it does the rest as alone.
+    pub async fn leave(&self, node: &Node) {
+        let member = self.member.take();
         if let Some(member) = member {
             member.leave().await;
+            self.lift(node).into_iter().for_each(|entries| node.tell(Event::ListChanged(entries)));
         }
     }
 
@@ -227,7 +272,7 @@
             News::AskNow => node.resubscribe.notify_one(),
             News::Given(name, epoch, holder) => {
                 let who = holder.map_or("nobody".into(), |id| format!("{id:016x}"));
-                println!("fleet: {:.6} given {name} epoch {epoch} to {who}", clock::now());
+                println!("fleet: {:.6} given {name} epoch {epoch} to {who}", clock::of_all(clock::now()));
             }
             News::Refused(name, epoch, now_at) => {
                 println!("fleet: {:.6} refused {name} epoch {epoch}, {now_at} is given", clock::now());
@@ -241,7 +286,7 @@
                 }
             }
             News::Acts(name, epoch, at) if bounds.history => {
-                println!("fleet: {at:.6} acts {name} epoch {epoch}");
+                println!("fleet: {:.6} acts {name} epoch {epoch}", clock::of_all(at));
             }
             News::Acts(..) => {}
         }
@@ -258,3 +303,20 @@
     }
     fawnspoke_duty::Rules::default()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn no_bound_outlasts_its_time_though_nobody_lifts_it() {
+        let held = |at| now_by(Bound::Held(10.0), at, 3.0);
+        assert_eq!((held(9.9), held(10.0)), (Now::Held, Now::Free));
+        let mine = |at| now_by(Bound::Mine(4, 10.0), at, 3.0);
+        assert_eq!(
+            (mine(9.9), mine(10.0), mine(12.9), mine(13.0)),
+            (Now::Mine(4), Now::Held, Now::Held, Now::Free)
+        );
+        assert_eq!(now_by(Bound::Free, 0.0, 3.0), Now::Free);
+    }
+}
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -129,6 +129,7 @@
             if piece.ends_with(b"\n") {
                 if line.trim_ascii().is_empty() {
                     node.tell(Event::ListAlive);
+                    node.bounds.list_alive(node.directory.borrow().seq());
                 } else {
                     list(node, &line);
                 }
--- a/crates/node/src/rounds.rs
+++ b/crates/node/src/rounds.rs
@@ -135,7 +135,7 @@
             told_at = Some(now);
             node.closing.set(true);
             let leaving = node.clone();
-            spawn_local(async move { leaving.bounds.leave().await });
+            spawn_local(async move { leaving.bounds.leave(&leaving).await });
             node.figures.set_ready(false);
             node.dispatcher.borrow_mut().handle(now, Event::Closing(now + CALLS_END));
         }
