--- a/crates/cluster/src/core.rs
+++ b/crates/cluster/src/core.rs
@@ -100,6 +100,17 @@
     postcard::to_stdvec(&image).map_err(|_| CoreError::Snapshot)
 }
 
+fn in_the_librarys_form(change: &Change) -> ConfChange {
+    let (kind, id) = match change {
+        Change::Join { id, .. } => (ConfChangeType::AddLearnerNode, *id),
+        Change::Promote(id) => (ConfChangeType::AddNode, *id),
+        Change::Remove(id) => (ConfChangeType::RemoveNode, *id),
+    };
+    let mut form = ConfChange { node_id: id, ..ConfChange::default() };
+    form.set_change_type(kind);
+    form
+}
+
 impl<P: Part> Core<P> {
     /// A member with what is on record. Equal seeds and inputs give equal outputs.
     ///
@@ -397,15 +408,8 @@
             most: MEMBERS_MOST,
         });
         let Some(change) = change else { return };
-        let (kind, id) = match &change {
-            Change::Join { id, .. } => (ConfChangeType::AddLearnerNode, *id),
-            Change::Promote(id) => (ConfChangeType::AddNode, *id),
-            Change::Remove(id) => (ConfChangeType::RemoveNode, *id),
-        };
-        let mut asked = ConfChange { node_id: id, ..ConfChange::default() };
-        asked.set_change_type(kind);
         if let Ok(context) = postcard::to_stdvec(&change) {
-            let _ = self.raw.propose_conf_change(context, asked);
+            let _ = self.raw.propose_conf_change(context, in_the_librarys_form(&change));
         }
     }
 
@@ -523,15 +527,8 @@
                     self.part.agreed(now, entry.index, &entry.data);
                 }
             } else if let Ok(change) = postcard::from_bytes::<Change>(&entry.context) {
-                let (kind, id) = match &change {
-                    Change::Join { id, .. } => (ConfChangeType::AddLearnerNode, *id),
-                    Change::Promote(id) => (ConfChangeType::AddNode, *id),
-                    Change::Remove(id) => (ConfChangeType::RemoveNode, *id),
-                };
-                let mut agreed = ConfChange { node_id: id, ..ConfChange::default() };
-                agreed.set_change_type(kind);
                 // The library refuses what would leave it without a voter; then nothing has changed.
-                if let Ok(conf) = self.raw.apply_conf_change(&agreed) {
+                if let Ok(conf) = self.raw.apply_conf_change(&in_the_librarys_form(&change)) {
                     self.raw.mut_store().conf = Conf::of(&conf);
                     self.members.apply(&change);
                     if let Change::Remove(id) = change {
--- a/crates/fawnspoke/src/fleet.rs
+++ b/crates/fawnspoke/src/fleet.rs
@@ -7,7 +7,6 @@
 use fawnspoke_duty::duties::{Duties, Settings as DutySettings};
 use serde_json::Value;
 use std::path::PathBuf;
-use std::process::ExitCode;
 
 #[derive(Subcommand)]
 pub enum Fleet {
@@ -29,9 +28,12 @@
     },
 }
 
-/// Exit code 0, or 2 with one line that says what is wrong.
-pub fn run(asked: Fleet) -> ExitCode {
-    let done = match asked {
+/// What is to be said of it.
+///
+/// # Errors
+/// One line that names the file, the key and what is wrong.
+pub fn run(asked: Fleet) -> Result<String, String> {
+    match asked {
         Fleet::Check { file, name } => File::read(&file, &name).map(|read| {
             let (members, voters) = (read.member.len(), read.voters().count());
             let (follows, led) = (bound(&read, false), bound(&read, true));
@@ -47,16 +49,6 @@
             let identity = shell::found(&Settings { file: read.clone(), name, state }, &part)?;
             Ok(format!("{} is founded by {}, birth {:016x}", read.cluster, identity.name, identity.birth))
         }),
-    };
-    match done {
-        Ok(text) => {
-            println!("{text}");
-            ExitCode::SUCCESS
-        }
-        Err(error) => {
-            eprintln!("fawnspoke: {error}");
-            ExitCode::from(2)
-        }
     }
 }
 
--- a/crates/fawnspoke/src/main.rs
+++ b/crates/fawnspoke/src/main.rs
@@ -261,16 +261,7 @@
     }
     match Cli::parse().command {
         Command::Serve => fawnspoke_node::serve(),
-        Command::Check { file } => match fawnspoke_node::check(&file) {
-            Ok(text) => {
-                println!("{text}");
-                ExitCode::SUCCESS
-            }
-            Err(error) => {
-                eprintln!("fawnspoke: {error}");
-                ExitCode::from(2)
-            }
-        },
+        Command::Check { file } => said(fawnspoke_node::check(&file)),
         Command::Demo { play } => command::demo(&play.into()),
         Command::Lab(Lab::Run { scenario, play }) => command::run(&scenario, &play.into()),
         Command::Lab(Lab::Script { scenario, seed }) => command::script(&scenario, seed),
@@ -288,7 +279,7 @@
         Command::Lab(Lab::Proxy { listen, to }) => command::proxy(listen, to),
         Command::Lab(Lab::Naive { fault }) => command::naive(&fault),
         Command::Door(asked) => door(asked),
-        Command::Fleet(asked) => fleet::run(asked),
+        Command::Fleet(asked) => said(fleet::run(asked)),
         Command::Journal(asked) => match journal(&asked) {
             Ok(code) => code,
             // Who reads has had enough.
@@ -301,6 +292,20 @@
     }
 }
 
+/// Exit code 0, or 2 with one line that says what is wrong.
+fn said(done: Result<String, String>) -> ExitCode {
+    match done {
+        Ok(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("fawnspoke: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
 /// Exit code 0 for a yes or figures, 1 for a no, 2 where nobody answered.
 fn door(asked: Door) -> ExitCode {
     let shown: Option<fn(&serde_json::Value) -> String> = match asked.ask {
--- a/crates/fawnspoke/tests/fleet/main.rs
+++ b/crates/fawnspoke/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 //! by the lab's history checker. Each test waits on conditions, never on a tight time.
 
 mod duties;
+mod faults;
 mod folders;
 mod tries;
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod history;
 pub mod http;
 pub mod killer;
+pub mod layout;
 pub mod ledger;
 pub mod loss;
 pub mod measures;
--- a/crates/lab/src/members.rs
+++ b/crates/lab/src/members.rs
@@ -2,16 +2,21 @@
 //! not asynchronous themselves.
 
 use crate::history::{self, Line};
+use crate::layout::Layout;
 use crate::relay::{Relay, Way};
 use crate::stage::{Dispatcher, Platform, eventually};
 use fawnspoke_control::protocol::{Call, Reply};
 use serde_json::Value;
 use std::collections::BTreeMap;
-use std::fmt::Write;
 use std::fs;
 use std::io;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
+use std::time::Duration;
+
+/// A member that is not stopped answers by then.
+const PATIENCE: Duration = Duration::from_millis(700);
 
 /// How a fleet is made.
 #[derive(Clone, Debug)]
@@ -31,6 +36,8 @@
     program: PathBuf,
     folder: PathBuf,
     relays: BTreeMap<(usize, usize), Relay>,
+    /// How many are to vote.
+    voters: usize,
 }
 
 impl Members {
@@ -47,38 +54,23 @@
             .collect();
         let folder = dispatchers[0].state().with_file_name("fleet-files");
         fs::create_dir_all(&folder)?;
-        let votes = |i: usize| i < shape.voters;
-        // As the program's file has it: who does not vote calls who does, and voters call those after them by name.
-        let calls = |i: usize, j: usize| match (votes(i), votes(j)) {
-            (false, voter) => voter,
-            (true, true) => format!("n{i}") < format!("n{j}"),
-            (true, false) => false,
-        };
+        let layout = Layout { count, voters: shape.voters };
         let mut relays = BTreeMap::new();
-        for (i, j) in
-            (0..count).flat_map(|i| (0..count).map(move |j| (i, j))).filter(|(i, j)| i != j && calls(*i, *j))
-        {
+        for (i, j) in layout.pairs() {
             relays.insert((i, j), Relay::start(dispatchers[j].members_at())?);
         }
         for (i, dispatcher) in dispatchers.iter_mut().enumerate() {
-            let mut text = format!("cluster = \"lab\"\nhistory = true\n{}\n", shape.settings);
-            for j in 0..count {
-                // Who is never called from here needs an address all the same.
-                let at =
-                    relays.get(&(i, j)).map_or(format!("127.0.0.1:{}", 1 + j), |relay| relay.at.to_string());
-                let _ = writeln!(
-                    text,
-                    "member \"n{j}\" {{\n  at = \"{at}\"\n  listen = \"127.0.0.1:0\"\n  voter = {}\n}}",
-                    votes(j)
-                );
-            }
+            let here = |port: usize| SocketAddr::from(([127, 0, 0, 1], port as u16));
+            // Who is never called from here needs an address all the same.
+            let at = |j: usize| (relays.get(&(i, j)).map_or(here(1 + j), |relay| relay.at), here(0));
+            let text = layout.file(&shape.settings, at);
             let file = folder.join(format!("n{i}.hcl"));
             fs::write(&file, text)?;
             dispatcher.config["name"] = format!("n{i}").into();
             dispatcher.door = true;
             dispatcher.before = format!("FAWNSPOKE_FLEET='{}'; export FAWNSPOKE_FLEET;", file.display());
         }
-        Ok(Members { dispatchers, program: program.to_path_buf(), folder, relays })
+        Ok(Members { dispatchers, program: program.to_path_buf(), folder, relays, voters: shape.voters })
     }
 
     /// Where a member's file of the fleet is.
@@ -113,16 +105,11 @@
         eventually("all members, and a keeper", || {
             (0..all).all(|i| {
                 self.show(i).is_some_and(|fleet| fleet["members"].as_array().map_or(0, Vec::len) == all)
-            }) && self.voters(0) == self.relayed_voters()
+            }) && self.voters(0) == self.voters
                 && self.holder("keeper").is_some()
         });
     }
 
-    fn relayed_voters(&self) -> usize {
-        let text = fs::read_to_string(self.file(0)).unwrap_or_default();
-        text.matches("voter = true").count()
-    }
-
     fn voters(&self, i: usize) -> usize {
         let fleet = self.show(i).unwrap_or_default();
         fleet["members"].as_array().into_iter().flatten().filter(|member| member["voter"] == true).count()
@@ -130,8 +117,9 @@
 
     /// How a member sees the fleet; nothing where it does not say.
     pub fn show(&self, i: usize) -> Option<Value> {
-        match self.dispatchers[i].ask(&Call::Fleet) {
-            Reply::Yes(text) => serde_json::from_str(&text).ok(),
+        let at = self.dispatchers[i].control().filter(|_| self.dispatchers[i].runs())?;
+        match fawnspoke_control::client::ask(at, &Call::Fleet, PATIENCE) {
+            Ok(Reply::Yes(text)) => serde_json::from_str(&text).ok(),
             _ => None,
         }
     }
--- a/crates/lab/src/mischief.rs
+++ b/crates/lab/src/mischief.rs
@@ -2,12 +2,12 @@
 //! links, folders that come back older or empty. What came of it is read from the logs.
 
 use crate::history;
+use crate::layout::Layout;
 use crate::process::Process;
 use crate::record::Sig;
 use crate::relay::Relay;
 use crate::scenario::Fleet;
 use std::collections::BTreeMap;
-use std::fmt::Write;
 use std::fs;
 use std::io;
 use std::net::SocketAddr;
@@ -79,30 +79,14 @@
 pub async fn set_up(
     fleet: &Fleet, folders: &[PathBuf], at: impl Fn(usize) -> SocketAddr,
 ) -> io::Result<Relays> {
-    let count = folders.len();
-    let votes = |i: usize| i < fleet.voters;
-    let calls = |i: usize, j: usize| match (votes(i), votes(j)) {
-        (false, voter) => voter,
-        (true, true) => format!("n{i}") < format!("n{j}"),
-        (true, false) => false,
-    };
+    let layout = Layout { count: folders.len(), voters: fleet.voters };
     let mut relays = Relays::new();
-    for (i, j) in
-        (0..count).flat_map(|i| (0..count).map(move |j| (i, j))).filter(|(i, j)| i != j && calls(*i, *j))
-    {
+    for (i, j) in layout.pairs() {
         relays.insert((i, j), Relay::open(Arc::new(Mutex::new(Some(at(j))))).await?);
     }
     for (i, folder) in folders.iter().enumerate() {
-        let mut text = format!("cluster = \"lab\"\nhistory = true\n{}\n", fleet.settings);
-        for j in 0..count {
-            let to = relays.get(&(i, j)).map_or(at(j), |relay| relay.at);
-            let (own, votes) = (at(j), votes(j));
-            let _ = writeln!(
-                text,
-                "member \"n{j}\" {{\n  at = \"{to}\"\n  listen = \"{own}\"\n  voter = {votes}\n}}"
-            );
-        }
-        fs::write(folder.join("fleet.hcl"), text)?;
+        let at = |j: usize| (relays.get(&(i, j)).map_or(at(j), |relay| relay.at), at(j));
+        fs::write(folder.join("fleet.hcl"), layout.file(&fleet.settings, at))?;
     }
     Ok(relays)
 }
