lab rest measures members that do nothing; clocks by member and slow links in trouble

Need: cost at rest (processor, bytes a second, memory) at 5, 30 and 100 members, and troubles in which answers are late, without which a term counted from its answer can't show on loopback. Change: lab rest; relays count what they carry; [fleet] clock_rates for builds with the feature planted; a member's links slow, then cut.

--- a/crates/fawnspoke/src/main.rs
+++ b/crates/fawnspoke/src/main.rs
@@ -203,6 +203,15 @@
         #[arg(long, default_value_t = 5.0, value_parser = seconds)]
         a_second: f64,
     },
+    /// Measure what members of a fleet cost at rest, beside dispatchers alone
+    Rest {
+        /// Dispatchers; five of them vote
+        #[arg(long, value_delimiter = ',', default_value = "5,30", value_parser = clap::value_parser!(u64).range(5..=200))]
+        counts: Vec<u64>,
+        /// Seconds of each
+        #[arg(long, default_value_t = 10.0, value_parser = seconds)]
+        seconds: f64,
+    },
     /// Run the plain proxy that the bench compares with
     #[command(hide = true)]
     Proxy {
@@ -276,6 +285,7 @@
         Command::Lab(Lab::Tries { count, out_s, a_second }) => {
             command::tries(count as usize, out_s, a_second)
         }
+        Command::Lab(Lab::Rest { counts, seconds }) => command::rest(&counts, seconds),
         Command::Lab(Lab::Proxy { listen, to }) => command::proxy(listen, to),
         Command::Lab(Lab::Naive { fault }) => command::naive(&fault),
         Command::Door(asked) => door(asked),
--- a/crates/lab/src/command.rs
+++ b/crates/lab/src/command.rs
@@ -182,6 +182,20 @@
     measured.map_or_else(failed, |()| ExitCode::SUCCESS)
 }
 
+/// Measures what members cost at rest, beside dispatchers alone.
+pub fn rest(counts: &[u64], seconds: f64) -> ExitCode {
+    let measured = std::env::current_exe().and_then(|program| {
+        let folder = run::fresh_folder(&std::env::temp_dir())?;
+        for count in counts {
+            for fleet in [false, true] {
+                println!("{}", measures::rest(&program, &folder, *count as usize, fleet, seconds)?);
+            }
+        }
+        std::fs::remove_dir_all(folder)
+    });
+    measured.map_or_else(failed, |()| ExitCode::SUCCESS)
+}
+
 fn failed(error: std::io::Error) -> ExitCode {
     eprintln!("fawnspoke: {error}");
     ExitCode::FAILURE
--- a/crates/lab/src/measures.rs
+++ b/crates/lab/src/measures.rs
@@ -188,6 +188,78 @@
     }
 }
 
+/// What members cost that do nothing, beside dispatchers that are none.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rest {
+    /// Dispatchers.
+    pub count: usize,
+    /// Of these, voters; none where they are no fleet.
+    pub voters: usize,
+    /// From the start of the first to a fleet that is whole, in seconds.
+    pub whole_s: f64,
+    /// Processor time in seconds per second: of the leader or the first, of the mean voter, of the mean observer.
+    pub cpu: [f64; 3],
+    /// Bytes a second between members, for each member.
+    pub bytes: f64,
+    /// Highest resident memory of a voter, and of an observer, in megabytes.
+    pub memory_mb: [f64; 2],
+}
+
+impl fmt::Display for Rest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let [first, voter, observer] = self.cpu;
+        let [votes, follows] = self.memory_mb;
+        write!(
+            f,
+            "{:>3} dispatchers, {} vote  whole after {:>5.1} s  of a core: leader {first:.4}, voter {voter:.4}, observer \
+             {observer:.4}  {:>7.0} bytes/s each  voter {votes:.1} MB, observer {follows:.1} MB",
+            self.count, self.voters, self.whole_s, self.bytes
+        )
+    }
+}
+
+/// Measures what members cost at rest, for so many seconds, at the term of the file's default.
+///
+/// # Errors
+/// Those of folders and relays.
+///
+/// # Panics
+/// Where a fleet does not come up in 30 s.
+pub fn rest(program: &Path, folder: &Path, count: usize, as_fleet: bool, span: f64) -> io::Result<Rest> {
+    let voters = 5.min(count);
+    let shape = Shape { voters, observers: count - voters, settings: "disk_mb = 1".into() };
+    let (mut members, _endpoint, _platform) = fleet(program, folder, &shape)?;
+    let began = Instant::now();
+    match as_fleet {
+        true => members.start(),
+        false => {
+            members.dispatchers.iter_mut().for_each(|dispatcher| dispatcher.before.clear());
+            members.dispatchers.iter_mut().for_each(Dispatcher::start);
+        }
+    }
+    let whole_s = began.elapsed().as_secs_f64();
+    sleep(Duration::from_secs(3));
+    let leader = if as_fleet { members.leader(0).unwrap_or(0) } else { 0 };
+    let ids: Vec<u32> = members.dispatchers.iter().filter_map(Dispatcher::id).collect();
+    let (before, carried, began) =
+        (ids.iter().map(|id| cpu(*id)).collect::<Vec<_>>(), members.carried(), Instant::now());
+    sleep(Duration::from_secs_f64(span));
+    let spent = began.elapsed().as_secs_f64();
+    let used: Vec<f64> = ids.iter().zip(before).map(|(id, before)| (cpu(*id) - before) / spent).collect();
+    let mean = |of: &[f64]| if of.is_empty() { 0.0 } else { of.iter().sum::<f64>() / of.len() as f64 };
+    let memory = |of: &[u32]| {
+        of.iter().filter_map(|id| crate::process::resident_kb(*id)).max().unwrap_or(0) as f64 / 1024.0
+    };
+    Ok(Rest {
+        count,
+        voters: if as_fleet { voters } else { 0 },
+        whole_s,
+        cpu: [used.get(leader).copied().unwrap_or(0.0), mean(&used[..voters]), mean(&used[voters..])],
+        bytes: (members.carried() - carried) as f64 / spent / count as f64,
+        memory_mb: [memory(&ids[..voters]), memory(&ids[voters..])],
+    })
+}
+
 /// Seconds of processor time of a process so far.
 fn cpu(id: u32) -> f64 {
     let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
--- a/crates/lab/src/members.rs
+++ b/crates/lab/src/members.rs
@@ -168,6 +168,11 @@
         self.relays.values().for_each(|relay| relay.set(&change));
     }
 
+    /// Bytes that passed between members so far.
+    pub fn carried(&self) -> u64 {
+        self.relays.values().map(Relay::carried).sum()
+    }
+
     /// The histories of all members, by name.
     pub fn histories(&self) -> BTreeMap<String, Vec<Line>> {
         let lines = |dispatcher: &Dispatcher| {
--- a/crates/lab/src/mischief.rs
+++ b/crates/lab/src/mischief.rs
@@ -30,6 +30,8 @@
     CutOff(bool, bool, f64),
     /// One pair, one way or both, for so long.
     Pair(bool, bool, f64),
+    /// One member's links are slow by so much for a while; then it is cut off for so long.
+    SlowThenCut(f64, f64),
     /// All links break off at once, and are slow for so long by so much.
     Slow(f64, f64),
 }
@@ -52,14 +54,14 @@
             Trouble::Kill(_) => kind == "kill",
             Trouble::Stop(_) => kind == "stop",
             Trouble::CutOff(..) | Trouble::Pair(..) => kind == "cut",
-            Trouble::Slow(..) => kind == "slow",
+            Trouble::Slow(..) | Trouble::SlowThenCut(..) => kind == "slow",
         }
     }
 
     /// The next one, by chance.
     pub fn draw(rng: &mut fastrand::Rng) -> Trouble {
         let span = 0.2 + 2.5 * rng.f64();
-        match rng.u8(0..12) {
+        match rng.u8(0..14) {
             0..3 => Trouble::Kill(Folder::Kept),
             3 => Trouble::Kill([Folder::Older, Folder::Emptied][rng.usize(0..2)]),
             4..7 => Trouble::Stop(span),
@@ -67,6 +69,7 @@
             8 => Trouble::CutOff(true, false, span),
             9 => Trouble::CutOff(false, true, span),
             10 => Trouble::Pair(true, rng.bool(), span),
+            11 | 12 => Trouble::SlowThenCut(0.1 + 0.5 * rng.f64(), span),
             _ => Trouble::Slow(span, 0.3 * rng.f64()),
         }
     }
@@ -86,6 +89,9 @@
     }
     for (i, folder) in folders.iter().enumerate() {
         let at = |j: usize| (relays.get(&(i, j)).map_or(at(j), |relay| relay.at), at(j));
+        if let Some(rate) = fleet.clock_rates.get(i) {
+            fs::write(folder.join("clock"), rate.to_string())?;
+        }
         fs::write(folder.join("fleet.hcl"), layout.file(&fleet.settings, at))?;
     }
     Ok(relays)
@@ -114,6 +120,12 @@
     }
 }
 
+/// What one member says and hears comes so much later, in seconds.
+pub fn slow(relays: &Relays, one: usize, delay_s: f64) {
+    let own = relays.iter().filter(|((caller, called), _)| [caller, called].contains(&&one));
+    own.for_each(|(_, relay)| relay.set(|way| way.delay_s = delay_s));
+}
+
 /// All links are whole again.
 pub fn heal(relays: &Relays) {
     relays.values().for_each(|relay| {
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -181,6 +181,9 @@
         if fleet.exists() {
             command.env("FAWNSPOKE_FLEET", fleet);
         }
+        if let Ok(rate) = fs::read_to_string(self.folder.join("clock")) {
+            command.env("FAWNSPOKE_CLOCK_RATE", rate);
+        }
         if let Some(control) = control {
             command.env("GW_CONTROL", control.to_string());
         }
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -3,6 +3,7 @@
 use crate::stage::handle;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -33,6 +34,7 @@
     /// Where it listens.
     pub at: SocketAddr,
     way: Arc<watch::Sender<Way>>,
+    carried: Arc<AtomicU64>,
 }
 
 impl Relay {
@@ -52,13 +54,19 @@
         let way = Arc::new(watch::Sender::new(Way::default()));
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let at = listener.local_addr()?;
-        let ways = way.clone();
+        let (ways, carried) = (way.clone(), Arc::new(AtomicU64::new(0)));
+        let counted = carried.clone();
         tokio::spawn(async move {
             while let Ok((caller, _)) = listener.accept().await {
-                tokio::spawn(carry(caller, target.clone(), ways.subscribe()));
+                tokio::spawn(carry(caller, target.clone(), ways.subscribe(), counted.clone()));
             }
         });
-        Ok(Relay { at, way })
+        Ok(Relay { at, way, carried })
+    }
+
+    /// Bytes that it has carried, both ways.
+    pub fn carried(&self) -> u64 {
+        self.carried.load(Ordering::Relaxed)
     }
 
     /// From now on.
@@ -67,7 +75,7 @@
     }
 }
 
-async fn carry(caller: TcpStream, target: Target, mut way: watch::Receiver<Way>) {
+async fn carry(caller: TcpStream, target: Target, mut way: watch::Receiver<Way>, carried: Arc<AtomicU64>) {
     // A connection comes up only where both ways are open.
     if way.wait_for(|way| !way.there_cut && !way.back_cut).await.is_err() {
         return;
@@ -80,20 +88,22 @@
     let ((caller_in, caller_out), (called_in, called_out)) = (caller.into_split(), called.into_split());
     let mut reset = way.clone();
     tokio::select! {
-        () = pump(caller_in, called_out, way.clone(), |way| way.there_cut) => {}
-        () = pump(called_in, caller_out, way, |way| way.back_cut) => {}
+        () = pump(caller_in, called_out, way.clone(), &carried, |way| way.there_cut) => {}
+        () = pump(called_in, caller_out, way, &carried, |way| way.back_cut) => {}
         _ = reset.wait_for(|way| way.resets != resets) => {}
     }
 }
 
 async fn pump(
-    mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut way: watch::Receiver<Way>, cut: fn(&Way) -> bool,
+    mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut way: watch::Receiver<Way>, carried: &AtomicU64,
+    cut: fn(&Way) -> bool,
 ) {
     let mut piece = vec![0; 16 << 10];
     while let Ok(read) = from.read(&mut piece).await {
         if read == 0 {
             return;
         }
+        carried.fetch_add(read as u64, Ordering::Relaxed);
         let delay = way.borrow().delay_s;
         if delay > 0.0 {
             sleep(Duration::from_secs_f64(delay)).await;
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -606,6 +606,14 @@
                     relay.set(|way| (way.there_cut, way.back_cut) = (false, false));
                 }
             }
+            Trouble::SlowThenCut(delay, span) => {
+                mischief::slow(&self.relays, one, delay);
+                after(1.0).await;
+                mischief::cut_off(&self.relays, one, true, true);
+                mischief::slow(&self.relays, one, 0.0);
+                after(span).await;
+                mischief::cut_off(&self.relays, one, false, false);
+            }
             Trouble::Slow(span, delay) => {
                 self.relays.values().for_each(|relay| {
                     relay.set(|way| (way.delay_s, way.resets) = (delay, way.resets + 1));
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -484,6 +484,8 @@
     pub from_s: f64,
     /// From one trouble to the next it takes a time between these, in milliseconds.
     pub every_ms: [u64; 2],
+    /// The rate of each member's clock; 1 for those that are not named. It takes a build with the feature `planted`.
+    pub clock_rates: Vec<f64>,
     /// One trouble alone, in place of all kinds: `kill`, `stop`, `cut` or `slow`.
     pub only: Option<String>,
 }
@@ -496,6 +498,7 @@
             troubles: 0,
             from_s: 3.0,
             every_ms: [200, 900],
+            clock_rates: Vec::new(),
             only: None,
         }
     }
