Tests that see each break: who looks, forwarded grants, a late finder, a quiet log

Seen by taking rules out one at a time in a copy: a voter that speaks without a majority's look, a former leader's grant proposed for another, a duty given before a place was found out, and a called voter that nobody looks at were noticed by no test. Each has one now; the schedules want all members to speak at the end.

--- a/crates/cluster/src/looks.rs
+++ b/crates/cluster/src/looks.rs
@@ -96,6 +96,11 @@
         assert!(!looks.speaks(1, &members));
         looks.looked_by(3);
         assert!(looks.speaks(1, &members) && looks.spoke());
+        // Half is no majority.
+        members.apply(&Change::Remove(5));
+        let mut half = Looks::default();
+        half.looked_by(2);
+        assert!(!half.speaks(1, &members));
     }
 
     #[test]
--- a/crates/duty/src/duties.rs
+++ b/crates/duty/src/duties.rs
@@ -450,3 +450,121 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use fawnspoke_cluster::members::{Change, Members};
+
+    fn settings() -> Settings {
+        let rules = Rules::default();
+        Settings { term: 3.0, clock_rate: 0.02, hold_most: 3.0, cut_after: 100, round: 1000.0, rules }
+    }
+
+    /// Member 1 of two.
+    struct One {
+        duties: Duties,
+        members: Members,
+        at: u64,
+    }
+
+    impl One {
+        fn new() -> One {
+            let mut members = Members::default();
+            for id in [1, 2] {
+                members.apply(&Change::Join { id, name: format!("n{id}") });
+            }
+            let mut duties = Duties::new(settings(), 0);
+            duties.begin(1);
+            One { duties, members, at: 0 }
+        }
+
+        fn agreed(&mut self, now: Seconds, entry: Entry) {
+            self.at += 1;
+            self.duties.agreed(now, self.at, &postcard::to_stdvec(&entry).unwrap());
+            self.duties.applied(self.at);
+        }
+
+        fn decide(&mut self, now: Seconds) -> (Vec<Entry>, Vec<News>) {
+            let view = View { me: 1, name: "n1", leader: Some(2), members: &self.members, log: 0 };
+            let wants = self.duties.decide(now, &view);
+            let read = |entry: &Vec<u8>| postcard::from_bytes(entry).unwrap();
+            (wants.propose.iter().map(read).collect(), wants.news)
+        }
+
+        /// Its term runs until `now` and three seconds.
+        fn confirmed(&mut self, now: Seconds) {
+            let question = self.duties.question(now).unwrap();
+            self.duties.confirmed(now, question, self.at);
+        }
+    }
+
+    const T: Name = Name::Tries(7);
+
+    #[test]
+    fn what_only_a_leader_decides_is_proposed_for_nobody_else() {
+        let duties = Duties::new(settings(), 0);
+        let proposable = |entry: Entry| duties.proposable(&postcard::to_stdvec(&entry).unwrap());
+        assert!(
+            proposable(Entry::Want { name: T, by: 1 }) && proposable(Entry::Release { name: T, epoch: 1 })
+        );
+        assert!(!proposable(Entry::Give { name: T, was: 0, to: Some(1) }) && !duties.proposable(b"\xff\xff"));
+    }
+
+    #[test]
+    fn a_member_that_finds_a_place_out_late_holds_back_too() {
+        let mut one = One::new();
+        one.agreed(1.0, Entry::Want { name: T, by: 2 });
+        one.agreed(1.0, Entry::Give { name: T, was: 0, to: Some(2) });
+        one.decide(1.0);
+        one.duties.fact(2.0, Fact::Tries(tries::Fact::Out(7)));
+        let (entries, news) = one.decide(2.0);
+        assert!(entries.contains(&Entry::Want { name: T, by: 1 }), "{entries:?}");
+        assert!(news.contains(&News::Tries(7, tries::Bound::Held(5.0))), "{news:?}");
+    }
+
+    #[test]
+    fn what_was_wanted_in_an_earlier_life_is_wanted_no_more() {
+        let mut one = One::new();
+        one.agreed(1.0, Entry::Want { name: T, by: 1 });
+        assert!(one.decide(1.0).0.contains(&Entry::Unwant { name: T, by: 1 }));
+        one.agreed(1.1, Entry::Unwant { name: T, by: 1 });
+        assert!(!one.decide(9.0).0.iter().any(|entry| matches!(entry, Entry::Unwant { .. })));
+    }
+
+    #[test]
+    fn a_discovery_that_answers_leaves_the_log_in_peace() {
+        let mut one = One::new();
+        one.agreed(1.0, Entry::Want { name: Name::Keeper, by: 1 });
+        one.duties.fact(1.0, Fact::ListFailed);
+        assert!(one.decide(1.0).0.contains(&Entry::Want { name: Name::Lists, by: 1 }));
+        one.agreed(1.1, Entry::Want { name: Name::Lists, by: 1 });
+        one.agreed(1.1, Entry::Give { name: Name::Lists, was: 0, to: Some(1) });
+        one.confirmed(1.2);
+        let still = Entry::Tell { name: Name::Lists, epoch: 1, word: Word::List(0) };
+        assert!(one.decide(1.2).0.contains(&still));
+        // It answers, with nothing new.
+        one.duties.fact(2.0, Fact::List(4));
+        let unwant = Entry::Unwant { name: Name::Lists, by: 1 };
+        assert!(one.decide(2.0).0.contains(&unwant));
+        one.agreed(2.1, unwant);
+        for tick in 0..40 {
+            let now = 2.5 + f64::from(tick);
+            one.confirmed(now);
+            one.duties.fact(now, Fact::List(5 + tick as u64));
+            assert_eq!(one.decide(now).0, []);
+        }
+    }
+
+    #[test]
+    fn what_is_given_up_is_acted_on_no_more_before_its_word_is_agreed() {
+        let mut one = One::new();
+        one.agreed(1.0, Entry::Want { name: Name::Keeper, by: 1 });
+        one.agreed(1.0, Entry::Give { name: Name::Keeper, was: 0, to: Some(1) });
+        one.confirmed(1.1);
+        assert_eq!(one.duties.holds(1.2, Name::Keeper), Some(1));
+        one.duties.leave(1.3);
+        assert_eq!(one.duties.holds(1.3, Name::Keeper), None);
+        assert!(one.decide(1.3).0.contains(&Entry::Release { name: Name::Keeper, epoch: 1 }));
+    }
+}
--- a/crates/duty/tests/schedules.rs
+++ b/crates/duty/tests/schedules.rs
@@ -87,6 +87,11 @@
                     let acted = world.seen.iter().filter(|seen| matches!(seen, Seen::Acted { .. })).count();
                     acts.fetch_add(acted as u64, Ordering::Relaxed);
                     alive.fetch_add(u64::from(world.kept()), Ordering::Relaxed);
+                    assert!(
+                        world.all_speak(),
+                        "SCHEDULE={seed}: one says nothing for ever\n{}",
+                        world.state()
+                    );
                     assert_eq!(world.reborn, 0, "SCHEDULE={seed}: a sound folder is taken for an older copy");
                     assert!(
                         world.kept(),
--- a/crates/duty/tests/world/mod.rs
+++ b/crates/duty/tests/world/mod.rs
@@ -458,6 +458,11 @@
         })
     }
 
+    /// All take part in the library's protocol.
+    pub fn all_speak(&self) -> bool {
+        self.members.iter().all(|member| member.core.as_ref().is_some_and(Core::speaks))
+    }
+
     /// All members agree, and all are members.
     pub fn whole(&self) -> Result<(), String> {
         let cores: Vec<_> = self.members.iter().filter_map(|m| m.core.as_ref()).collect();
--- a/crates/lab/src/mischief.rs
+++ b/crates/lab/src/mischief.rs
@@ -30,7 +30,7 @@
     CutOff(bool, bool, f64),
     /// One pair, one way or both, for so long.
     Pair(bool, bool, f64),
-    /// One member's links are slow by so much for a while; then it is cut off for so long.
+    /// One member's links are slow by so much for a while; then nobody hears it for so long, and it hears late answers.
     SlowThenCut(f64, f64),
     /// All links break off at once, and are slow for so long by so much.
     Slow(f64, f64),
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -609,7 +609,9 @@
             Trouble::SlowThenCut(delay, span) => {
                 mischief::slow(&self.relays, one, delay);
                 after(1.0).await;
-                mischief::cut_off(&self.relays, one, true, true);
+                // Answers to what it has asked are on their way yet.
+                mischief::cut_off(&self.relays, one, true, false);
+                after(1.0).await;
                 mischief::slow(&self.relays, one, 0.0);
                 after(span).await;
                 mischief::cut_off(&self.relays, one, false, false);
