--- a/crates/cluster/src/core.rs
+++ b/crates/cluster/src/core.rs
@@ -7,7 +7,7 @@
 use crate::forms::{Conf, ENTRIES_MOST, Entry, Hard, Message, Snapshot};
 use crate::identity::{Identity, Mark};
 use crate::looks::Looks;
-use crate::members::{Change, Known, Members};
+use crate::members::{Change, Known, Members, caught_up};
 use crate::memory::{ENTRY, Memory};
 use crate::part::{Part, View};
 use crate::store::Record;
@@ -29,8 +29,6 @@
 const UNAGREED_BYTES: u64 = 1 << 20;
 /// Whether a snapshot has come is asked so many beats after it was sent.
 const SNAPSHOT_BEATS: u32 = ELECTION_BEATS as u32;
-/// An observer that is so few entries behind has caught up.
-const CAUGHT_UP: u64 = 64;
 /// Whoever asked to join and was not heard for so many beats asks no more.
 const ASKING_BEATS: f64 = 20.0;
 /// Bytes of a proposal.
@@ -395,10 +393,7 @@
         let (last, me) = (self.raw.raft.raft_log.committed, self.identity.birth);
         let progress = self.raw.raft.prs();
         let caught_up = |id: Id| {
-            id != me
-                && progress
-                    .get(id)
-                    .is_some_and(|p| p.recent_active && p.matched > 0 && p.matched + CAUGHT_UP >= last)
+            id != me && progress.get(id).is_some_and(|p| caught_up(p.recent_active, p.matched, last))
         };
         let change = self.members.next(&Known {
             asking: &asking,
--- a/crates/cluster/src/members.rs
+++ b/crates/cluster/src/members.rs
@@ -4,6 +4,15 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
+/// An observer that is so few entries behind has caught up.
+const CAUGHT_UP: u64 = 64;
+
+/// Whether an observer may vote: it is there, has the log, and is few entries behind what is agreed. One that has
+/// acknowledged nothing yet has nothing, however short the log is.
+pub fn caught_up(active: bool, acknowledged: u64, agreed: u64) -> bool {
+    active && acknowledged > 0 && acknowledged + CAUGHT_UP >= agreed
+}
+
 /// A member as agreed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -111,6 +120,12 @@
         })
     }
 
+    #[test]
+    fn one_that_has_nothing_has_not_caught_up() {
+        assert!(caught_up(true, 1, 10) && caught_up(true, 936, 1000));
+        assert!(!caught_up(true, 0, 10) && !caught_up(true, 935, 1000) && !caught_up(false, 1000, 1000));
+    }
+
     #[test]
     fn joining_following_voting_and_being_replaced() {
         let mut members = Members::default();
