A wait told while a connection comes up is heeded: no call begins within it

Cause: crates/node/src/calls.rs, exchange(): a call waits for its connection for up to the connect time-out; what the list says is looked at again after that, but not what another call of the same destination was told meanwhile. The decisions had let the call go before they knew of the wait. Change: after the connection is up, Dispatcher::waits is asked; the call is not sent (it never ran), its connection is kept.

--- /dev/null
+++ b/crates/fawnspoke/tests/sockets/gated.rs
@@ -0,0 +1,108 @@
+//! An endpoint with gates: it accepts, reads and answers only when the test says so.
+
+use crate::stage::host;
+use serde_json::Value;
+use socket2::{Domain, Socket, Type};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+/// Far longer than anything takes that is waited for.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// An endpoint that does nothing by itself.
+pub struct Gated {
+    pub at: SocketAddr,
+    listener: TcpListener,
+    /// It fills the queue of connections that nobody has accepted.
+    filler: Option<TcpStream>,
+}
+
+impl Gated {
+    /// One to which connections come up at once.
+    pub fn open() -> Gated {
+        Gated::listening(16)
+    }
+
+    /// One to which no connection comes up before `unlock`.
+    pub fn locked() -> Gated {
+        let mut gated = Gated::listening(0);
+        gated.filler = Some(TcpStream::connect(gated.at).unwrap());
+        gated
+    }
+
+    fn listening(backlog: i32) -> Gated {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(backlog).unwrap();
+        let listener = TcpListener::from(socket);
+        Gated { at: listener.local_addr().unwrap(), listener, filler: None }
+    }
+
+    /// Whether somebody waits for a connection to come up.
+    pub fn knocked(&self) -> bool {
+        let here = format!("0100007F:{:04X}", self.at.port());
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+        table.lines().any(|line| {
+            let fields: Vec<_> = line.split_whitespace().collect();
+            fields.get(2) == Some(&&*here) && fields.get(3) == Some(&"02")
+        })
+    }
+
+    /// Lets connections come up from now on.
+    pub fn unlock(&mut self) {
+        self.filler.take().expect("a locked one");
+        drop(self.accept());
+    }
+
+    /// The next connection.
+    pub fn accept(&self) -> Peer {
+        self.listener.set_nonblocking(true).unwrap();
+        let until = Instant::now() + PATIENCE;
+        loop {
+            if let Ok((stream, _)) = self.listener.accept() {
+                stream.set_nonblocking(false).unwrap();
+                stream.set_read_timeout(Some(PATIENCE)).unwrap();
+                return Peer { stream };
+            }
+            assert!(Instant::now() < until, "no connection came");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    /// Its line in discovery's list.
+    pub fn host(&self, name: &str, dest: u32) -> Value {
+        host(name, self.at, dest, "single", "up")
+    }
+}
+
+/// One connection to it.
+pub struct Peer {
+    stream: TcpStream,
+}
+
+impl Peer {
+    /// The next request, head and body; none where the other side has ended the connection.
+    pub fn request(&mut self) -> Option<String> {
+        let (mut read, mut piece) = (Vec::new(), [0; 4096]);
+        loop {
+            let text = String::from_utf8_lossy(&read).to_ascii_lowercase();
+            if let Some((head, body)) = text.split_once("\r\n\r\n") {
+                let length = head.lines().find_map(|line| line.strip_prefix("content-length:"));
+                if body.len() >= length.map_or(0, |length| length.trim().parse().unwrap()) {
+                    return Some(String::from_utf8_lossy(&read).into_owned());
+                }
+            }
+            match self.stream.read(&mut piece) {
+                Ok(0) => return None,
+                Ok(n) => read.extend_from_slice(&piece[..n]),
+                Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => return None,
+                Err(error) => panic!("no request: {error}"),
+            }
+        }
+    }
+
+    pub fn write(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+}
--- a/crates/fawnspoke/tests/sockets/main.rs
+++ b/crates/fawnspoke/tests/sockets/main.rs
@@ -3,6 +3,8 @@
 mod answers;
 mod churn;
 mod clients;
+mod crossings;
+mod gated;
 mod in_service;
 mod limits;
 mod reload;
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -429,6 +429,11 @@
         if !open() || node.gate.phase() != Phase::Serving {
             return Err(Outcome::Moot);
         }
+        // Another call may have been told to wait meanwhile. The connection is as good as new.
+        if node.dispatcher.borrow().waits(node.now(), endpoint) {
+            node.pool.put_back(endpoint, link);
+            return Err(Outcome::Moot);
+        }
         let sent_at = Instant::now();
         link.heard.clear();
         link.heard.relays.replace((messages > 0).then(|| (node.figures.clone(), messages as u64)));
--- a/crates/waydoor/src/state.rs
+++ b/crates/waydoor/src/state.rs
@@ -455,6 +455,14 @@
         out(&endpoint.lane) || destination.is_some_and(|destination| out(&destination.lane))
     }
 
+    /// Whether a wait runs that an endpoint told, or its destination: nothing goes there, for any message.
+    pub fn waits(&self, now: Seconds, endpoint: EndpointId) -> bool {
+        let Some(endpoint) = self.endpoints.get(&endpoint) else { return false };
+        let destination = self.destinations.get(&endpoint.destination).filter(|d| !d.apart);
+        let told = destination.map_or(&endpoint.lane, |destination| &destination.lane);
+        told.refusals.wait_until > now
+    }
+
     /// Counts a message of a customer now; whether it comes beyond its share.
     pub(crate) fn counts_over(&mut self, now: Seconds, tenant: usize) -> bool {
         let Some(share) = self.share(now, tenant) else { return false };
