What may no longer go when its connection comes up is not sent: keys forgotten, time up, withdrawn

Cause: as with waits, calls.rs exchange() looked again at the list alone once a connection was up; a connect may take the call's whole time-out, and a key's memory ended meanwhile (attempts.rs looks at it when it decides to send). Change: the decisions' may_begin is asked with the call's messages: waits, deadlines, ends and the memory of keys.

--- a/crates/fawnspoke/tests/sockets/crossings.rs
+++ b/crates/fawnspoke/tests/sockets/crossings.rs
@@ -17,7 +17,7 @@
     assert_eq!(dispatcher.hand_in("safe", "m2", 7), 202);
     let mut peer = quick.accept();
     assert!(peer.request().is_some());
-    eventually("a connect that hangs", || slow.knocked());
+    eventually("a connect that hangs", || slow.knocks() == 1);
     let told = Instant::now();
     peer.write(b"HTTP/1.1 429 Wait\r\nRetry-After: 3.9\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
     assert!(peer.request().is_none(), "it has read the answer, and closes");
@@ -28,3 +28,35 @@
     assert!(told.elapsed() >= WAIT - Duration::from_millis(100), "a call {:?} into the wait", told.elapsed());
     assert!(platform.notices().is_empty());
 }
+
+/// A keyed message may have run; its second call's connection comes up only when the memory of its key is over.
+#[test]
+fn a_key_that_is_forgotten_while_a_connection_comes_up_is_not_sent_again() {
+    let (quick, mut slow) = (Gated::open(), Gated::locked());
+    let platform = Platform::start();
+    let mut dispatcher = Dispatcher::new(&platform, &[quick.host("quick", 7)]);
+    dispatcher.config["settings"]["grades"][1]["repeat_window"] = 2.25.into();
+    dispatcher.config["settings"]["limits"]["connect_timeout"] = 10.0.into();
+    dispatcher.start();
+    assert_eq!(dispatcher.hand_in("keyed", "m1", 7), 202);
+    let mut peer = quick.accept();
+    assert!(peer.request().is_some());
+    let ran = Instant::now();
+    // The next call can go nowhere else.
+    let mut gone = quick.host("quick", 7);
+    gone["health"] = "draining".into();
+    platform.push(2, &[gone, slow.host("slow", 7), held(8)]);
+    dispatcher.hand_in_once_listed("safe", "other", 8);
+    // It is tried again within the memory, which is over 2 s after the first call; a connect is repeated after 1 s.
+    eventually("some time", || ran.elapsed() > Duration::from_millis(1400));
+    peer.write(b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    eventually("a connect that hangs", || slow.knocks() == 1);
+    eventually("the end of the key's memory", || ran.elapsed() > Duration::from_millis(2010));
+    slow.unlock();
+    let served = slow.serve();
+    let called = || served.requests().iter().any(|call| call.contains("m1"));
+    eventually("its end", || !platform.told("m1").is_empty() || called());
+    assert_eq!(served.connections(), 1, "the connection came up");
+    assert!(!called(), "sent again {:?} after it may have run", ran.elapsed());
+    assert_eq!(platform.told("m1"), ["handed_back"]);
+}
--- a/crates/fawnspoke/tests/sockets/gated.rs
+++ b/crates/fawnspoke/tests/sockets/gated.rs
@@ -5,6 +5,8 @@
 use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Far longer than anything takes that is waited for.
@@ -39,14 +41,15 @@
         Gated { at: listener.local_addr().unwrap(), listener, filler: None }
     }
 
-    /// Whether somebody waits for a connection to come up.
-    pub fn knocked(&self) -> bool {
+    /// How many wait for a connection to come up.
+    pub fn knocks(&self) -> usize {
         let here = format!("0100007F:{:04X}", self.at.port());
         let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-        table.lines().any(|line| {
+        let waits = |line: &&str| {
             let fields: Vec<_> = line.split_whitespace().collect();
             fields.get(2) == Some(&&*here) && fields.get(3) == Some(&"02")
-        })
+        };
+        table.lines().filter(waits).count()
     }
 
     /// Lets connections come up from now on.
@@ -70,12 +73,51 @@
         }
     }
 
+    /// Answers all that comes with 200 from now on.
+    pub fn serve(self) -> Served {
+        let served = Served::default();
+        let (seen, connections) = (served.requests.clone(), served.connections.clone());
+        self.listener.set_nonblocking(false).unwrap();
+        // It ends with the test's process.
+        std::thread::spawn(move || {
+            for stream in self.listener.incoming().map_while(Result::ok) {
+                connections.fetch_add(1, Ordering::SeqCst);
+                let seen = seen.clone();
+                std::thread::spawn(move || {
+                    let mut peer = Peer { stream };
+                    while let Some(request) = peer.request() {
+                        seen.lock().unwrap().push(request);
+                        peer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                    }
+                });
+            }
+        });
+        served
+    }
+
     /// Its line in discovery's list.
     pub fn host(&self, name: &str, dest: u32) -> Value {
         host(name, self.at, dest, "single", "up")
     }
 }
 
+/// What came to one that answers.
+#[derive(Default)]
+pub struct Served {
+    requests: Arc<Mutex<Vec<String>>>,
+    connections: Arc<AtomicUsize>,
+}
+
+impl Served {
+    pub fn requests(&self) -> Vec<String> {
+        self.requests.lock().unwrap().clone()
+    }
+
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::SeqCst)
+    }
+}
+
 /// One connection to it.
 pub struct Peer {
     stream: TcpStream,
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -26,7 +26,7 @@
 use tokio::sync::Notify;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
-use waydoor::{Allowance, EndpointId, Outcome, Seconds};
+use waydoor::{Allowance, EndpointId, MessageId, Outcome, Seconds};
 
 /// What is read of an answer: twice the longest body, since a call may hold several messages' ends.
 const ANSWER_MOST: usize = 128 * 1024;
@@ -325,8 +325,9 @@
     let Call { endpoint, at, dest, ref items, .. } = *call;
     let open = || node.directory.borrow().open(endpoint, at, dest);
     let mut reused = false;
+    let ids: Vec<_> = items.iter().map(|item| MessageId(item.number)).collect();
     let answer = match request(call) {
-        Ok(request) => exchange(node, (endpoint, at), request, until, &open, items.len(), &mut reused).await,
+        Ok(request) => exchange(node, (endpoint, at), request, until, &open, &ids, &mut reused).await,
         Err(error) => {
             log::line(format_args!("call to {at}: cannot be written: {error}"));
             Err(Outcome::Error)
@@ -376,7 +377,7 @@
     let request = Request::get("/health/live").header("Host", place.dial.to_string()).body(Full::default());
     let Ok(request) = request else { return (Outcome::Moot, None) };
     let open = || node.directory.borrow().open(endpoint, place.dial, place.dest);
-    match exchange(node, (endpoint, place.dial), request, until, &open, 0, &mut false).await {
+    match exchange(node, (endpoint, place.dial), request, until, &open, &[], &mut false).await {
         Err(outcome) => (outcome, None),
         Ok(answer) if answer.body.is_none() => (Outcome::Spoilt, None),
         Ok(answer) => {
@@ -400,12 +401,13 @@
     kept: bool,
 }
 
-/// One request and its answer. An error tells whether the request may have run. `messages`: how many it carries; of
+/// One request and its answer. An error tells whether the request may have run. `messages`: those it carries; of
 /// several the body of an answer with 200 tells something.
 async fn exchange(
     node: &Node, (endpoint, at): (EndpointId, SocketAddr), mut request: Request<Full<Bytes>>, until: Instant,
-    open: &dyn Fn() -> bool, messages: usize, reused: &mut bool,
+    open: &dyn Fn() -> bool, messages: &[MessageId], reused: &mut bool,
 ) -> Result<Answer, Outcome> {
+    let one = messages.len() == 1;
     loop {
         let mut link;
         (link, *reused) = match node.pool.reuse(endpoint, at, keepalive(node)) {
@@ -429,14 +431,16 @@
         if !open() || node.gate.phase() != Phase::Serving {
             return Err(Outcome::Moot);
         }
-        // Another call may have been told to wait meanwhile. The connection is as good as new.
-        if node.dispatcher.borrow().waits(node.now(), endpoint) {
+        // The decisions may have learned meanwhile what forbids it. The connection is as good as new.
+        if !node.dispatcher.borrow().may_begin(node.now(), endpoint, messages) {
             node.pool.put_back(endpoint, link);
             return Err(Outcome::Moot);
         }
         let sent_at = Instant::now();
         link.heard.clear();
-        link.heard.relays.replace((messages > 0).then(|| (node.figures.clone(), messages as u64)));
+        link.heard
+            .relays
+            .replace((!messages.is_empty()).then(|| (node.figures.clone(), messages.len() as u64)));
         let heard = link.heard.clone();
         let mut sent = pin!(link.sender.try_send_request(request));
         let answer = loop {
@@ -446,11 +450,11 @@
                 () = heard.first.notified() => {}
                 // After a stall of this process the time is up before anything was read: what came meanwhile
                 // is no time-out.
-                () = sleep_until(heard.until(until, messages == 1)) => break timeout(LATE_READ, sent).await,
+                () = sleep_until(heard.until(until, one)) => break timeout(LATE_READ, sent).await,
             }
         };
         let outcome = match answer {
-            Ok(Ok(answer)) => return Ok(rest(node, endpoint, link, answer, messages > 1).await),
+            Ok(Ok(answer)) => return Ok(rest(node, endpoint, link, answer, messages.len() > 1).await),
             Ok(Err(mut error)) => match error.take_message() {
                 // An idle connection that was closed meanwhile: no byte was written, so this is no resend.
                 Some(unsent) if *reused => {
--- a/crates/waydoor/src/choice/attempts.rs
+++ b/crates/waydoor/src/choice/attempts.rs
@@ -221,6 +221,22 @@
         if only { parcel.taken + self.settings.classes[parcel.message.class].aim } else { f64::INFINITY }
     }
 
+    /// Whether a call with these messages may begin now that its connection is up, or a probe with none. Guards
+    /// waits, ends and times that came meanwhile. Harm: none.
+    pub fn may_begin(&self, now: Seconds, endpoint: EndpointId, ids: &[MessageId]) -> bool {
+        let waits = self.limited_lane(endpoint).is_some_and(|lane| lane.refusals.wait_until > now);
+        let in_time = |p: &Parcel| !p.over && now < p.message.deadline.min(self.key_ends(p));
+        !waits && ids.iter().all(|id| self.parcels.get(id).is_some_and(in_time))
+    }
+
+    /// Until when a message may go out by the memory of its key.
+    fn key_ends(&self, parcel: &Parcel) -> Seconds {
+        match (self.settings.classes[parcel.message.class].effect, parcel.may_have_run) {
+            (Effect::Keyed { window, .. }, Some((first, _))) => first + window - KEY_MARGIN,
+            _ => f64::INFINITY,
+        }
+    }
+
     /// Whether the list and the memory of keys let a message go to an endpoint.
     pub(super) fn fits(&self, parcel: &Parcel, endpoint: EndpointId) -> bool {
         let Some(endpoint) = self.endpoints.get(&endpoint).filter(|e| e.ready) else { return false };
@@ -243,10 +259,7 @@
             let effect = self.settings.classes[parcel.message.class].effect;
             let usual = self.destinations.get(&parcel.message.destination);
             let usual = usual.map_or(UNKNOWN_LATENCY, |d| d.lane.service.latency(now));
-            let mut last = parcel.message.deadline - usual.max(ANSWER_MARGIN);
-            if let (Effect::Keyed { window, .. }, Some((first, _))) = (effect, parcel.may_have_run) {
-                last = last.min(first + window - KEY_MARGIN);
-            }
+            let last = (parcel.message.deadline - usual.max(ANSWER_MARGIN)).min(self.key_ends(parcel));
             let lost = effect == Effect::Unsafe && parcel.may_have_run.is_some();
             if now >= last || lost || parcel.unusable || parcel.attempts >= self.settings.attempts {
                 self.end(id, actions);
@@ -271,13 +284,10 @@
 
     pub(super) fn end(&mut self, id: MessageId, actions: &mut Vec<Action>) {
         let Some(parcel) = self.parcels.get_mut(&id) else { return };
-        let harmless = match self.settings.classes[parcel.message.class].effect {
-            // It would fare no better another time.
-            _ if parcel.unusable => false,
-            Effect::Safe => true,
-            Effect::Keyed { by_zone, .. } => parcel.may_have_run.is_none() || !by_zone,
-            Effect::Unsafe => parcel.may_have_run.is_none(),
-        };
+        let effect = self.settings.classes[parcel.message.class].effect;
+        let repeats = matches!(effect, Effect::Safe | Effect::Keyed { by_zone: false, .. });
+        // What is unusable would fare no better another time.
+        let harmless = !parcel.unusable && (repeats || parcel.may_have_run.is_none());
         actions.push(if harmless { Action::Refuse(id) } else { Action::Fail(id) });
         parcel.over = true;
         self.settle(id, ENDED_KEPT);
--- a/crates/waydoor/src/state.rs
+++ b/crates/waydoor/src/state.rs
@@ -455,12 +455,11 @@
         out(&endpoint.lane) || destination.is_some_and(|destination| out(&destination.lane))
     }
 
-    /// Whether a wait runs that an endpoint told, or its destination: nothing goes there, for any message.
-    pub fn waits(&self, now: Seconds, endpoint: EndpointId) -> bool {
-        let Some(endpoint) = self.endpoints.get(&endpoint) else { return false };
+    /// The lane of an endpoint's limit: its own, or its destination's.
+    pub(crate) fn limited_lane(&self, endpoint: EndpointId) -> Option<&Lane> {
+        let endpoint = self.endpoints.get(&endpoint)?;
         let destination = self.destinations.get(&endpoint.destination).filter(|d| !d.apart);
-        let told = destination.map_or(&endpoint.lane, |destination| &destination.lane);
-        told.refusals.wait_until > now
+        Some(destination.map_or(&endpoint.lane, |destination| &destination.lane))
     }
 
     /// Counts a message of a customer now; whether it comes beyond its share.
