The watch reads a stream of JSON values; what breaks off or is no list opens it anew

Cause: discovery.rs follow() split the stream at line ends and read each line alone, while lists may come indented: an indented list was dropped line by line. A piece without a line end renewed the time-out of silence, so a list that broke off in its middle was waited for as long as heartbeats came. What could not be read was passed over and stayed missing. After a long watch without a change the pause before the next one doubled each time, on top of the 4.5 s of silence. Change: serde_json's stream of values over what has come; white space is the heartbeat; a value that has begun is whole in a second or the watch is opened anew; so it is after what is no list; a watch that lasted is a good one (first pause 0.1 s). Long values in many pieces are not read anew for each piece; 4 MB at most. Tests: watch.rs (a pretty list in pieces of seven bytes, two values and a half in one piece, a list cut while heartbeats go on, three kinds of no list); each fails with the file before. silent_discovery_is_watched_anew asked that the line behind one that can't be read counts on the same watch; the issue asks for a new watch there, so it now waits for that one first, and all it asked for else stays.

--- a/crates/fawnspoke/tests/sockets/gated.rs
+++ b/crates/fawnspoke/tests/sockets/gated.rs
@@ -60,15 +60,22 @@
 
     /// The next connection.
     pub fn accept(&self) -> Peer {
+        self.accept_within(PATIENCE).expect("a connection")
+    }
+
+    /// The next connection, if it comes within this time.
+    pub fn accept_within(&self, time: Duration) -> Option<Peer> {
         self.listener.set_nonblocking(true).unwrap();
-        let until = Instant::now() + PATIENCE;
+        let until = Instant::now() + time;
         loop {
             if let Ok((stream, _)) = self.listener.accept() {
                 stream.set_nonblocking(false).unwrap();
                 stream.set_read_timeout(Some(PATIENCE)).unwrap();
-                return Peer { stream };
+                return Some(Peer { stream });
+            }
+            if Instant::now() >= until {
+                return None;
             }
-            assert!(Instant::now() < until, "no connection came");
             std::thread::sleep(Duration::from_millis(1));
         }
     }
@@ -145,6 +152,10 @@
     }
 
     pub fn write(&mut self, bytes: &[u8]) {
-        self.stream.write_all(bytes).unwrap();
+        self.try_write(bytes).unwrap();
+    }
+
+    pub fn try_write(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.stream.write_all(bytes)
     }
 }
--- a/crates/fawnspoke/tests/sockets/main.rs
+++ b/crates/fawnspoke/tests/sockets/main.rs
@@ -10,6 +10,7 @@
 mod reload;
 mod stage;
 mod stopping;
+mod watch;
 
 use stage::*;
 use std::fs;
@@ -515,7 +516,10 @@
     platform.silent(false);
     let silent = platform.watched_from().len();
     eventually("a watch that is answered", || platform.watched_from().len() > silent);
+    // What is no list counts for nothing, and ends its watch.
+    let answered = platform.watched_from().len();
     platform.push_line("this is no list");
+    eventually("another watch", || platform.watched_from().len() > answered);
     platform.push(9, &[serde_json::json!({"host": "no entry"}), endpoint.host("e", 8, "up")]);
     dispatcher.hand_in_once_listed("safe", "m2", 8);
     eventually("the call by the new list", || endpoint.seen().len() == 2);
--- a/crates/lab/src/auditor.rs
+++ b/crates/lab/src/auditor.rs
@@ -13,6 +13,10 @@
 const COLD_SLACK: f64 = 3.0;
 /// An answer that was written this long after another call had begun was not crossed by it.
 const CROSSING: Micros = 10_000;
+/// A message that a restart found untried had time left if it had so much at readiness.
+const TIME_LEFT: Micros = 500_000;
+/// So many of them say something; of fewer over half may be chance.
+const FOUND_LEAST: u64 = 10;
 /// Breaches that are kept; more are counted.
 const BREACHES_KEPT: usize = 200;
 
@@ -39,6 +43,8 @@
     Altered,
     /// No process ends that was not told to.
     Crash,
+    /// What a restart finds taken on and untried is still tried.
+    Untried,
 }
 
 impl fmt::Display for Rule {
@@ -54,6 +60,7 @@
             Rule::Wait => "waits are heeded",
             Rule::Altered => "messages go unchanged to their own destination",
             Rule::Crash => "no dispatcher crashes",
+            Rule::Untried => "what a restart finds untried is tried",
         })
     }
 }
@@ -102,6 +109,10 @@
     pub doubled: u64,
     /// Took effect under two ids, since its client had handed it in twice: no rule is broken.
     pub doubled_by_clients: u64,
+    /// Hand-ins that a later process found taken on and never called, with time left once it was ready.
+    pub found: u64,
+    /// Those of them that never were called.
+    pub untried: u64,
     /// Time from the first hand-in to the delivery of each delivered message, in microseconds.
     pub latencies: Vec<Micros>,
 }
@@ -188,6 +199,7 @@
     restarts: Vec<(Micros, Option<Micros>)>,
     kills: Vec<Micros>,
     started: Vec<Micros>,
+    ready: Vec<Micros>,
 }
 
 struct Outage {
@@ -322,6 +334,7 @@
             What::Started { dispatcher } => self.lives.entry(*dispatcher).or_default().started.push(at),
             What::Ready { dispatcher } => {
                 let lives = self.lives.entry(*dispatcher).or_default();
+                lives.ready.push(at);
                 lives.restarts.iter_mut().for_each(|restart| restart.1 = restart.1.or(Some(at)));
             }
             What::Signalled { dispatcher, signal } => {
@@ -754,9 +767,45 @@
             self.breach(Rule::Lost, id, at, text);
         }
         self.tally(&lost);
+        self.untried();
         self.verdict.breaches.sort_by_key(|breach| breach.at);
     }
 
+    /// Whether a process that began later found the message taken on and never called, with time left.
+    fn found(&self, message: &Message) -> bool {
+        let Some((taken, _)) = message.status.filter(|_| message.taken()) else { return false };
+        let Some(lives) = self.lives.get(&message.dispatcher) else { return false };
+        let called = message.calls.iter().filter_map(|call| self.calls.get(call)).map(|call| call.at).min();
+        lives.started.iter().any(|started| {
+            let ready = lives.ready.iter().find(|ready| *ready > started);
+            taken < *started
+                && called.is_none_or(|called| called > *started)
+                && message.ended().is_none_or(|end| end > *started)
+                && ready.is_some_and(|ready| ready + TIME_LEFT < message.deadline)
+        })
+    }
+
+    fn untried(&mut self) {
+        let (mut found, mut untried) = (0, 0);
+        for id in &self.order {
+            let message = &self.messages[id];
+            let Some(class) = self.rules.classes.get(message.class) else { continue };
+            // Its client broke off, or the record ends before its time does: nobody can say.
+            if message.left || !self.found(message) || (message.calls.is_empty() && message.ended().is_none())
+            {
+                continue;
+            }
+            let tally = self.verdict.classes.entry(class.name.clone()).or_default();
+            let never = u64::from(message.calls.is_empty());
+            (tally.found, tally.untried) = (tally.found + 1, tally.untried + never);
+            (found, untried) = (found + 1, untried + never);
+        }
+        if found >= FOUND_LEAST && 2 * untried > found {
+            let text = format!("of {found} that restarts found with time left, {untried} were never called");
+            self.breach(Rule::Untried, "all dispatchers", self.done, text);
+        }
+    }
+
     fn tally(&mut self, lost: &HashSet<String>) {
         let mut origins: HashMap<&str, Vec<&Message>> = HashMap::new();
         let mut firsts = Vec::new();
--- a/crates/lab/src/table.rs
+++ b/crates/lab/src/table.rs
@@ -69,6 +69,12 @@
         // Writing to a string cannot fail.
         let _ = writeln!(text, "{count} took effect under two ids: their clients had handed them in twice");
     }
+    for (name, Tally { found, untried, .. }) in verdict.classes.iter().filter(|(_, tally)| tally.found > 0) {
+        let _ = writeln!(
+            text,
+            "restarts found {found} of {name} untried with time left; never called: {untried}"
+        );
+    }
     text
 }
 
--- a/crates/lab/tests/planted.rs
+++ b/crates/lab/tests/planted.rs
@@ -642,3 +642,37 @@
     std::fs::write(&path, "{\"at\":1,\"what\":\"done\"}\n").unwrap();
     assert!(load(&path).unwrap_err().contains(":1: "));
 }
+
+#[test]
+fn what_a_restart_finds_untried_is_tried() {
+    // So many of a dozen are called in the next life; the others are handed back with 16 s left.
+    let story = |called: usize| {
+        let mut story = Story::new();
+        for i in 0..12 {
+            story.take(S, "safe", &format!("m{i}"));
+        }
+        story.signal(2 * S, Sig::Kill).add(3 * S, What::Started { dispatcher: 0 });
+        story.add(4 * S, What::Ready { dispatcher: 0 });
+        for i in 0..12 {
+            let id = format!("m{i}");
+            match i < called {
+                true => story.deliver(5 * S, i as u64, "safe", &id),
+                false => story.notice(5 * S, &id, Outcome::HandedBack),
+            };
+        }
+        story.add(40 * S, What::Done).audit()
+    };
+    let verdict = story(5);
+    assert_eq!(verdict.counts.get(&Rule::Untried), Some(&1), "{verdict:?}");
+    assert_eq!((verdict.classes["safe"].found, verdict.classes["safe"].untried), (12, 7));
+    let verdict = story(6);
+    assert!(verdict.clean(), "half is not over half: {verdict:?}");
+    assert_eq!((verdict.classes["safe"].found, verdict.classes["safe"].untried), (12, 6));
+    // Without a restart nobody finds anything, whatever is handed back.
+    let mut alone = Story::new();
+    for i in 0..12 {
+        alone.take(S, "safe", &format!("m{i}")).notice(5 * S, &format!("m{i}"), Outcome::HandedBack);
+    }
+    let verdict = alone.add(40 * S, What::Done).audit();
+    assert_eq!(verdict.classes["safe"].found, 0);
+}
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -6,6 +6,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Bytes;
 use hyper::{Method, Request, StatusCode};
+use serde_json::value::RawValue;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,13 +23,18 @@
 const NOTICE_ANSWER: Duration = Duration::from_millis(200);
 const BACKOFF: Duration = Duration::from_millis(100);
 const BACKOFF_MOST: Duration = Duration::from_secs(1);
-/// A longer line is no list.
-const LINE_MOST: usize = 4 << 20;
+/// A longer value is no list.
+const VALUE_MOST: usize = 4 << 20;
+/// A value that is shorter is read anew with each piece of it that comes.
+const REREAD_MOST: usize = 64 << 10;
 /// Notices in one request.
 const NOTICES: usize = 64;
 
 /// Takes a list in discovery's form.
-pub fn list(node: &Node, value: &[u8]) {
+///
+/// # Errors
+/// Where it can't be read as one: the list stays as it was.
+pub fn list(node: &Node, value: &[u8]) -> Result<(), Failure> {
     match serde_json::from_slice(value) {
         Ok(list) => {
             let (kinds, zones) = (&node.config.kinds, &node.config.zones);
@@ -40,8 +46,9 @@
             node.bounds.list_came(node.directory.borrow().seq());
             control::restarted(node);
         }
-        Err(error) => log::line(format_args!("discovery: line left out: {error}")),
+        Err(error) => return Err(format!("no list: {error}").into()),
     }
+    Ok(())
 }
 
 /// Watches the list for as long as the process runs. Where all dispatchers ask one discovery, it is the decisions
@@ -59,6 +66,7 @@
     }
     loop {
         let (at, seq) = (*moved.borrow_and_update(), node.directory.borrow().seq());
+        let began = Instant::now();
         tokio::select! {
             heard = follow(&node, at, seq) => {
                 log::line(format_args!("discovery: watch ended: {}", heard.unwrap_or_else(|error| error.to_string())));
@@ -84,9 +92,9 @@
             }
             continue;
         }
-        // A watch that brought something was a good one.
-        let news = node.directory.borrow().seq() != seq;
-        backoff = if news { BACKOFF } else { (backoff * 2).min(BACKOFF_MOST) };
+        // A watch that brought something or lasted was a good one: after its end there is no time to lose.
+        let good = node.directory.borrow().seq() != seq || began.elapsed() >= SILENCE;
+        backoff = if good { BACKOFF } else { (backoff * 2).min(BACKOFF_MOST) };
         // A new address is tried at once, and so is the known one where another dispatcher has heard it answer.
         let pause = node.bounds.slowly().map_or(backoff, |slow| slow.max(backoff));
         tokio::select! {
@@ -101,7 +109,8 @@
     node.config.settings.listing != Listing::Pushed
 }
 
-type Failure = Box<dyn std::error::Error>;
+/// What ends a watch, or a request.
+pub type Failure = Box<dyn std::error::Error>;
 
 /// One watch, from the connection to its end.
 async fn follow(node: &Node, at: SocketAddr, seq: u64) -> Result<String, Failure> {
@@ -116,26 +125,73 @@
         return Ok(format!("answered {}", answer.status()));
     }
     let mut body = answer.into_body();
-    let mut line = Vec::new();
+    let mut stream = Values::default();
     loop {
-        let Ok(frame) = timeout(SILENCE, body.frame()).await else { return Ok("silent".into()) };
+        // A value that has begun comes at once; between two of them the heartbeats count.
+        let until = stream.whole_by.unwrap_or_else(|| Instant::now() + SILENCE);
+        let Ok(frame) = timeout_at(until, body.frame()).await else { return Ok("silent".into()) };
         let Some(frame) = frame else { return Ok("closed".into()) };
         let Ok(data) = frame?.into_data() else { continue };
-        for piece in data.split_inclusive(|byte| *byte == b'\n') {
-            line.extend_from_slice(piece);
-            if line.len() > LINE_MOST {
-                return Ok("a line without an end".into());
-            }
-            if piece.ends_with(b"\n") {
-                if line.trim_ascii().is_empty() {
-                    node.tell(Event::ListAlive);
-                    node.bounds.list_alive(node.directory.borrow().seq());
-                } else {
-                    list(node, &line);
+        if !stream.add(&data, |value| list(node, value))? {
+            node.tell(Event::ListAlive);
+            node.bounds.list_alive(node.directory.borrow().seq());
+        }
+    }
+}
+
+/// A stream of JSON values, one after the other, with any white space between and in them.
+#[derive(Default)]
+struct Values {
+    read: Vec<u8>,
+    /// How much of it was looked at when its value was found not to be whole.
+    tried: usize,
+    /// A value that has begun is whole by then, or the stream has broken off.
+    whole_by: Option<Instant>,
+}
+
+impl Values {
+    /// Takes what has come and gives each value that is whole; whether anything but white space came.
+    fn add(
+        &mut self, data: &[u8], mut take: impl FnMut(&[u8]) -> Result<(), Failure>,
+    ) -> Result<bool, Failure> {
+        self.read.extend_from_slice(data);
+        let some = !self.read.trim_ascii_start().is_empty();
+        // A long value that comes in many pieces is not read anew for each of them.
+        let ends = self.read.trim_ascii_end().ends_with(b"}");
+        if self.tried > REREAD_MOST && !ends && self.read.len() < 2 * self.tried {
+            return self.bounded(some);
+        }
+        let mut values = serde_json::Deserializer::from_slice(&self.read).into_iter::<&RawValue>();
+        let mut whole = 0;
+        loop {
+            match values.next() {
+                Some(Ok(value)) => take(value.get().as_bytes())?,
+                Some(Err(error)) if error.is_eof() => break,
+                Some(Err(error)) => return Err(error.into()),
+                None => {
+                    whole = self.read.len();
+                    break;
                 }
-                line.clear();
             }
+            whole = values.byte_offset();
+        }
+        self.read.drain(..whole);
+        if whole > 0 || self.read.trim_ascii_start().is_empty() {
+            self.whole_by = None;
+        }
+        self.tried = self.read.len();
+        self.bounded(some)
+    }
+
+    fn bounded(&mut self, some: bool) -> Result<bool, Failure> {
+        if self.read.len() > VALUE_MOST {
+            return Err("a value without an end".into());
+        }
+        match self.read.trim_ascii_start().is_empty() {
+            true => self.read.clear(),
+            false => self.whole_by = self.whole_by.or_else(|| Some(Instant::now() + ANSWER)),
         }
+        Ok(some)
     }
 }
 
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -7,7 +7,7 @@
 use crate::directory::Directory;
 use crate::gate::Gate;
 use crate::rounds::{Ears, Finish, hear, rounds};
-use crate::{Node, clock, control, counts, discovery, handover, inherited};
+use crate::{Node, clock, control, counts, discovery, handover, inherited, log};
 use fawnspoke_control::door;
 use fawnspoke_control::figures::Figures;
 use fawnspoke_journal::plan::{self, Limits};
@@ -169,7 +169,8 @@
         config,
     });
     if !adopted {
-        discovery::list(&node, node.config.file["known"].to_string().as_bytes());
+        let known = discovery::list(&node, node.config.file["known"].to_string().as_bytes());
+        known.unwrap_or_else(|error| log::line(format_args!("known: left out: {error}")));
     }
     node.bounds.begin(&node.config);
     node.resume();
