What a restart finds taken on and untried goes before fresh messages, and makes no place for them

Cause: order.rs release(): the rank is worth by freshness, so at a place that a limit holds each fresh message outranks what waited for the restart, until its time is up; keep_room() takes the lowest rank first too. Ruled out: the backlog's pace (others went to the same places meanwhile), latencies that are unknown, places remembered as out (none in the runs without outages; they add what can't be tried). Change: a message that a restart found and nobody has called with goes first, the earliest end first, behind only what may hardly end in time; it makes no place in a full room. Tests: lives.rs (two), stopping.rs (a kill, one slot, fresh ones before the first answer); each fails with the order before.

--- a/crates/fawnspoke/tests/sockets/stopping.rs
+++ b/crates/fawnspoke/tests/sockets/stopping.rs
@@ -99,3 +99,31 @@
     assert_eq!(slow.answer().status(), 503, "not taken: its time would be over");
     assert!(dispatcher.wait());
 }
+
+/// One slot; a kill leaves some untried; in the next life fresh messages come before the first of them is answered.
+#[test]
+fn what_a_kill_leaves_untried_is_tried_before_fresh_ones() {
+    let (gated, platform) = (Gated::open(), Platform::start());
+    let mut dispatcher = Dispatcher::new(&platform, &[held(7)]);
+    dispatcher.config["settings"]["family_info"]["call_slots"] = 1.into();
+    dispatcher.start();
+    for number in 0..5 {
+        assert_eq!(dispatcher.hand_in("safe", &format!("found{number}"), 7), 202);
+    }
+    dispatcher.kill();
+    dispatcher.config["known"]["hosts"] = serde_json::json!([gated.host("e", 7)]);
+    dispatcher.start();
+    let mut peer = gated.accept();
+    let mut calls = vec![peer.request().expect("the first call")];
+    for number in 0..5 {
+        assert_eq!(dispatcher.hand_in("safe", &format!("fresh{number}"), 7), 202);
+    }
+    while calls.len() < 10 {
+        peer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        calls.push(peer.request().expect("a call on the connection that is kept"));
+    }
+    peer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    let first = |word: &str| calls.iter().position(|call| call.contains(word));
+    let last = calls.iter().rposition(|call| call.contains("found"));
+    assert!(last < first("fresh"), "{:?} {:?}", last, first("fresh"));
+}
--- a/crates/waydoor/src/choice.rs
+++ b/crates/waydoor/src/choice.rs
@@ -164,8 +164,7 @@
         actions.extend(self.wake_at(now, wake));
     }
 
-    /// The own part of a destination's capacity: the own demand over it, since traffic is uneven; where all do so the
-    /// parts add up to the load. At most midway to all. A return ends with its cold time.
+    /// The own part of a destination's capacity, by the own demand. A return ends with its cold time.
     fn refresh(&mut self, now: Seconds, number: DestinationId) {
         let Some(destination) = self.destinations.get_mut(&number) else { return };
         let even = 1.0 / f64::from(self.settings.dispatchers);
--- a/crates/waydoor/src/choice/attempts.rs
+++ b/crates/waydoor/src/choice/attempts.rs
@@ -10,7 +10,7 @@
 pub(super) const TIMEOUT_MEANS: f64 = 8.0;
 /// No time-out is shorter: connecting and one pause of the other side fit into it.
 pub(super) const TIMEOUT_LEAST: f64 = 0.8;
-/// Share of `TIMEOUT_LEAST` for a call that takes the last slot. Guards slots against silent calls. Harm: repeats.
+/// Share of `TIMEOUT_LEAST` for a call that takes the last slot. Guards against silent ones. Harm: repeats.
 const TIMEOUT_BUSY: f64 = 0.5;
 /// Each failure in a row doubles the time-out, up to this often: slow is told from silent by waiting longer.
 const TIMEOUT_DOUBLES: u32 = 3;
@@ -210,13 +210,13 @@
         best.map(|(trial, _, id)| (id, trial || whole_trial)).ok_or((wake, probe))
     }
 
-    /// From when on an unsafe message is a trial after all, where nothing else would open a place. Harm: its loss.
+    /// From when on an unsafe message is a trial after all, where nothing else opens a place. Harm: its loss.
     fn tried_alone_at(&self, parcel: &Parcel, destination: &Destination) -> Seconds {
         let only = !self.settings.probes && destination.risky == destination.held.len();
         if only { parcel.taken + self.settings.classes[parcel.message.class].aim } else { f64::INFINITY }
     }
 
-    /// Whether a call may begin now that its connection is up. Guards waits, ends and times that came meanwhile.
+    /// Whether a call may begin now that its connection is up. Guards waits, ends, times that came meanwhile.
     pub fn may_begin(&self, now: Seconds, endpoint: EndpointId, ids: &[MessageId]) -> bool {
         let waits = self.limited_lane(endpoint).is_some_and(|lane| lane.refusals.wait_until > now);
         let in_time = |p: &Parcel| !p.over && now < p.message.deadline.min(self.key_ends(p));
@@ -250,10 +250,10 @@
         }
         for id in look {
             let Some(parcel) = self.parcels.get(&id).filter(|p| p.out.is_none() && !p.over) else { continue };
-            let effect = self.settings.classes[parcel.message.class].effect;
             let usual = self.destinations.get(&parcel.message.destination);
             let usual = usual.map_or(UNKNOWN_LATENCY, |d| d.lane.service.latency(now)).max(ANSWER_MARGIN);
             let last = self.before_end((parcel.message.deadline - usual).min(self.key_ends(parcel)));
+            let effect = self.settings.classes[parcel.message.class].effect;
             let lost = effect == Effect::Unsafe && parcel.may_have_run.is_some();
             if now >= last || lost || parcel.unusable || parcel.attempts >= self.settings.attempts {
                 self.end(id, actions);
@@ -263,7 +263,7 @@
         }
     }
 
-    /// When a client should come again: once the destination is open and has served what is held. It may be cut.
+    /// When a client should come again: once the destination is open and has served what it holds.
     pub fn come_back(&self, now: Seconds, destination: DestinationId) -> Seconds {
         let Some(destination) = self.destinations.get(&destination) else { return TRIAL };
         let lane = &destination.lane;
--- a/crates/waydoor/src/choice/closing.rs
+++ b/crates/waydoor/src/choice/closing.rs
@@ -17,7 +17,7 @@
             || self.calls.len() + self.waiting.len() < self.settings.slots && at_once()
     }
 
-    /// When a held message gets its answer that would get it by `last`: no call of use is begun at the very end.
+    /// When a held message gets its answer that is due by `last`: no call of use begins at the very end.
     pub(super) fn before_end(&self, last: Seconds) -> Seconds {
         if last < self.closing_at + RESTART { last.min(self.closing_at - TIMEOUT_LEAST) } else { last }
     }
--- a/crates/waydoor/src/choice/connections.rs
+++ b/crates/waydoor/src/choice/connections.rs
@@ -1,5 +1,5 @@
 //! Connections: which idle one is kept, and when one is closed.
-//! Guards small tables against a fleet, calls against connections that died unseen. Harm: new ones are priced.
+//! Guards small tables against a fleet, calls against connections that died unseen. Harm: new ones cost.
 
 use super::pace::FEW;
 use super::*;
@@ -20,7 +20,7 @@
 pub(super) const CONNECT_COST: f64 = 0.1;
 
 impl Dispatcher {
-    /// An idle one stays while its like prove good and a use is likely. False where a failure tells of it alone.
+    /// An idle one stays while its like prove good and a use is likely. False where a failure tells of it.
     pub(super) fn judge_connection(
         &mut self, now: Seconds, id: EndpointId, outcome: Outcome, idle: Seconds, kept: bool,
     ) -> bool {
@@ -45,7 +45,7 @@
             let even = destination.lane.pace.even * destination.lane.pace.whole();
             let shares = (destination.batch * destination.endpoints.len().max(1)) as f64;
             let rate = own.max(even) / shares;
-            // All idle ones are no more than the calls that are out, or any table: so long that lets one stay.
+            // All idle ones are no more than the calls out, or than any table: so long that lets one stay.
             let room = (destination.lane.pace.even * FEW).max(rate * endpoint.lane.service.latency(now));
             let keep = if room < 1.0 { keep.min(-(1.0 - room).ln() / rate) } else { keep };
             let used = rate * keep >= USES_LEAST;
--- a/crates/waydoor/src/choice/listing.rs
+++ b/crates/waydoor/src/choice/listing.rs
@@ -6,7 +6,7 @@
 
 /// First pause before asking for the list again; doubles up to `ASK_MOST`.
 pub(super) const ASK: f64 = 0.3;
-/// Longest mean pause before asking again, and wait for an answer, as a share of the rule's time: lines are long.
+/// Longest mean pause before asking again, and wait for an answer, as a share of the rule's time.
 pub(super) const ASK_MOST: f64 = 0.5;
 /// Many dispatchers spread what they ask over this share of the rule's time: enough for one call of each.
 const ASK_SPREAD: f64 = 0.8;
--- a/crates/waydoor/src/choice/order.rs
+++ b/crates/waydoor/src/choice/order.rs
@@ -85,18 +85,18 @@
                 let usual = LAST_CALL * destination.lane.service.latency(now);
                 held.extend(parcels.map(|p| {
                     let late = p.message.deadline - now < usual;
-                    (self.rank(now, p, rate), p.taken, (p.over_share, late), p.message)
+                    (self.rank(now, p, rate), p.taken, (!p.untried(), p.over_share, late), p.message)
                 }));
                 open += 1;
             }
         }
-        // With slots to spare limits hold them, not the slots that the rank is for, and where worth falls evenly
-        // all lose alike by waiting: the first to run out goes first. Harm: where a place stays small, all are late.
+        // With slots to spare limits hold them; where worth falls evenly all lose alike by waiting: the first
+        // to run out goes first. Harm: where a place stays small, all are late.
         let spare = self.calls.len() + open < self.settings.slots && self.settings.decay == Decay::Even;
-        // What may hardly end in its time goes after the others there.
+        // What may hardly end in time goes last, what a restart found untried first: fresh ones outrank it.
         held.sort_by(|(rank, taken, last, message), (other, then, least, than)| {
             let first = last.cmp(least).then(message.deadline.total_cmp(&than.deadline));
-            let order = if spare { first } else { other.total_cmp(rank) };
+            let order = if spare || !(last.0 && least.0) { first } else { other.total_cmp(rank) };
             order.then(then.total_cmp(taken)).then(than.id.cmp(&message.id))
         });
         let mut closed: BTreeSet<DestinationId> = BTreeSet::new();
@@ -172,14 +172,15 @@
         !resting
     }
 
-    /// When the room is almost full, the held message of lowest rank makes place: the door can't choose by rank.
+    /// When the room is almost full, the message of lowest rank makes place: the door can't choose by rank.
     pub(super) fn keep_room(&mut self, now: Seconds, actions: &mut Vec<Action>) {
         let excess = (self.parcels.len() + ROOM_KEPT).saturating_sub(self.settings.room);
         let mut ranked = Vec::new();
         for number in self.waiting.iter().filter(|_| excess > 0) {
             let Some(destination) = self.destinations.get(number) else { continue };
             let rate = self.service(now, destination);
-            let parcels = destination.held.iter().filter_map(|id| self.parcels.get(id));
+            let held = |id| self.parcels.get(id).filter(|parcel| !parcel.untried());
+            let parcels = destination.held.iter().filter_map(held);
             ranked.extend(parcels.map(|p| (self.rank(now, p, rate), p.message.id)));
         }
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
--- a/crates/waydoor/src/choice/outage.rs
+++ b/crates/waydoor/src/choice/outage.rs
@@ -52,7 +52,7 @@
         (alone * (0.75 + 0.5 * rng.f64())).max(crowd * -(1.0 - rng.f64()).ln())
     }
 
-    /// While shut or cold: the share of a warm place's traffic that may go there; the own part in calls a second.
+    /// While shut or cold: the share of a warm place's traffic that may go there; the own part.
     pub(super) fn ramp(&self, now: Seconds, rule: &ReturnRule) -> (f64, f64) {
         let (warm, used) = match self.outage.health {
             Health::Returning(since) => (((now - since) / rule.cold_time).clamp(0.0, 1.0), RAMP_SHARE),
@@ -154,7 +154,7 @@
         }
     }
 
-    /// What was out when an earlier life ended is tried first, and returns cold. Harm: one long back gets less.
+    /// What was out when an earlier life ended is tried first and returns cold. Harm: one long back waits.
     pub(super) fn recall(&mut self, now: Seconds, number: DestinationId) {
         let Some(destination) = self.destinations.get_mut(&number) else { return };
         if destination.endpoints.is_empty() || !self.recalled.remove(&number) {
--- a/crates/waydoor/src/state.rs
+++ b/crates/waydoor/src/state.rs
@@ -180,13 +180,21 @@
     pub(crate) unusable: bool,
     /// It came beyond its customer's share.
     pub(crate) over_share: bool,
+    /// An earlier life had taken it, and this one found it.
+    #[serde(default)]
+    pub(crate) found: bool,
 }
 
 impl Parcel {
+    /// Whether a restart found it and nobody has called with it so far.
+    pub(crate) fn untried(&self) -> bool {
+        self.found && self.attempts == 0
+    }
+
     pub(crate) fn new(message: Message, taken: Seconds, over_share: bool) -> Self {
         let (attempts, out, may_have_run) = (0, None, None);
-        let (over, alone, unusable) = (false, false, false);
-        Parcel { message, taken, attempts, out, may_have_run, over, alone, unusable, over_share }
+        let (over, alone, unusable, found) = (false, false, false, false);
+        Parcel { message, taken, attempts, out, may_have_run, over, alone, unusable, over_share, found }
     }
 }
 
@@ -475,6 +483,7 @@
     ) {
         if let Some(parcel) = self.parcels.get_mut(&id) {
             (parcel.taken, parcel.attempts, parcel.may_have_run) = (taken, attempts, may_have_run);
+            parcel.found = true;
         }
     }
 
--- a/crates/waydoor/tests/lives.rs
+++ b/crates/waydoor/tests/lives.rs
@@ -204,3 +204,41 @@
     }
     assert_eq!(stage.round()[0].id, 2, "what is inside its share goes first");
 }
+
+#[test]
+fn what_a_restart_found_untried_goes_before_fresh_ones() {
+    let mut stage = Stage::new(Settings { slots: 1, ..settings() });
+    for id in 1..=4 {
+        resumed(&mut stage, id, 0, 0, None);
+    }
+    // Tried once before: it has no right of way.
+    resumed(&mut stage, 5, 0, 1, None);
+    let mut order = Vec::new();
+    for fresh in 6..=12 {
+        stage.take(fresh, 0, 1);
+        for sent in stage.round() {
+            order.push(sent.id);
+            stage.end(sent.id, sent.endpoint, 0, Outcome::Served, 0.05);
+        }
+        // The pace lets one go.
+        stage.now += 1.0;
+    }
+    let mut found = order[..4].to_vec();
+    found.sort_unstable();
+    assert_eq!(found, [1, 2, 3, 4], "{order:?}");
+    assert!(order[4..].iter().all(|id| *id > 5), "then the fresh ones, by rank: {order:?}");
+}
+
+#[test]
+fn what_a_restart_found_untried_makes_no_place_for_fresh_ones() {
+    let mut stage = Stage::new(Settings { slots: 1, room: 5, ..settings() });
+    stage.take(1, 0, 1);
+    assert_eq!(stage.round().len(), 1, "it holds the slot");
+    for id in 2..=4 {
+        resumed(&mut stage, id, 0, 0, None);
+    }
+    stage.take(5, 0, 1);
+    stage.round();
+    assert!(stage.refused(5), "the room is full, and the others were promised before");
+    assert!((2..=4).all(|id| !stage.refused(id)));
+}
