--- a/crates/lab/tests/planted.rs
+++ b/crates/lab/tests/planted.rs
@@ -660,7 +660,7 @@
                 false => story.notice(5 * S, &id, Outcome::HandedBack),
             };
         }
-        story.add(40 * S, What::Done).audit()
+        story.judge()
     };
     let verdict = story(5);
     assert_eq!(verdict.counts.get(&Rule::Untried), Some(&1), "{verdict:?}");
@@ -673,6 +673,6 @@
     for i in 0..12 {
         alone.take(S, "safe", &format!("m{i}")).notice(5 * S, &format!("m{i}"), Outcome::HandedBack);
     }
-    let verdict = alone.add(40 * S, What::Done).audit();
+    let verdict = alone.judge();
     assert_eq!(verdict.classes["safe"].found, 0);
 }
