A client that ends its sending behind its request is answered: nothing was taken, come again

Cause: clients.rs took an end of file behind a whole request for a client that had left and wrote nothing; one that only ends its sending waits for an answer that never comes, and a connection that ends with no answer loses the message. Change: whoever may have left is refused with a time to come again before anything is taken (harmless if it left, true if it listens), and hyper keeps the connection for the answer. An end that comes after the taking is as before: withdrawn. Test: the program stands still (SIGSTOP) while request and end arrive; without the mend no answer comes.

--- a/crates/fawnspoke/tests/sockets/crossings.rs
+++ b/crates/fawnspoke/tests/sockets/crossings.rs
@@ -60,3 +60,24 @@
     assert!(!called(), "sent again {:?} after it may have run", ran.elapsed());
     assert_eq!(platform.told("m1"), ["handed_back"]);
 }
+
+/// The end of a client's sending stands behind its request before the request is read.
+#[test]
+fn a_client_that_ends_its_sending_hears_that_nothing_was_taken() {
+    let endpoint = Endpoint::start(|_, _| Reply::status(200));
+    let platform = Platform::start();
+    let dispatcher = Dispatcher::started(&platform, &[endpoint.host("e", 7, "up")]);
+    let mut client = dispatcher.connect();
+    assert_eq!(client.hand_in("safe", "before", 7, 15_000, b"x").status(), 202);
+    dispatcher.signal("STOP");
+    client.send("safe", "half", 7, 15_000, b"x");
+    client.end_sending();
+    dispatcher.signal("CONT");
+    let answer = client.answer();
+    assert_eq!(answer.status(), 503, "whether it is there still can't be known");
+    assert!(answer.header("retry-after").is_some());
+    assert!(client.closes());
+    assert_eq!(dispatcher.hand_in("safe", "after", 7), 202);
+    eventually("the others' calls", || endpoint.ids().contains(&"after".to_string()));
+    assert!(!endpoint.ids().contains(&"half".to_string()));
+}
--- a/crates/lab/src/http.rs
+++ b/crates/lab/src/http.rs
@@ -228,6 +228,14 @@
         self.stream.write_all(bytes).await
     }
 
+    /// Ends the sending; what the other side says is still read.
+    ///
+    /// # Errors
+    /// Those of the connection.
+    pub async fn end_sending(&mut self) -> io::Result<()> {
+        self.stream.shutdown().await
+    }
+
     /// Ends the connection by a reset: what is on its way is lost.
     pub fn reset(self) {
         // Where it can't be set the connection ends in the usual way.
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -561,6 +561,14 @@
         handle().block_on(self.0.write(bytes)).expect("an open connection");
     }
 
+    /// Ends its sending.
+    ///
+    /// # Panics
+    /// Where the connection has ended.
+    pub fn end_sending(&mut self) {
+        handle().block_on(self.0.end_sending()).expect("an open connection");
+    }
+
     /// Sends a message and doesn't wait.
     pub fn send(&mut self, class: &str, id: &str, dest: u32, timeout_ms: u32, body: &[u8]) {
         let head = format!(
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -145,6 +145,11 @@
         self.head.borrow().behind().is_none_or(|behind| behind > body) || unread == Unread::Bytes
     }
 
+    /// Whether the client has ended its sending, or left: neither can be told from the other before it is written to.
+    pub fn ended(&self) -> bool {
+        self.wire.unread() == Unread::End
+    }
+
     /// Whether the client has closed; one that was there a moment ago is not asked for again.
     fn closed(&self) -> bool {
         let there = self.open_at.get().is_some_and(|at| at.elapsed() <= STILL_THERE);
@@ -243,6 +248,8 @@
         }
     });
     let mut server = http1::Builder::new();
+    // Whoever ends its sending behind its request still hears the answer.
+    server.half_close(true);
     server.max_buf_size(HEAD_MOST).max_headers(HEADERS_MOST).header_read_timeout(None);
     let mut served = pin!(server.serve_connection(TokioIo::new(line), service));
     let mut stopping = node.stopping.subscribe();
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -79,6 +79,10 @@
     };
     let handed = Handed { body, ..handed };
     let dest = DestinationId(handed.dest);
+    // It may have left, and then handed the message in elsewhere; if it listens still, it may come again.
+    if client.ended() {
+        return refuse(node, class, dest);
+    }
     // What no list has named may be a slip, or come with a later list.
     if !node.dispatcher.borrow().knows(dest) {
         return refuse(node, class, dest);
