What a restart found beyond its customer's share makes place as before

The test of shares over a kill (limits.rs) failed since the right of way: what was found untried made no place at all, also beyond a share, so fresh messages inside theirs were handed back. A full room takes the lowest rank again among those beyond a share; what is inside one keeps its place.

--- a/crates/waydoor/src/choice/order.rs
+++ b/crates/waydoor/src/choice/order.rs
@@ -179,7 +179,7 @@
         for number in self.waiting.iter().filter(|_| excess > 0) {
             let Some(destination) = self.destinations.get(number) else { continue };
             let rate = self.service(now, destination);
-            let held = |id| self.parcels.get(id).filter(|parcel| !parcel.untried());
+            let held = |id| self.parcels.get(id).filter(|parcel| !parcel.untried() || parcel.over_share);
             let parcels = destination.held.iter().filter_map(held);
             ranked.extend(parcels.map(|p| (self.rank(now, p, rate), p.message.id)));
         }
