--- a/crates/fawnspoke/tests/sockets/crossings.rs
+++ b/crates/fawnspoke/tests/sockets/crossings.rs
@@ -81,3 +81,31 @@
     eventually("the others' calls", || endpoint.ids().contains(&"after".to_string()));
     assert!(!endpoint.ids().contains(&"half".to_string()));
 }
+
+/// The head of an answer comes shortly before its message's time is up, and its body never.
+#[test]
+fn a_body_that_stalls_past_its_messages_time_makes_no_notice_late() {
+    const TIME: Duration = Duration::from_millis(1500);
+    let (stalls, silent) = (Gated::open(), Gated::open());
+    let platform = Platform::start();
+    let dispatcher = Dispatcher::started(&platform, &[stalls.host("a", 7), silent.host("b", 8)]);
+    let mut client = dispatcher.connect();
+    let handed = Instant::now();
+    for (id, dest) in [("stalls", 7), ("silent", 8)] {
+        assert_eq!(client.hand_in("unsafe", id, dest, TIME.as_millis() as u32, b"x").status(), 202);
+    }
+    let (mut peer, mut other) = (stalls.accept(), silent.accept());
+    assert!(peer.request().is_some() && other.request().is_some());
+    eventually("almost the end", || handed.elapsed() > TIME - Duration::from_millis(150));
+    peer.write(b"HTTP/1.1 500 Failed\r\nContent-Length: 5\r\n\r\n");
+    // Both ends are due at the same time.
+    let (mut times, begun) = ([None; 2], Instant::now());
+    eventually("both notices", || {
+        for (time, id) in times.iter_mut().zip(["stalls", "silent"]) {
+            *time = time.or_else(|| (platform.told(id) == ["given_up"]).then(|| begun.elapsed()));
+        }
+        times.iter().all(Option::is_some)
+    });
+    let late = times[0].unwrap().saturating_sub(times[1].unwrap());
+    assert!(late < Duration::from_millis(100), "{late:?} after that of a call that is never answered");
+}
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -454,7 +454,7 @@
             }
         };
         let outcome = match answer {
-            Ok(Ok(answer)) => return Ok(rest(node, endpoint, link, answer, messages.len() > 1).await),
+            Ok(Ok(answer)) => return Ok(rest(node, endpoint, link, answer, until, messages.len() > 1).await),
             Ok(Err(mut error)) => match error.take_message() {
                 // An idle connection that was closed meanwhile: no byte was written, so this is no resend.
                 Some(unsent) if *reused => {
@@ -485,14 +485,17 @@
     }
 }
 
-/// Reads the rest of an answer; the connection is kept if it is whole.
+/// Reads the rest of an answer; the connection is kept if it is whole. It is waited for no longer than the call is: the
+/// ends of its messages are due.
 async fn rest(
-    node: &Node, endpoint: EndpointId, link: Link, answer: Response<Incoming>, told: bool,
+    node: &Node, endpoint: EndpointId, link: Link, answer: Response<Incoming>, until: Instant, told: bool,
 ) -> Answer {
     let (head, body) = answer.into_parts();
     // Where the head tells all, a body that did not come with it is not worth a slot.
     let limit = if told || head.status != StatusCode::OK { REST_OF_ANSWER } else { LATE_READ };
-    let body = timeout(limit, Limited::new(body, ANSWER_MOST).collect()).await;
+    let now = Instant::now();
+    let until = (now + limit).min(until.max(now + LATE_READ));
+    let body = timeout_at(until, Limited::new(body, ANSWER_MOST).collect()).await;
     let body = body.ok().and_then(Result::ok).map(|body| body.to_bytes());
     // What has left the list meanwhile gets nothing more.
     let listed = node.directory.borrow().ready_at(endpoint) == Some(link.at);
