Among what a restart found untried the rank decides, not the earliest end

The earliest end first gives a limited place's turns to what is worth least. Change: they go first by their rank.

--- a/crates/waydoor/src/choice/order.rs
+++ b/crates/waydoor/src/choice/order.rs
@@ -96,7 +96,7 @@
         // What may hardly end in time goes last, what a restart found untried first: fresh ones outrank it.
         held.sort_by(|(rank, taken, last, message), (other, then, least, than)| {
             let first = last.cmp(least).then(message.deadline.total_cmp(&than.deadline));
-            let order = if spare || !(last.0 && least.0) { first } else { other.total_cmp(rank) };
+            let order = if spare { first } else { last.0.cmp(&least.0).then(other.total_cmp(rank)) };
             order.then(then.total_cmp(taken)).then(than.id.cmp(&message.id))
         });
         let mut closed: BTreeSet<DestinationId> = BTreeSet::new();
