A connection that was kept unused is known to be idle, and no unsafe message goes on it

Found reading the change again: where a call is not sent once its connection is up (calls.rs exchange), the connection went back to the pool and the decisions were not told (CallEnd.kept false). They close what has been idle for over 1 s before an unsafe message; of this one they knew nothing, so an unsafe message could go on a connection that the endpoint had closed, and be lost. Change: the end of such a call says that its connection is kept. A client's end is read with the same look at its socket that finds bytes behind a request, instead of a second one. Test: an unsafe message after a wait, 2.8 s after such a connection came up: on a new one, and the old one is closed; without the change it goes on the old one.

--- a/crates/fawnspoke/tests/sockets/crossings.rs
+++ b/crates/fawnspoke/tests/sockets/crossings.rs
@@ -29,6 +29,36 @@
     assert!(platform.notices().is_empty());
 }
 
+/// The connection of a call that was not sent stays, idle for longer than an unsafe message is risked on.
+#[test]
+fn a_connection_that_was_kept_unused_is_known_to_be_idle() {
+    let (quick, mut slow) = (Gated::open(), Gated::locked());
+    let platform = Platform::start();
+    let mut dispatcher = Dispatcher::new(&platform, &[slow.host("slow", 7), quick.host("quick", 7)]);
+    dispatcher.config["settings"]["limits"]["connect_timeout"] = 10.0.into();
+    dispatcher.start();
+    let mut client = dispatcher.connect();
+    for id in ["m1", "m2"] {
+        assert_eq!(client.hand_in("safe", id, 7, 2500, b"x").status(), 202);
+    }
+    let mut peer = quick.accept();
+    assert!(peer.request().is_some());
+    eventually("a connect that hangs", || slow.knocks() == 1);
+    peer.write(b"HTTP/1.1 429 Wait\r\nRetry-After: 3.9\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    assert!(peer.request().is_none(), "it has read the answer, and closes");
+    slow.unlock();
+    let mut kept = slow.accept();
+    let mut gone = quick.host("quick", 7);
+    gone["health"] = "draining".into();
+    platform.push(2, &[gone]);
+    // Both run out within the wait; the unsafe one is all that is left when it is over.
+    eventually("their ends", || ["m1", "m2"].iter().all(|id| platform.told(id) == ["handed_back"]));
+    assert_eq!(client.hand_in("unsafe", "u", 7, 15_000, b"x").status(), 202);
+    let mut anew = slow.accept();
+    assert!(anew.request().is_some_and(|request| request.contains("u\r\n")), "on a connection of its own");
+    assert!(kept.request().is_none(), "the one that was idle is closed");
+}
+
 /// A keyed message may have run; its second call's connection comes up only when the memory of its key is over.
 #[test]
 fn a_key_that_is_forgotten_while_a_connection_comes_up_is_not_sent_again() {
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -319,15 +319,24 @@
     }
 }
 
+/// What became of the connections of a request.
+#[derive(Default)]
+struct Used {
+    /// Its connection had been idle.
+    reused: bool,
+    /// It was not sent, and its connection is idle now.
+    kept: bool,
+}
+
 /// Makes a call and waits for its end.
 pub async fn call(node: &Node, call: &Call) -> CallEnd {
     let until = Instant::now() + Duration::from_secs_f64(call.timeout.clamp(0.0, 3600.0));
     let Call { endpoint, at, dest, ref items, .. } = *call;
     let open = || node.directory.borrow().open(endpoint, at, dest);
-    let mut reused = false;
+    let mut used = Used::default();
     let ids: Vec<_> = items.iter().map(|item| MessageId(item.number)).collect();
     let answer = match request(call) {
-        Ok(request) => exchange(node, (endpoint, at), request, until, &open, &ids, &mut reused).await,
+        Ok(request) => exchange(node, (endpoint, at), request, until, &open, &ids, &mut used).await,
         Err(error) => {
             log::line(format_args!("call to {at}: cannot be written: {error}"));
             Err(Outcome::Error)
@@ -339,13 +348,16 @@
     };
     let answer = match answer {
         Ok(answer) => answer,
-        Err(outcome) => return CallEnd::bare(all(outcome, false), reused),
+        Err(outcome) => {
+            let Used { reused, kept } = used;
+            return CallEnd { kept, ..CallEnd::bare(all(outcome, false), reused) };
+        }
     };
     let Some(body) = &answer.body else {
         // A first line with 200 is true of the one message that it answers; of several it tells nothing, and
         // nothing else that stands in such an answer is believed.
         let one = answer.status == StatusCode::OK && items.len() == 1;
-        return CallEnd::bare(all(if one { Outcome::Served } else { Outcome::Spoilt }, one), reused);
+        return CallEnd::bare(all(if one { Outcome::Served } else { Outcome::Spoilt }, one), used.reused);
     };
     let ends = match answer.status {
         StatusCode::OK if items.len() > 1 => many_ends(items, body),
@@ -367,7 +379,7 @@
         }
     };
     let allowance = node.config.report_fields.and_then(|fields| allowance(&answer.headers, fields));
-    CallEnd { ends, wait: wait(&answer.headers), allowance, reused, kept: answer.kept }
+    CallEnd { ends, wait: wait(&answer.headers), allowance, reused: used.reused, kept: answer.kept }
 }
 
 /// Asks an endpoint whether it runs.
@@ -377,7 +389,7 @@
     let request = Request::get("/health/live").header("Host", place.dial.to_string()).body(Full::default());
     let Ok(request) = request else { return (Outcome::Moot, None) };
     let open = || node.directory.borrow().open(endpoint, place.dial, place.dest);
-    match exchange(node, (endpoint, place.dial), request, until, &open, &[], &mut false).await {
+    match exchange(node, (endpoint, place.dial), request, until, &open, &[], &mut Used::default()).await {
         Err(outcome) => (outcome, None),
         Ok(answer) if answer.body.is_none() => (Outcome::Spoilt, None),
         Ok(answer) => {
@@ -405,12 +417,12 @@
 /// several the body of an answer with 200 tells something.
 async fn exchange(
     node: &Node, (endpoint, at): (EndpointId, SocketAddr), mut request: Request<Full<Bytes>>, until: Instant,
-    open: &dyn Fn() -> bool, messages: &[MessageId], reused: &mut bool,
+    open: &dyn Fn() -> bool, messages: &[MessageId], used: &mut Used,
 ) -> Result<Answer, Outcome> {
     let one = messages.len() == 1;
     loop {
         let mut link;
-        (link, *reused) = match node.pool.reuse(endpoint, at, keepalive(node)) {
+        (link, used.reused) = match node.pool.reuse(endpoint, at, keepalive(node)) {
             Some(link) => (link, true),
             None => {
                 let limit = Duration::from_secs_f64(node.config.connect_timeout);
@@ -423,7 +435,7 @@
         };
         match timeout_at(until, link.sender.ready()).await {
             Ok(Ok(())) => {}
-            _ if *reused => continue,
+            _ if used.reused => continue,
             _ => return Err(Outcome::NoConnection),
         }
         // Connecting takes time: what is drained or gone by now gets nothing new, and no more does a process begin
@@ -433,7 +445,7 @@
         }
         // The decisions may have learned meanwhile what forbids it. The connection is as good as new.
         if !node.dispatcher.borrow().may_begin(node.now(), endpoint, messages) {
-            node.pool.put_back(endpoint, link);
+            used.kept = node.pool.put_back(endpoint, link);
             return Err(Outcome::Moot);
         }
         let sent_at = Instant::now();
@@ -457,7 +469,7 @@
             Ok(Ok(answer)) => return Ok(rest(node, endpoint, link, answer, until, messages.len() > 1).await),
             Ok(Err(mut error)) => match error.take_message() {
                 // An idle connection that was closed meanwhile: no byte was written, so this is no resend.
-                Some(unsent) if *reused => {
+                Some(unsent) if used.reused => {
                     request = unsent;
                     continue;
                 }
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -135,19 +135,18 @@
         }
     }
 
-    /// Whether more has come than the head and a body of this length. Clients send one request at a time:
-    /// such a one is not what its sender took it for, or hides another.
-    pub fn sent_more_than(&self, body: usize) -> bool {
+    /// What has come behind a request with a body of this length. Clients send one request at a time: one with more behind
+    /// it is not what its sender took it for, or hides another. An end may be that of the sending alone: whether its client
+    /// has left can't be told before it is written to.
+    pub fn behind(&self, body: usize) -> Unread {
         let unread = self.wire.unread();
         if unread == Unread::Nothing {
             self.open_at.set(Some(Instant::now()));
         }
-        self.head.borrow().behind().is_none_or(|behind| behind > body) || unread == Unread::Bytes
-    }
-
-    /// Whether the client has ended its sending, or left: neither can be told from the other before it is written to.
-    pub fn ended(&self) -> bool {
-        self.wire.unread() == Unread::End
+        match self.head.borrow().behind() {
+            Some(behind) if behind <= body => unread,
+            _ => Unread::Bytes,
+        }
     }
 
     /// Whether the client has closed; one that was there a moment ago is not asked for again.
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -2,6 +2,7 @@
 
 use crate::clients::Client;
 use crate::sizes::BODY_MOST;
+use crate::wire::Unread;
 use crate::{Node, log};
 use fawnspoke_control::figures;
 use fawnspoke_journal::{End, Handed, UnixMicros};
@@ -74,13 +75,14 @@
         Ok(None) => return plain(StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB\n"),
         Err(error) => return plain(StatusCode::BAD_REQUEST, format!("body: {error}\n")),
     };
-    let Some(body) = client.body(length).filter(|_| !client.sent_more_than(length)) else {
+    let behind = client.behind(length);
+    let Some(body) = client.body(length).filter(|_| behind != Unread::Bytes) else {
         return plain(StatusCode::BAD_REQUEST, "one request at a time, as long as it says\n");
     };
     let handed = Handed { body, ..handed };
     let dest = DestinationId(handed.dest);
     // It may have left, and then handed the message in elsewhere; if it listens still, it may come again.
-    if client.ended() {
+    if behind == Unread::End {
         return refuse(node, class, dest);
     }
     // What no list has named may be a slip, or come with a later list.
