Tests of a machine in trouble that fail: clocks, the folder, short reads, errors of a moment

Change: crates/machine-faults, a preloaded library for tests alone, steps one process's wall clock and lets its system calls fail or fall short; tests/sockets/machine.rs plays 11 cases on the built program.

Besides the four: a key was trusted past its memory after a step back (sent again over 3 s after the first call, window 3 s); steps in service lost ends for 30 s; each failed accept closed an idle client; a full standard output ended the process (exit 101, println! panics). A torn write with a kill, and a kill while the folder refuses, held.

--- a/crates/fawnspoke/tests/sockets/main.rs
+++ b/crates/fawnspoke/tests/sockets/main.rs
@@ -7,6 +7,7 @@
 mod gated;
 mod in_service;
 mod limits;
+mod machine;
 mod reload;
 mod stage;
 mod stopping;
