--- a/crates/waydoor/tests/common/mod.rs
+++ b/crates/waydoor/tests/common/mod.rs
@@ -1,6 +1,11 @@
 //! A small stage for the dispatcher: settings, a list, and helpers that play rounds.
 #![allow(dead_code)]
 
+/// Calls in the rule's window that a cold place bears, where the settings allow it `n` then (standing test).
+pub fn cold_budget(n: f64) -> f64 {
+    if n < 30.0 { n + 3.0 * n.sqrt() + 3.0 } else { n + 2.0 * n.sqrt() + 2.0 }
+}
+
 pub mod fleet;
 pub mod world;
 
