--- a/crates/waydoor/src/choice.rs
+++ b/crates/waydoor/src/choice.rs
@@ -176,15 +176,16 @@
         let calls = destination.demand.now(now, DEMAND_TIME) / destination.batch as f64;
         let own = destination.lane.pace.capacity.map(|c| calls / c);
         let part = own.map_or(even, |own| own + young * even).clamp(PART_LEAST * even, 0.5 + 0.5 * even);
-        let cold_time = self.settings.returning.cold_time;
-        let rng = &mut self.rng;
+        let (rule, rng) = (&self.settings.returning, &mut self.rng);
         let mut renew = |lane: &mut Lane, limited: bool| {
             let new = limited && lane.pace.even != even;
             (lane.pace.part, lane.pace.even, lane.pace.limited) = (part, even, limited);
             if new {
                 lane.pace.phase(now, rng);
             }
-            if matches!(lane.outage.health, Health::Returning(since) if now - since >= cold_time) {
+            let warm =
+                matches!(lane.outage.health, Health::Returning(since) if now - since >= rule.cold_time);
+            if warm && !lane.may_be_cold(now, rule) {
                 lane.outage.health = Health::Healthy;
             }
         };
--- a/crates/waydoor/src/choice/outage.rs
+++ b/crates/waydoor/src/choice/outage.rs
@@ -27,9 +27,15 @@
 /// Trials out at once: more would fill the slots while a place is silent.
 pub(super) const TRIALS_OUT: usize = 2;
 /// Share of the returning budget that is used: parts of uneven dispatchers may add up to more than the whole.
-const RAMP_SHARE: f64 = 0.85;
+const RAMP_SHARE: f64 = 0.9;
+/// The same for the trials of a few, before the return is found.
+const TRIAL_SHARE: f64 = 0.85;
 /// The same before a crowd has found the return: new messages are trials besides.
 const CROWD_TRIALS: f64 = 0.65;
+/// Those trials and the chances of new messages, which grow with the load, together.
+const CROWD_TRIES: f64 = 1.2;
+/// The most that all together ask of a place, over its limit, as far as one's own load tells.
+const CROWD_LOAD_MOST: f64 = 1.5;
 /// A gap between failure and success that is longer than this part of the cold time dates no return.
 const DATED_MOST: f64 = 0.5;
 
@@ -49,14 +55,36 @@
         let alone = (TRIAL * 1.2f64.powi(self.outage.trials.min(8) as i32)).min(TRIAL_MOST);
         let turn = 1.0 / self.ramp(now, rule).1;
         let crowd = if self.pace.crowded() { turn } else { (turn - rule.window).max(0.0) };
-        (alone * (0.75 + 0.5 * rng.f64())).max(crowd * -(1.0 - rng.f64()).ln())
+        let few = if self.pace.crowded() { 0.0 } else { self.trial_turn(rule) };
+        (alone * (0.75 + 0.5 * rng.f64())).max(few).max(crowd * -(1.0 - rng.f64()).ln())
+    }
+
+    /// Time between the trials of each of a few: what the rule's budget with its slack leaves beside the chances
+    /// of new messages. Guards a small place. Harm: its return is seen later.
+    fn trial_turn(&self, rule: &ReturnRule) -> Seconds {
+        let allowed = rule.multiple * rule.cold_share * self.pace.whole() * rule.window;
+        let slack = if allowed < 30.0 { 3.0 * allowed.sqrt() + 3.0 } else { 2.0 * allowed.sqrt() + 2.0 };
+        let chances = TRIAL_SHARE * allowed * self.pace.part / self.pace.even;
+        let trials = (TRIAL_SHARE * (allowed + slack) - chances).max(TRIAL_SHARE * allowed);
+        rule.window / (self.pace.even * trials)
+    }
+
+    /// The share of the budget that each of a crowd may use for trials: chances come on top, by its load.
+    fn crowd_trials(&self) -> f64 {
+        // Some get several times the mean: what they send is no measure of what all do.
+        CROWD_TRIALS.min(CROWD_TRIES / (1.0 + (self.pace.part / self.pace.even).min(CROWD_LOAD_MOST)))
+    }
+
+    /// Whether a place that returned may still be cold: it was back by the first served call, perhaps only then.
+    pub(super) fn may_be_cold(&self, now: Seconds, rule: &ReturnRule) -> bool {
+        now - self.outage.found_at < rule.cold_time
     }
 
     /// While shut or cold: the share of a warm place's traffic that may go there; the own part.
     pub(super) fn ramp(&self, now: Seconds, rule: &ReturnRule) -> (f64, f64) {
         let (warm, used) = match self.outage.health {
             Health::Returning(since) => (((now - since) / rule.cold_time).clamp(0.0, 1.0), RAMP_SHARE),
-            _ => (0.0, if self.pace.crowded() { CROWD_TRIALS } else { RAMP_SHARE }),
+            _ => (0.0, if self.pace.crowded() { self.crowd_trials() } else { TRIAL_SHARE }),
         };
         let share = used * rule.multiple * (rule.cold_share + (1.0 - rule.cold_share) * warm);
         (share, share * self.pace.divided() * self.pace.whole())
@@ -92,6 +120,7 @@
                     Health::Shut | Health::Suspect if out => {
                         let found = now - latency;
                         let gap = (found - own.failed_at).clamp(0.0, DATED_MOST * rule.cold_time);
+                        own.found_at = found;
                         Health::Returning(found - gap / 2.0)
                     }
                     Health::Shut | Health::Suspect => Health::Healthy,
--- a/crates/waydoor/src/choice/refusal.rs
+++ b/crates/waydoor/src/choice/refusal.rs
@@ -83,6 +83,7 @@
         if wait > SHUT_FULL_TIME && limited.refusals.wait_until > limited.pace.due {
             let rule = &self.settings.returning;
             limited.outage.health = Health::Returning(limited.refusals.wait_until);
+            limited.outage.found_at = limited.refusals.wait_until;
             let turn = if limited.pace.crowded() { 1.0 / limited.ramp(now, rule).1 } else { 0.0 };
             limited.pace.due = limited.refusals.wait_until + turn * self.rng.f64();
         }
--- a/crates/waydoor/src/state.rs
+++ b/crates/waydoor/src/state.rs
@@ -72,6 +72,9 @@
     /// Share of calls that is lost while it is in service.
     pub(crate) lost: f64,
     pub(crate) trial_at: Seconds,
+    /// When it was back at the latest, while it returns.
+    #[serde(default)]
+    pub(crate) found_at: Seconds,
     pub(crate) trials: u32,
     pub(crate) vouched: bool,
 }
