--- a/crates/waydoor/src/choice/outage.rs
+++ b/crates/waydoor/src/choice/outage.rs
@@ -59,8 +59,8 @@
         (alone * (0.75 + 0.5 * rng.f64())).max(few).max(crowd * -(1.0 - rng.f64()).ln())
     }
 
-    /// Time between the trials of each of a few: what the rule's budget with its slack leaves beside the chances
-    /// of new messages. Guards a small place. Harm: its return is seen later.
+    /// Time between the trials of each of a few: what the rule's budget leaves beside the chances of new
+    /// messages. Guards a small place. Harm: its return is seen later.
     fn trial_turn(&self, rule: &ReturnRule) -> Seconds {
         let allowed = rule.multiple * rule.cold_share * self.pace.whole() * rule.window;
         let slack = if allowed < 30.0 { 3.0 * allowed.sqrt() + 3.0 } else { 2.0 * allowed.sqrt() + 2.0 };
@@ -75,7 +75,7 @@
         CROWD_TRIALS.min(CROWD_TRIES / (1.0 + (self.pace.part / self.pace.even).min(CROWD_LOAD_MOST)))
     }
 
-    /// Whether a place that returned may still be cold: it was back by the first served call, perhaps only then.
+    /// Whether a place that returned may still be cold: it may have been back only by the first served call.
     pub(super) fn may_be_cold(&self, now: Seconds, rule: &ReturnRule) -> bool {
         now - self.outage.found_at < rule.cold_time
     }
