--- a/crates/fawnspoke/tests/sockets/main.rs
+++ b/crates/fawnspoke/tests/sockets/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod churn;
 mod clients;
+mod closing;
 mod crossings;
 mod gated;
 mod in_service;
