What was read has its answer, what crosses a close is not read, waits hold in cut answers

Cause: clients.rs lingered after every end, whether or not an answer was written, and make_room went by silence alone; calls.rs believed nothing of a 429 without its whole body, and told its wait only once that was given up (0.3 s); serve() heeded signals after the configuration. Ruled out: hyper reading after graceful_shutdown (it does not).

Change: the connection's end reads on only behind an answer; a request that was begun gets 503 first; those go last in a crowd; Event::WaitTold tells the decisions at once; signals come first.

--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -26,7 +26,7 @@
 use tokio::sync::Notify;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
-use waydoor::{Allowance, EndpointId, MessageId, Outcome, Seconds};
+use waydoor::{Allowance, EndpointId, Event, MessageId, Outcome, Seconds};
 
 /// What is read of an answer: twice the longest body, since a call may hold several messages' ends.
 const ANSWER_MOST: usize = 128 * 1024;
@@ -357,7 +357,9 @@
         // A first line with 200 is true of the one message that it answers; of several it tells nothing, and
         // nothing else that stands in such an answer is believed.
         let one = answer.status == StatusCode::OK && items.len() == 1;
-        return CallEnd::bare(all(if one { Outcome::Served } else { Outcome::Spoilt }, one), used.reused);
+        let ends = all(if one { Outcome::Served } else { Outcome::Spoilt }, one);
+        // A wait runs from when its answer is written; heeding one that was not meant costs time alone.
+        return CallEnd { wait: wait(&answer.headers), ..CallEnd::bare(ends, used.reused) };
     };
     let ends = match answer.status {
         StatusCode::OK if items.len() > 1 => many_ends(items, body),
@@ -507,7 +509,15 @@
     let limit = if told || head.status != StatusCode::OK { REST_OF_ANSWER } else { LATE_READ };
     let now = Instant::now();
     let until = (now + limit).min(until.max(now + LATE_READ));
-    let body = timeout_at(until, Limited::new(body, ANSWER_MOST).collect()).await;
+    let mut collected = pin!(Limited::new(body, ANSWER_MOST).collect());
+    let mut body = timeout_at(until.min(now + LATE_READ), collected.as_mut()).await;
+    if body.is_err() {
+        // A wait runs from when it was written, and the rest may take its time.
+        if let Some(wait) = wait(&head.headers) {
+            node.tell(Event::WaitTold { endpoint, wait });
+        }
+        body = timeout_at(until, collected).await;
+    }
     let body = body.ok().and_then(Result::ok).map(|body| body.to_bytes());
     // What has left the list meanwhile gets nothing more.
     let listed = node.directory.borrow().ready_at(endpoint) == Some(link.at);
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -8,6 +8,7 @@
 use crate::wire::{Head, Unread, Wire};
 use crate::{Node, log};
 use hyper::body::Bytes;
+use hyper::header::CONNECTION;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -35,6 +36,9 @@
 const LINGER_MOST: usize = 1 << 20;
 /// What was found open so long ago is taken to be: a stall of this process that matters is longer.
 const STILL_THERE: Duration = Duration::from_millis(5);
+/// The answer to a request of which the rest did not come in time, or whose client is gone for all that is known.
+const GIVEN_UP: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 /// Before the next accept after one that failed for want of something.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// What is kept of a request that is not whole; a longer one is refused in the end.
@@ -86,12 +90,14 @@
         self.open.borrow().values().filter(|client| client.idle()).count()
     }
 
-    /// Closes the connection that has been silent for the longest, of all or of the idle ones.
+    /// Closes the connection that has been silent for the longest, of all or of the idle ones. One on which a request has
+    /// begun goes last.
     fn make_room(&self, idle: bool) {
         let open = self.open.borrow();
         for _ in 0..open.len() {
             let staying = open.values().filter(|client| !client.going.get() && (!idle || client.idle()));
-            let Some(oldest) = staying.min_by_key(|client| client.heard_at.get()) else { return };
+            let order = |client: &&Rc<Client>| (client.owes_answer(), client.heard_at.get());
+            let Some(oldest) = staying.min_by_key(order) else { return };
             // A request that nobody has read yet would be lost with it.
             if oldest.wire.unread() == Unread::Bytes {
                 oldest.heard_at.set(Instant::now());
@@ -116,6 +122,12 @@
     record: RefCell<Vec<u8>>,
     /// When its socket was last found open, if that was looked at.
     open_at: Cell<Option<Instant>>,
+    /// Bytes of an answer were written since the request began that was read last.
+    answering: Cell<bool>,
+    /// An answer said that it is the last one.
+    last_answer: Cell<bool>,
+    /// This side ends it between two requests.
+    ended_at_rest: Cell<bool>,
     /// The message whose 202 is to be written.
     pub unheard: Cell<Option<u64>>,
     going: Cell<bool>,
@@ -132,6 +144,9 @@
             head: RefCell::default(),
             record: RefCell::default(),
             open_at: Cell::new(None),
+            answering: Cell::new(false),
+            last_answer: Cell::new(false),
+            ended_at_rest: Cell::new(false),
             unheard: Cell::new(None),
             going: Cell::new(false),
             leave: Notify::new(),
@@ -159,7 +174,12 @@
     }
 
     fn idle(&self) -> bool {
-        !self.going.get() && self.asked_at.get().is_none()
+        !self.going.get() && self.is_between_requests()
+    }
+
+    /// Whether no request is owed or awaited on it.
+    fn is_between_requests(&self) -> bool {
+        self.asked_at.get().is_none()
     }
 
     /// The request has its answer: the next one may take its time to begin.
@@ -171,9 +191,24 @@
         self.record.take();
     }
 
+    /// Whether something was read of a request that has no answer yet.
+    fn owes_answer(&self) -> bool {
+        !self.record.borrow().is_empty() && !self.answering.get() && !self.last_answer.get()
+    }
+
+    /// A request that was begun and is given up gets its answer: nothing was taken, and it may come again.
+    fn give_up(&self) {
+        if self.owes_answer() && self.wire.try_write(GIVEN_UP).is_ok() {
+            self.last_answer.set(true);
+        }
+    }
+
     /// Bytes of the request have come.
     fn heard(&self, bytes: &[u8]) {
         let now = Instant::now();
+        if self.record.borrow().is_empty() {
+            self.answering.set(false);
+        }
         self.heard_at.set(now);
         self.asked_at.set(self.asked_at.get().or(Some(now)));
         self.head.borrow_mut().follow(bytes);
@@ -261,6 +296,8 @@
         let (node, client) = (node.clone(), client.clone());
         async move {
             let answer = intake::answer(&node, &client, request).await;
+            let is_last = answer.as_ref().is_ok_and(|answer| answer.headers().contains_key(CONNECTION));
+            client.last_answer.set(is_last);
             client.answered();
             answer
         }
@@ -279,18 +316,20 @@
             () = stopping => {
                 // An idle one ends at once. Where a request is owed or awaited, its answer says that it is the last:
                 // hyper would close a new connection on which nothing has come yet.
-                if client.idle() {
+                if client.idle() && client.wire.unread() != Unread::Bytes {
+                    client.ended_at_rest.set(true);
                     served.as_mut().graceful_shutdown();
                 }
                 let _ = served.await;
             }
         }
-        // A client that breaks off is its own affair.
-        let _ = timeout(LINGER, linger(client.wire.clone())).await;
     };
     tokio::select! {
-        () = ended => {}
-        () = client.leave.notified() => {}
+        () = ended => end(&client).await,
+        () = client.leave.notified() => {
+            client.ended_at_rest.set(client.is_between_requests());
+            end(&client).await;
+        }
         _ = node.gate.until(|phase| phase == Phase::Over) => {
             if !client.going.get() && let Some(rest) = client.moved() {
                 node.hand(rest);
@@ -303,6 +342,16 @@
     }
 }
 
+/// Ends a connection that is not served any more. What comes behind its last answer is read, or a reset would take that
+/// answer with it; where none was written nothing more is read: its client knows by the reset that it may come again.
+async fn end(client: &Client) {
+    client.give_up();
+    if client.last_answer.get() || client.answering.get() && !client.ended_at_rest.get() {
+        // A client that breaks off is its own affair.
+        let _ = timeout(LINGER, linger(client.wire.clone())).await;
+    }
+}
+
 /// Ends the writing and reads on until the client has closed.
 async fn linger(mut wire: Wire) -> io::Result<()> {
     wire.shutdown().await?;
@@ -363,9 +412,13 @@
         let client = &self.client;
         // A client that closed while this process was stalled has handed the message in elsewhere.
         if client.unheard.get().is_some() && client.closed() {
+            // It may have ended its sending alone, and listen still.
+            let _ = client.wire.try_write(GIVEN_UP);
+            client.last_answer.set(true);
             return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
         }
         let written = ready!(Pin::new(&mut client.wire.clone()).poll_write(cx, bytes))?;
+        client.answering.set(client.answering.get() || written > 0);
         if written > 0
             && let Some(number) = client.unheard.take()
         {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -37,6 +37,7 @@
 use gate::Gate;
 use rest::Rest;
 use rounds::{Finish, Input};
+use start::Signals;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -153,6 +154,19 @@
 /// is wrong ends the start with one line that names the key, and exit code 2; a start that fails for another
 /// cause (an address in use, a folder that can't be written) with exit code 1.
 pub fn serve() -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    // Signals may come from the first moment on, and one that is not heeded would end the process.
+    let heeded = runtime.and_then(|runtime| {
+        let signals = runtime.block_on(async { Signals::heed() })?;
+        Ok((runtime, signals))
+    });
+    let (runtime, signals) = match heeded {
+        Ok(heeded) => heeded,
+        Err(error) => {
+            log::complain(format_args!("fawnspoke: runtime: {error}"));
+            return ExitCode::FAILURE;
+        }
+    };
     let config = match Config::from_environment() {
         Ok(config) => config,
         Err(error) => {
@@ -160,10 +174,7 @@
             return ExitCode::from(2);
         }
     };
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let ran = runtime
-        .map_err(|error| format!("runtime: {error}"))
-        .and_then(|runtime| LocalSet::new().block_on(&runtime, start::run(config)));
+    let ran = LocalSet::new().block_on(&runtime, start::run(config, signals));
     match ran {
         Ok(Finish::End) => ExitCode::SUCCESS,
         Ok(Finish::Again) => {
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -40,7 +40,8 @@
 }
 
 impl Signals {
-    fn heed() -> std::io::Result<Signals> {
+    /// Asks for them; only inside of a runtime.
+    pub fn heed() -> std::io::Result<Signals> {
         Ok(Signals {
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
@@ -125,8 +126,7 @@
     }
 }
 
-pub async fn run(config: Config) -> Result<Finish, String> {
-    let mut signals = Signals::heed().map_err(|error| format!("signals: {error}"))?;
+pub async fn run(config: Config, mut signals: Signals) -> Result<Finish, String> {
     let figures = Arc::new(Figures::new(&config.classes));
     let (asked, orders) = unbounded_channel();
     if let Some(control) = config.control {
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -40,6 +40,11 @@
         Ok(Wire(Rc::new(stream)))
     }
 
+    /// Writes what the socket takes at once.
+    pub fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.try_write(bytes)
+    }
+
     /// Its descriptor, for another process.
     pub fn descriptor(&self) -> BorrowedFd<'_> {
         self.0.as_fd()
--- a/crates/waydoor/src/choice.rs
+++ b/crates/waydoor/src/choice.rs
@@ -62,6 +62,7 @@
             Event::Counted { tenant, left, at } => self.counted(now, tenant, left, at),
             Event::Closing(at) => (self.closing_at, self.answer_at) = (at, now),
             Event::Ended(end) => self.attempt_ended(now, end),
+            Event::WaitTold { endpoint, wait } => self.heed(now, endpoint, wait),
             Event::Withdrawn(id) => self.withdrawn(id, ENDED_KEPT),
             Event::ListChanged(entries) => self.list(now, entries, false),
             Event::ListWhole(entries) => self.list(now, entries, true),
--- a/crates/waydoor/src/interface.rs
+++ b/crates/waydoor/src/interface.rs
@@ -397,6 +397,13 @@
     Closing(Seconds),
     /// An attempt ended.
     Ended(AttemptEnd),
+    /// An endpoint told a wait in an answer that is not whole yet; the attempt's end comes by itself.
+    WaitTold {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// From now on.
+        wait: Seconds,
+    },
     /// Nobody wants the message any more.
     Withdrawn(MessageId),
     /// Changed lines of the list.
