--- a/crates/fawnspoke/tests/sockets/machine.rs
+++ b/crates/fawnspoke/tests/sockets/machine.rs
@@ -15,7 +15,7 @@
 /// The fields of the file, in the library's order.
 #[derive(Clone, Copy)]
 #[repr(u64)]
-enum Field {
+pub enum Field {
     WallOffset,
     FolderError,
     ReadMost,
@@ -31,13 +31,13 @@
 
 /// What the machine does to one dispatcher's processes.
 #[derive(Clone)]
-struct Machine {
+pub struct Machine {
     path: PathBuf,
 }
 
 impl Machine {
     /// One without trouble so far, under this dispatcher's processes.
-    fn under(dispatcher: &mut Dispatcher) -> Machine {
+    pub fn under(dispatcher: &mut Dispatcher) -> Machine {
         let library = std::env::current_exe().unwrap().with_file_name("libmachine_faults.so");
         assert!(library.exists(), "{} is built with the tests", library.display());
         let path = dispatcher.state().with_file_name("machine");
@@ -47,12 +47,12 @@
         Machine { path }
     }
 
-    fn set(&self, field: Field, value: i64) {
+    pub fn set(&self, field: Field, value: i64) {
         let file = File::options().write(true).open(&self.path).unwrap();
         file.write_all_at(&value.to_ne_bytes(), field as u64 * 8).unwrap();
     }
 
-    fn step_wall_clock(&self, seconds: i64) {
+    pub fn step_wall_clock(&self, seconds: i64) {
         self.set(Field::WallOffset, seconds * 1_000_000);
     }
 
@@ -64,7 +64,7 @@
     }
 
     /// Writes to the folder fail for so long, from now on.
-    fn refuse_writes(&self, error: i32, time: Duration) -> thread::JoinHandle<()> {
+    pub fn refuse_writes(&self, error: i32, time: Duration) -> thread::JoinHandle<()> {
         self.set(Field::FolderError, error.into());
         let machine = self.clone();
         thread::spawn(move || {
