--- a/crates/fawnspoke/tests/sockets/machine.rs
+++ b/crates/fawnspoke/tests/sockets/machine.rs
@@ -390,3 +390,25 @@
     child.kill().unwrap();
     child.wait().unwrap();
 }
+
+/// The folder refuses the record of an end; the process is killed; the message has time left in the next life. What was handed
+/// back may have been handed in elsewhere.
+#[test]
+fn what_was_handed_back_is_not_sent_by_the_next_life() {
+    let platform = Platform::start();
+    let (mut dispatcher, machine) = holding(&platform);
+    let handed = Instant::now();
+    assert_eq!(dispatcher.connect().hand_in("unsafe", "m1", 7, 4900, b"x").status(), 202);
+    machine.set(Field::FolderError, libc::EIO.into());
+    dispatcher.signal("TERM");
+    // Its answer is due before this process ends.
+    eventually("the end of the process's time", || handed.elapsed() > Duration::from_millis(3000));
+    dispatcher.kill();
+    machine.set(Field::FolderError, 0);
+    let endpoint = Endpoint::start(|_, _| ok());
+    dispatcher.config["known"]["hosts"] = serde_json::json!([endpoint.host("e", 7, "up")]);
+    dispatcher.start();
+    eventually("its end", || !endpoint.seen().is_empty() || !platform.told("m1").is_empty());
+    thread::sleep(Duration::from_millis(300));
+    assert!(endpoint.seen().is_empty() || platform.told("m1").is_empty(), "handed back, and sent");
+}
--- a/crates/fawnspoke/tests/sockets/main.rs
+++ b/crates/fawnspoke/tests/sockets/main.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod machine;
 mod reload;
+mod settings;
 mod soak;
 mod stage;
 mod stopping;
--- a/crates/fawnspoke/tests/sockets/soak.rs
+++ b/crates/fawnspoke/tests/sockets/soak.rs
@@ -102,6 +102,8 @@
     Unread,
     /// Its connection ended cleanly, with no answer.
     Dropped,
+    /// Nothing came for as long as any client waits, and longer.
+    Silence,
 }
 
 fn ask(stream: &mut TcpStream, request: &[u8]) -> Heard {
@@ -120,13 +122,14 @@
                 return if reset || stream.write_all(b"x").is_err() { Heard::Unread } else { Heard::Dropped };
             }
             Ok(length) => read.extend_from_slice(&piece[..length]),
-            Err(error) if error.kind() == ErrorKind::WouldBlock => return Heard::Dropped,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return Heard::Silence,
             Err(_) => return Heard::Unread,
         }
         let text = String::from_utf8_lossy(&read);
         if text.contains("\r\n\r\n") {
             let stays = !text.to_ascii_lowercase().contains("connection: close");
-            let status = text.split(' ').nth(1).and_then(|status| status.parse().ok());
+            // The last answer's body may stand before it.
+            let status = text.split("HTTP/1.1 ").nth(1).and_then(|rest| rest.get(..3)?.parse().ok());
             return status.map_or(Heard::Dropped, |status| Heard::Status(status, stays));
         }
     }
@@ -136,10 +139,11 @@
 fn client(number: u64, seed: u64, at: SocketAddr, book: &Book, alive: &AtomicBool, stop: &AtomicBool) {
     let mut rng = fastrand::Rng::with_seed(seed * 1009 + number);
     let (mut stream, mut count): (Option<TcpStream>, u32) = (None, 0);
+    let mut requests = 0;
     while !stop.load(Ordering::SeqCst) {
         thread::sleep(Duration::from_millis(rng.u64(5..40)));
-        let Some(open) = stream.take().or_else(|| TcpStream::connect(at).ok()) else { continue };
-        let mut open = open;
+        requests = if stream.is_some() { requests + 1 } else { 0 };
+        let Some(mut open) = stream.take().or_else(|| TcpStream::connect(at).ok()) else { continue };
         let _ = open.set_nodelay(true);
         let _ = open.set_read_timeout(Some(Duration::from_secs(2)));
         count += 1;
@@ -165,10 +169,14 @@
                 }
                 stream = stays.then_some(open);
             }
-            Heard::Dropped if !killed => {
-                book.breach(format!("{id}: read, and its connection closed with no answer"))
+            Heard::Dropped if !killed => book.breach(format!(
+                "{id}: read, and its connection closed with no answer (request {} of it)",
+                requests + 1
+            )),
+            Heard::Silence if !killed => {
+                book.breach(format!("{id}: no answer in 2 s (request {} of its connection)", requests + 1));
             }
-            Heard::Dropped | Heard::Unread => {}
+            Heard::Dropped | Heard::Silence | Heard::Unread => {}
         }
     }
 }
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -334,8 +334,17 @@
 
     /// The first notices that are owed.
     pub fn owed(&self, most: usize) -> Vec<(u64, String, Notice)> {
+        self.owed_at(UnixMicros::MAX, most)
+    }
+
+    /// The notices that may go out now: those on record, and those of messages whose time is up, which no later life
+    /// would send any more.
+    pub fn owed_at(&self, now: UnixMicros, most: usize) -> Vec<(u64, String, Notice)> {
         let kept = self.ledger.owed().iter().filter_map(|number| Some((*number, self.ledger.get(*number)?)));
-        let owed = kept.filter_map(|(number, kept)| Some((number, kept.handed.id.clone(), kept.notice?)));
+        let due = kept.filter(|(number, kept)| {
+            kept.handed.deadline <= now || !self.unwritten.messages.contains(number)
+        });
+        let owed = due.filter_map(|(number, kept)| Some((number, kept.handed.id.clone(), kept.notice?)));
         owed.take(most).collect()
     }
 
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -211,6 +211,10 @@
     tip_multiple: f64,
 }
 
+/// Shortest tick, and shortest time for a connection, in seconds.
+const TICK_LEAST: f64 = 1e-4;
+const TIME_LEAST: f64 = 1e-3;
+
 /// The keys under which the file has what the module calls otherwise.
 const KEYS: [(&str, &str); 10] = [
     ("slots", "family_info.call_slots"),
@@ -338,11 +342,31 @@
         waydoor::Dispatcher::new(settings.clone(), seed).map_err(|error| {
             let key = KEYS.iter().find(|(name, _)| *name == error.name).map_or(&*error.name, |(_, key)| key);
             let key = key.replace("tenants[", "orgs[").replace("].quota", "].quota_per_s");
+            let key = key.replace("classes[", "grades[").replace("].worth", "].gain");
+            let key = key.replace("].aim", "].goal_time").replace("].effect.window", "].repeat_window");
             format!("settings.{key}: {}", error.problem)
         })?;
-        for (key, x) in [("tick", given.tick), ("limits.connect_timeout", given.limits.connect_timeout)] {
-            if !(x > 0.0 && x < 60.0) {
-                return Err(format!("settings.{key}: must be a number of seconds above 0"));
+        for (key, x, least) in [
+            ("tick", given.tick, TICK_LEAST),
+            ("limits.connect_timeout", given.limits.connect_timeout, TIME_LEAST),
+        ] {
+            if !(least..60.0).contains(&x) {
+                return Err(format!(
+                    "settings.{key}: must be a number of seconds, {least} at least and under 60"
+                ));
+            }
+        }
+        if given.limits.max_retry_after.is_some_and(|x| x < 0.0) {
+            return Err("settings.limits.max_retry_after: must be a number of seconds, 0 or more".into());
+        }
+        for (i, class) in given.grades.iter().enumerate() {
+            // It is a part of a path.
+            let fits = |b: u8| b.is_ascii_graphic() && !b"/?#".contains(&b);
+            if class.name.is_empty() || !class.name.bytes().all(fits) {
+                return Err(format!("settings.grades[{i}].name: {:?}: no part of a path", class.name));
+            }
+            if given.grades[..i].iter().any(|other| other.name == class.name) {
+                return Err(format!("settings.grades[{i}].name: {} stands twice", class.name));
             }
         }
         let told =
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 use waydoor::{Event, Listing};
 
 /// A watch that is silent for two heartbeats and more is broken, though its connection may look well.
@@ -27,6 +27,8 @@
 const VALUE_MOST: usize = 4 << 20;
 /// A value that is shorter is read anew with each piece of it that comes.
 const REREAD_MOST: usize = 64 << 10;
+/// Before notices that wait for their records are looked at again.
+const UNRECORDED_PAUSE: Duration = Duration::from_millis(20);
 /// Notices in one request.
 const NOTICES: usize = 64;
 
@@ -215,9 +217,15 @@
     let mut at_once = NOTICES;
     let mut patience = NOTICE_ANSWER;
     loop {
-        let owed = node.journal.borrow().owed(at_once);
+        let owed = node.journal.borrow().owed_at(node.unix_now(), at_once);
         if owed.is_empty() {
-            node.notices.notified().await;
+            // One that is not on record yet may go out a little later: a kill would forget it.
+            let waits = !node.journal.borrow().owed(1).is_empty();
+            if waits {
+                sleep(UNRECORDED_PAUSE).await;
+            } else {
+                node.notices.notified().await;
+            }
             continue;
         }
         let at = *moved.borrow_and_update();
--- a/crates/waydoor/src/interface.rs
+++ b/crates/waydoor/src/interface.rs
@@ -155,12 +155,15 @@
     pub key_rest: Seconds,
 }
 
+/// Largest time, rate or worth: what is computed with them stays a time that clocks can hold.
+const FIGURE_MOST: f64 = 1e9;
+
 impl Settings {
     /// Whether the settings make sense; the error names the one that does not.
     pub(crate) fn check(&self) -> Result<(), SettingsError> {
         let settings = self;
         let fault = |name: String, problem: &str| Err(SettingsError { name, problem: problem.into() });
-        let span = |x: f64| x.is_finite() && x >= 0.0;
+        let span = |x: f64| (0.0..=FIGURE_MOST).contains(&x);
         for (name, n) in
             [("slots", settings.slots), ("room", settings.room), ("attempts", settings.attempts as usize)]
         {
@@ -175,7 +178,7 @@
             let figures = [("aim", class.aim), ("deadline", class.deadline), ("worth", class.worth)];
             for (name, x) in figures {
                 if !span(x) || (x == 0.0 && name != "worth") {
-                    return fault(format!("classes[{i}].{name}"), "must be a number above 0");
+                    return fault(format!("classes[{i}].{name}"), "must be a number above 0, 1e9 at most");
                 }
             }
             if !(0.0..=1.0).contains(&class.late_share) {
@@ -184,12 +187,12 @@
             if let Effect::Keyed { window, .. } = class.effect
                 && !(span(window) && window > 0.0)
             {
-                return fault(format!("classes[{i}].effect.window"), "must be a number above 0");
+                return fault(format!("classes[{i}].effect.window"), "must be a number above 0, 1e9 at most");
             }
         }
         for (i, tenant) in settings.tenants.iter().enumerate() {
             if !(span(tenant.quota) && tenant.quota > 0.0) {
-                return fault(format!("tenants[{i}].quota"), "must be a number above 0");
+                return fault(format!("tenants[{i}].quota"), "must be a number above 0, 1e9 at most");
             }
         }
         if !(0.0..=1.0).contains(&settings.over_share_worth) {
@@ -210,11 +213,11 @@
         ];
         for (name, x) in figures {
             if !(span(x) && x > 0.0) {
-                return fault(name.into(), "must be a number above 0");
+                return fault(name.into(), "must be a number above 0, 1e9 at most");
             }
         }
         if !span(settings.key_rest) {
-            return fault("key_rest".into(), "must be a number, 0 or more");
+            return fault("key_rest".into(), "must be a number, 0 or more, 1e9 at most");
         }
         Ok(())
     }
