--- a/crates/fawnspoke/tests/sockets/machine.rs
+++ b/crates/fawnspoke/tests/sockets/machine.rs
@@ -412,3 +412,67 @@
     thread::sleep(Duration::from_millis(300));
     assert!(endpoint.seen().is_empty() || platform.told("m1").is_empty(), "handed back, and sent");
 }
+
+/// An upgrade while the folder refuses writes: whoever owns afterwards, each message is called once, and no request is lost.
+#[test]
+fn an_upgrade_while_the_folder_refuses_loses_and_doubles_nothing() {
+    for time in [0, 700, 1500] {
+        let platform = Platform::start();
+        let (mut dispatcher, machine) = holding(&platform);
+        let ids = hand_in(&dispatcher, 9, 15_000);
+        machine.step_wall_clock(3600);
+        let refusing = machine.refuse_writes(libc::EIO, Duration::from_millis(time));
+        let mut old = dispatcher.upgrade();
+        refusing.join().unwrap();
+        let endpoint = Endpoint::start(|_, _| ok());
+        platform.push(2, &[endpoint.host("e", 7, "up")]);
+        eventually("all calls", || endpoint.seen().len() + platform.notices().len() >= ids.len());
+        assert!(all_called_once(&endpoint, &ids), "{time} ms: {:?} {:?}", endpoint.ids(), platform.notices());
+        assert_eq!(dispatcher.hand_in("safe", "after", 7), 202);
+        eventually("the new call", || endpoint.ids().contains(&"after".to_string()));
+        let _ = old.kill();
+        old.wait().unwrap();
+    }
+}
+
+/// "Requests with very little time left": each gets its final answer in time.
+#[test]
+fn requests_without_time_are_ended_in_time() {
+    let platform = Platform::start();
+    let (dispatcher, _machine) = holding(&platform);
+    for (number, time) in [0, 1, 5, 30, 100].into_iter().enumerate() {
+        for class in ["safe", "keyed", "unsafe"] {
+            let (id, handed) = (format!("{class}{number}"), Instant::now());
+            let status = dispatcher.connect().hand_in(class, &id, 7, time, b"x").status();
+            if status == 202 {
+                eventually("its notice", || platform.told(&id) == ["handed_back"]);
+                let late = handed.elapsed().saturating_sub(Duration::from_millis(time.into()));
+                assert!(late < Duration::from_millis(300), "{id}: {late:?}");
+            } else {
+                assert_eq!(status, 503);
+            }
+        }
+    }
+}
+
+/// An endpoint is taken out by hand while the folder refuses the order's record; it holds in the next life too.
+#[test]
+fn an_order_that_could_not_be_recorded_is_recorded_later() {
+    let endpoint = Endpoint::start(|_, _| ok());
+    let platform = Platform::start();
+    let mut dispatcher = Dispatcher::new(&platform, &[endpoint.host("e", 7, "up"), held(8)]);
+    dispatcher.door = true;
+    let machine = Machine::under(&mut dispatcher);
+    dispatcher.start();
+    machine.set(Field::FolderError, libc::ENOSPC.into());
+    let answer = dispatcher.ask(&fawnspoke_control::protocol::Call::Suspend("e".into()));
+    let text = format!("{answer:?}");
+    assert!(text.contains("not on record"), "{text}");
+    machine.set(Field::FolderError, 0);
+    thread::sleep(Duration::from_millis(1500));
+    dispatcher.kill();
+    dispatcher.start();
+    assert_eq!(dispatcher.hand_in("safe", "m1", 7), 202);
+    thread::sleep(Duration::from_millis(1500));
+    assert!(endpoint.seen().is_empty(), "it is out by hand until it is called back");
+}
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -396,6 +396,9 @@
         Ok(answer) if answer.body.is_none() => (Outcome::Spoilt, None),
         Ok(answer) => {
             let told = node.config.report_fields.and_then(|fields| allowance(&answer.headers, fields));
+            if let Some(wait) = wait(&answer.headers) {
+                node.tell(Event::WaitTold { endpoint, wait });
+            }
             match answer.status {
                 StatusCode::OK => (Outcome::Served, told),
                 StatusCode::SERVICE_UNAVAILABLE => (Outcome::Full, told),
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -76,8 +76,8 @@
     let known = JournalClock::read(&config.state)?;
     let now = known.map_or_else(clock::wall, JournalClock::now);
     let options = Options {
-        // The platform's own count may have a block more than ours.
-        limits: Limits::of(config.limits.journal().saturating_sub(plan::BLOCK)),
+        // The platform's own count may have a block more than ours; the clock's file and its successor have one each.
+        limits: Limits::of(config.limits.journal().saturating_sub(3 * plan::BLOCK)),
         durability: Durability::None,
         now,
         identity: u128::from(config.seed) << 64 | u128::from(now),
