Orders by hand that the folder refused are put on record once it takes them

Cause: control.rs wrote the record once, and a SUSPEND once more was answered yes though nothing was on record. Change: what is in force and not on record is written again twice a second, and before any yes.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -7,8 +7,9 @@
 use fawnspoke_control::figures::Gauges;
 use fawnspoke_control::orders::{Change, ORDERS_MOST, Orders, Step, Subject};
 use fawnspoke_control::record::File;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
+use std::io;
 use std::path::Path;
 use std::rc::Rc;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -19,6 +20,8 @@
 pub struct Control {
     orders: RefCell<Orders>,
     file: File,
+    /// What is on record is not what is in force: the folder refused it.
+    unrecorded: Cell<bool>,
     /// Called back while no list had them in service: they come back cold. No more than orders may be in force.
     cold: RefCell<VecDeque<String>>,
 }
@@ -34,7 +37,24 @@
         for (id, _) in orders.held() {
             log::say(format_args!("orders: {id} is out by hand"));
         }
-        Control { orders: RefCell::new(orders), file, cold: RefCell::default() }
+        Control { orders: RefCell::new(orders), file, unrecorded: Cell::new(false), cold: RefCell::default() }
+    }
+
+    /// Puts the orders in force on record.
+    ///
+    /// # Errors
+    /// Those of the folder; [`Control::catch_up`] tries again.
+    fn record(&self) -> io::Result<()> {
+        let recorded = self.file.write(&self.orders.borrow());
+        self.unrecorded.set(recorded.is_err());
+        recorded
+    }
+
+    /// Records orders that the folder refused when they were given.
+    pub fn catch_up(&self) {
+        if self.unrecorded.get() && self.record().is_ok() {
+            log::line(format_args!("orders: on record again"));
+        }
     }
 
     /// Whether an endpoint is out by hand.
@@ -71,14 +91,21 @@
     let id = &subject.id;
     let known = node.directory.borrow().ever_listed(id);
     let now = node.unix_now() / 1000;
-    let (step, record) = {
+    let step = {
         let mut orders = control.orders.borrow_mut();
-        let step = match given {
+        match given {
             true => orders.give(subject.clone(), known, now),
             false => orders.call_back(subject, known),
-        };
-        (step, matches!(step, Step::Changes(_)).then(|| control.file.write(&orders)))
+        }
     };
+    // Also where it stands already, but is not on record.
+    let due = matches!(step, Step::Changes(_)) || control.unrecorded.get();
+    let record = if due { control.record() } else { Ok(()) };
+    let unrecorded =
+        |error: &io::Error| format!("in force, but not on record yet, and gone with this process: {error}");
+    if let (Step::Stands, Err(error)) = (&step, &record) {
+        return Err(unrecorded(error));
+    }
     match step {
         Step::Stands if given => return Ok(format!("{id} is out already")),
         Step::Stands => return Ok(format!("{id} may serve")),
@@ -106,7 +133,7 @@
         }
     }
     match record {
-        Some(Err(error)) => Err(format!("in force, but not on record, and gone with this process: {error}")),
+        Err(error) => Err(unrecorded(&error)),
         _ if given => Ok(format!("{id} is out until RESTORE")),
         _ => Ok(format!("{id} may serve, cold at first")),
     }
--- a/crates/node/src/rounds.rs
+++ b/crates/node/src/rounds.rs
@@ -161,6 +161,7 @@
         }
         if now >= sweep_at {
             sweep_at = now + if told_at.is_some() { 0.05 } else { 0.5 };
+            node.control.catch_up();
             node.pool.sweep(calls::keepalive(&node), node.config.limits.idle(node.config.settings.slots));
         }
         if let Some(told_at) = told_at {
