--- a/crates/fawnspoke/tests/sockets/machine.rs
+++ b/crates/fawnspoke/tests/sockets/machine.rs
@@ -27,6 +27,9 @@
     InterruptEvery,
     TearNext,
     Faults,
+    SocketError,
+    BreakError,
+    BreakEvery,
 }
 
 /// What the machine does to one dispatcher's processes.
@@ -476,3 +479,60 @@
     thread::sleep(Duration::from_millis(1500));
     assert!(endpoint.seen().is_empty(), "it is out by hand until it is called back");
 }
+
+/// No socket, no epoll and no place to listen at in the first second of a start.
+#[test]
+fn a_start_outlasts_a_machine_that_is_short_of_sockets() {
+    for error in [libc::ENFILE, libc::ENOBUFS, libc::ENOMEM] {
+        let endpoint = Endpoint::start(|_, _| ok());
+        let platform = Platform::start();
+        let mut dispatcher = Dispatcher::new(&platform, &[endpoint.host("e", 7, "up")]);
+        dispatcher.door = true;
+        let machine = Machine::under(&mut dispatcher);
+        machine.set(Field::SocketError, error.into());
+        let passing = machine.clone();
+        let passed = thread::spawn(move || {
+            thread::sleep(Duration::from_millis(1000));
+            passing.set(Field::SocketError, 0);
+        });
+        dispatcher.start();
+        passed.join().unwrap();
+        assert!(machine.faults() > 0);
+        assert_eq!(dispatcher.hand_in("safe", "m1", 7), 202);
+        eventually("its call", || endpoint.seen().len() == 1);
+    }
+}
+
+/// A broken connection shows as ETIMEDOUT or EHOSTUNREACH, at reads and at writes: what may have run is never sent again if it may not
+/// be repeated, and everything has its end.
+#[test]
+fn breaks_that_show_otherwise_are_breaks() {
+    for (error, every) in [(libc::ETIMEDOUT, 7), (libc::EHOSTUNREACH, 5), (libc::ENETUNREACH, 11)] {
+        let endpoint = Endpoint::start(|_, _| ok());
+        let platform = Platform::start();
+        let mut dispatcher = Dispatcher::new(&platform, &[endpoint.host("e", 7, "up")]);
+        let machine = Machine::under(&mut dispatcher);
+        dispatcher.start();
+        machine.set(Field::BreakError, error.into());
+        machine.set(Field::BreakEvery, every);
+        let at = dispatcher.connect();
+        drop(at);
+        let mut taken = Vec::new();
+        for number in 0..40 {
+            let (id, class) = (format!("m{number}"), ["safe", "keyed", "unsafe"][number % 3]);
+            let mut client = dispatcher.connect();
+            client.send(class, &id, 7, 3000, b"x");
+            // Its own connection may be one that breaks.
+            if client.try_answer().is_some_and(|answer| answer.status() == 202) {
+                taken.push((id, class));
+            }
+        }
+        machine.set(Field::BreakEvery, 0);
+        assert!(taken.len() >= 10, "{} taken", taken.len());
+        for (id, class) in &taken {
+            eventually("its end", || endpoint.ids().contains(id) || !platform.told(id).is_empty());
+            let calls = endpoint.ids().iter().filter(|other| *other == id).count();
+            assert!(calls <= 1 || *class != "unsafe", "{id}: {calls} calls");
+        }
+    }
+}
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -589,6 +589,12 @@
         handle().block_on(answered).expect("an answer in time").expect("an answer")
     }
 
+    /// The next answer; none where the connection ends without one.
+    pub fn try_answer(&mut self) -> Option<Http> {
+        let answered = async { timeout(PATIENCE, self.0.answer()).await };
+        handle().block_on(answered).ok()?.ok()
+    }
+
     /// Whether the other side ends the connection; what it still says is passed over.
     pub fn closes(&mut self) -> bool {
         let closed = async {
--- a/crates/machine-faults/src/lib.rs
+++ b/crates/machine-faults/src/lib.rs
@@ -38,12 +38,18 @@
     TearNext,
     /// Calls that this library let fail or cut short so far.
     Faults,
+    /// Calls for a new socket, an epoll or a listening address fail with this error.
+    SocketError,
+    /// Every `BreakEvery`-th read from or write to a socket that is no look fails with this error.
+    BreakError,
+    BreakEvery,
 }
 
 static FOLDER_FILES: [AtomicBool; DESCRIPTORS_MOST] = [const { AtomicBool::new(false) }; DESCRIPTORS_MOST];
 static ACCEPTS: AtomicI64 = AtomicI64::new(0);
 static CONNECTS: AtomicI64 = AtomicI64::new(0);
 static WAITS: AtomicI64 = AtomicI64::new(0);
+static TRANSFERS: AtomicI64 = AtomicI64::new(0);
 
 /// The mapped file, and the folder's path.
 struct Plan {
@@ -160,6 +166,9 @@
 
 #[unsafe(no_mangle)]
 unsafe extern "C" fn recv(socket: c_int, bytes: *mut c_void, length: size_t, flags: c_int) -> ssize_t {
+    if flags & libc::MSG_PEEK == 0 && is_due(&TRANSFERS, field(Field::BreakEvery)) {
+        return fail(field(Field::BreakError)) as ssize_t;
+    }
     let length = if flags & libc::MSG_PEEK == 0 { cut(length, field(Field::ReadMost)) } else { length };
     let (from, size) = (std::ptr::null_mut::<c_void>(), std::ptr::null_mut::<c_void>());
     unsafe { libc::syscall(libc::SYS_recvfrom, socket, bytes, length, flags, from, size) as ssize_t }
@@ -167,6 +176,9 @@
 
 #[unsafe(no_mangle)]
 unsafe extern "C" fn send(socket: c_int, bytes: *const c_void, length: size_t, flags: c_int) -> ssize_t {
+    if is_due(&TRANSFERS, field(Field::BreakEvery)) {
+        return fail(field(Field::BreakError)) as ssize_t;
+    }
     let length = cut(length, field(Field::WriteMost));
     let (to, size) = (std::ptr::null::<c_void>(), 0);
     unsafe { libc::syscall(libc::SYS_sendto, socket, bytes, length, flags, to, size) as ssize_t }
@@ -260,6 +272,34 @@
     folder_call(concerned, || unsafe { libc::syscall(libc::SYS_renameat2, here, from, here, to, 0) })
 }
 
+/// A call for something that the machine may be short of: it fails, or is passed on.
+fn resource_call(call: impl FnOnce() -> libc::c_long) -> c_int {
+    match field(Field::SocketError) {
+        0 => call() as c_int,
+        error => fail(error),
+    }
+}
+
+#[unsafe(no_mangle)]
+unsafe extern "C" fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int {
+    resource_call(|| unsafe { libc::syscall(libc::SYS_socket, domain, kind, protocol) })
+}
+
+#[unsafe(no_mangle)]
+unsafe extern "C" fn socketpair(domain: c_int, kind: c_int, protocol: c_int, pair: *mut c_int) -> c_int {
+    resource_call(|| unsafe { libc::syscall(libc::SYS_socketpair, domain, kind, protocol, pair) })
+}
+
+#[unsafe(no_mangle)]
+unsafe extern "C" fn epoll_create1(flags: c_int) -> c_int {
+    resource_call(|| unsafe { libc::syscall(libc::SYS_epoll_create1, flags) })
+}
+
+#[unsafe(no_mangle)]
+unsafe extern "C" fn listen(socket: c_int, most: c_int) -> c_int {
+    resource_call(|| unsafe { libc::syscall(libc::SYS_listen, socket, most) })
+}
+
 #[unsafe(no_mangle)]
 unsafe extern "C" fn accept4(
     socket: c_int, address: *mut sockaddr, length: *mut socklen_t, flags: c_int,
