A start that gets no socket, epoll or address for a moment tries again

Cause: the runtime, the signals' pair (tokio panics there), the door and the listener were asked for once. Change: retry.rs, which the folder's tries use too.

--- a/crates/node/src/inherited.rs
+++ b/crates/node/src/inherited.rs
@@ -1,6 +1,8 @@
 //! The clients' listening socket: bound here, or inherited from who started this process.
 
+use crate::retry::{Retry, is_momentary};
 use rustix::process::{PidfdFlags, PidfdGetfdFlags, getpid, pidfd_getfd, pidfd_open};
+use std::io;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 use tokio::net::TcpListener;
@@ -18,7 +20,7 @@
             let listener = std::net::TcpListener::from(given);
             return TcpListener::from_std(listener).map_err(|error| format!("listen: handed over: {error}"));
         }
-        return TcpListener::bind(at).await.map_err(|error| format!("listen: {at}: {error}"));
+        return bind(at).await.map_err(|error| format!("listen: {at}: {error}"));
     };
     let wrong = |error: String| format!("{VARIABLE}: {number}: {error}");
     let listener = inherited(&number).map_err(wrong)?;
@@ -26,6 +28,20 @@
     TcpListener::from_std(listener).map_err(|error| wrong(error.to_string()))
 }
 
+/// Listens at an address, once the machine has a socket for it.
+async fn bind(at: SocketAddr) -> io::Result<TcpListener> {
+    let mut retry = Retry::new();
+    loop {
+        match TcpListener::bind(at).await {
+            Err(error) if is_momentary(&error) => match retry.next_pause() {
+                Some((pause, _)) => tokio::time::sleep(pause).await,
+                None => return Err(error),
+            },
+            bound => return bound,
+        }
+    }
+}
+
 /// A descriptor by its number. Owning one that something else of this process may own can't be had safely: the
 /// kernel gives a copy of its own instead. The original stays open and counts.
 fn inherited(number: &str) -> Result<std::net::TcpListener, String> {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,6 +20,7 @@
 mod log;
 mod records;
 mod rest;
+mod retry;
 mod rounds;
 mod sizes;
 mod space;
@@ -37,10 +38,13 @@
 use gate::Gate;
 use rest::Rest;
 use rounds::{Finish, Input};
+use rustix::io::Errno;
 use start::Signals;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
+use std::io;
 use std::net::SocketAddr;
+use std::os::unix::net::UnixStream;
 use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::process::{Command, ExitCode};
@@ -48,6 +52,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, watch};
 use tokio::task::LocalSet;
@@ -154,13 +159,8 @@
 /// is wrong ends the start with one line that names the key, and exit code 2; a start that fails for another
 /// cause (an address in use, a folder that can't be written) with exit code 1.
 pub fn serve() -> ExitCode {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     // Signals may come from the first moment on, and one that is not heeded would end the process.
-    let heeded = runtime.and_then(|runtime| {
-        let signals = runtime.block_on(async { Signals::heed() })?;
-        Ok((runtime, signals))
-    });
-    let (runtime, signals) = match heeded {
+    let (runtime, signals) = match retry::blocking(runtime_with_signals) {
         Ok(heeded) => heeded,
         Err(error) => {
             log::complain(format_args!("fawnspoke: runtime: {error}"));
@@ -190,6 +190,18 @@
     }
 }
 
+/// The runtime, with signals heeded.
+fn runtime_with_signals() -> io::Result<(Runtime, Signals)> {
+    // Where it gets no pair of sockets for signals, tokio panics.
+    let built = std::panic::catch_unwind(|| {
+        drop(UnixStream::pair()?);
+        tokio::runtime::Builder::new_current_thread().enable_all().build()
+    });
+    let runtime = built.unwrap_or_else(|_| Err(Errno::NFILE.into()))?;
+    let signals = runtime.block_on(async { Signals::heed() })?;
+    Ok((runtime, signals))
+}
+
 /// Reads a configuration without starting anything.
 ///
 /// # Errors
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -7,6 +7,7 @@
 use crate::config::Config;
 use crate::directory::Directory;
 use crate::gate::Gate;
+use crate::retry::{self, Retry};
 use crate::rounds::{Ears, Finish, hear, rounds};
 use crate::{Node, clock, control, counts, discovery, handover, inherited, log};
 use fawnspoke_control::door;
@@ -23,12 +24,6 @@
 use tokio::task::spawn_local;
 use waydoor::Dispatcher;
 
-/// A folder that refuses writes at the start is tried again after a pause, which doubles from the least to the most ...
-const FOLDER_PAUSE: Duration = Duration::from_millis(20);
-const FOLDER_PAUSE_MOST: Duration = Duration::from_millis(200);
-/// ... for so long: the platform gives a start 30 s.
-const FOLDER_PATIENCE: Duration = Duration::from_secs(28);
-
 /// Messages that are over and remembered as such, some 200 KB: a client that comes again does so within seconds.
 const ENDS: usize = 4096;
 
@@ -110,19 +105,18 @@
 
 /// Opens the journal once its folder lets it.
 async fn open_when_writable(config: &Config) -> Result<(Journal, JournalClock), String> {
-    let (until, mut pause) = (Instant::now() + FOLDER_PATIENCE, FOLDER_PAUSE);
+    let mut retry = Retry::new();
     let named = |error: &OpenError| format!("GW_STATE: {}: {error}", config.state.display());
     loop {
-        match open_journal(config) {
-            Err(error @ OpenError::Io(_)) if Instant::now() < until => {
-                if pause == FOLDER_PAUSE {
-                    log::say(format_args!("{}; trying again", named(&error)));
-                }
-                tokio::time::sleep(pause).await;
-                pause = (pause * 2).min(FOLDER_PAUSE_MOST);
-            }
+        let error = match open_journal(config) {
+            Err(error @ OpenError::Io(_)) => error,
             opened => return opened.map_err(|error| named(&error)),
+        };
+        let Some((pause, first)) = retry.next_pause() else { return Err(named(&error)) };
+        if first {
+            log::say(format_args!("{}; trying again", named(&error)));
         }
+        tokio::time::sleep(pause).await;
     }
 }
 
@@ -131,7 +125,7 @@
     let (asked, orders) = unbounded_channel();
     if let Some(control) = config.control {
         // Operators are answered from now on, while the journal is read too.
-        let at = door::open(control, figures.clone(), asked);
+        let at = retry::blocking(|| door::open(control, figures.clone(), asked.clone()));
         let at = at.map_err(|error| format!("control: {control}: {error}"))?;
         log::say(format_args!("{} answers operators at {at}", config.name));
     }
