--- a/crates/fawnspoke/tests/sockets/crossings.rs
+++ b/crates/fawnspoke/tests/sockets/crossings.rs
@@ -139,3 +139,20 @@
     let late = times[0].unwrap().saturating_sub(times[1].unwrap());
     assert!(late < Duration::from_millis(100), "{late:?} after that of a call that is never answered");
 }
+
+/// The process is killed while the connection of a call is coming up: its message was found untried, and is tried.
+#[test]
+fn a_kill_while_a_connection_comes_up_leaves_its_message_untried() {
+    let (slow, platform) = (Gated::locked(), Platform::start());
+    let mut dispatcher = Dispatcher::new(&platform, &[slow.host("slow", 7)]);
+    dispatcher.config["settings"]["limits"]["connect_timeout"] = 10.0.into();
+    dispatcher.start();
+    assert_eq!(dispatcher.hand_in("unsafe", "u", 7), 202);
+    eventually("a connect that hangs", || slow.knocks() == 1);
+    dispatcher.kill();
+    let endpoint = Endpoint::start(|_, _| Reply::status(200));
+    dispatcher.config["known"]["hosts"] = serde_json::json!([endpoint.host("e", 7, "up")]);
+    dispatcher.start();
+    eventually("its end", || !endpoint.seen().is_empty() || !platform.told("u").is_empty());
+    assert_eq!(endpoint.ids(), ["u"], "it never ran: {:?}", platform.notices());
+}
