The start of a call is on record once its connection is up: a kill before that leaves it untried

Cause: acts.rs recorded the start with the decision; while the connection came up a kill made it a call that may have run, and an unsafe message was given up with no call. Change: record_start in exchange, behind may_begin; attempts are numbered by the decisions (Action::Send), so a call that was not sent is no attempt in the next life; ends without a start write nothing. Ruled out: recording at the first write (a byte might be out before the record).

--- a/crates/node/src/acts.rs
+++ b/crates/node/src/acts.rs
@@ -1,12 +1,13 @@
 //! What the decisions ask for, carried out: calls and their ends, final answers, probes.
 
 use crate::calls::{self, Call, CallEnd, Item};
+use crate::directory::Place;
 use crate::gate::Phase;
 use crate::rest::{Rest, Told};
 use crate::rounds::Input;
 use crate::{Node, log};
 use fawnspoke_control::figures::End;
-use fawnspoke_journal::{Notice, Start};
+use fawnspoke_journal::Notice;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use tokio::sync::Notify;
@@ -23,6 +24,8 @@
         for end in &end.ends {
             node.record(match end.closed {
                 true => journal.over(end.number),
+                // Its start was never on record: it never began.
+                false if journal.get(end.number).is_none_or(|kept| kept.out.is_none()) => continue,
                 false => journal.ended(end.number, !end.outcome.never_ran()),
             });
         }
@@ -62,6 +65,15 @@
     node.calls_out.set(node.calls_out.get() - 1);
 }
 
+/// A send that the decisions ask for.
+struct Send {
+    number: u64,
+    endpoint: EndpointId,
+    attempt: u32,
+    timeout: Seconds,
+    alone: bool,
+}
+
 /// The sends of one round, as calls: those to one endpoint share a call as far as its kind allows.
 #[derive(Default)]
 pub struct Calls {
@@ -72,37 +84,17 @@
 }
 
 impl Calls {
-    fn add(&mut self, node: &Node, number: u64, endpoint: EndpointId, timeout: Seconds, alone: bool) {
-        let mut journal = node.journal.borrow_mut();
-        let Some(kept) = journal.get(number) else { return };
-        let item = Item { number, attempt: kept.attempts, handed: kept.handed.clone() };
+    fn add(&mut self, node: &Node, send: Send) {
+        let Send { number, endpoint, attempt, timeout, alone } = send;
+        let Some(handed) = node.journal.borrow().get(number).map(|kept| kept.handed.clone()) else { return };
+        let item = Item { number, attempt, handed };
         let place = node.directory.borrow().place(endpoint).filter(|p| p.dest == item.handed.dest);
-        let place = place.filter(|place| node.bounds.may_try(place.dest));
-        let zone = place.map_or(0, |place| place.zone);
-        let class = node.config.classes.iter().position(|class| *class == item.handed.class);
-        let effect =
-            class.and_then(|class| node.config.settings.classes.get(class)).map(|class| class.effect);
-        let start = Start { at: node.unix_now(), zone };
-        // On record before its first byte, or a call might run that no later life knows of. Where that does no harm,
-        // a folder that refuses writes holds nothing up.
-        let mut recorded = journal.started(number, start);
-        if recorded.is_err() && effect == Some(Effect::Safe) {
-            node.record(recorded);
-            journal.started_without_record(number, start);
-            recorded = Ok(());
-        }
-        let unsent = |outcome: Outcome| {
-            let ends = vec![calls::End { number, attempt: item.attempt, outcome, closed: false }];
+        let Some(place) = place.filter(|place| node.bounds.may_try(place.dest)) else {
+            let ends = vec![calls::End { number, attempt, outcome: Outcome::Moot, closed: false }];
             node.send(Input::Ended { endpoint, sent_at: node.now(), end: CallEnd::bare(ends, false) });
+            return;
         };
-        if recorded.is_err() {
-            node.record(recorded);
-            return unsent(Outcome::NotRecorded);
-        }
-        let Some(place) = place else {
-            node.record(journal.ended(number, false));
-            return unsent(Outcome::Moot);
-        };
+        let effect = node.effect(&item.handed.class);
         let batch = node.config.settings.kinds.get(place.kind).map_or(1, |kind| kind.batch);
         let alike = (endpoint, effect == Some(Effect::Unsafe));
         if !alone
@@ -116,7 +108,8 @@
         if !alone {
             self.open.insert(alike, self.calls.len());
         }
-        self.calls.push(Call { endpoint, at: place.dial, dest: place.dest, items: vec![item], timeout });
+        let Place { dial: at, dest, zone, .. } = place;
+        self.calls.push(Call { endpoint, at, dest, zone, items: vec![item], timeout });
     }
 }
 
@@ -125,8 +118,9 @@
     let mut sends = Calls::default();
     for action in actions {
         match action {
-            Action::Send { id, endpoint, timeout, alone } => {
-                sends.add(node, id.0, *endpoint, *timeout, *alone);
+            Action::Send { id, endpoint, attempt, timeout, alone } => {
+                let (number, endpoint, attempt) = (id.0, *endpoint, *attempt);
+                sends.add(node, Send { number, endpoint, attempt, timeout: *timeout, alone: *alone });
             }
             Action::Refuse(id) => {
                 let dest = node.journal.borrow().get(id.0).map(|kept| DestinationId(kept.handed.dest));
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -286,6 +286,8 @@
     pub endpoint: EndpointId,
     pub at: SocketAddr,
     pub dest: u32,
+    /// The endpoint's zone.
+    pub zone: u16,
     pub items: Vec<Item>,
     pub timeout: Seconds,
 }
@@ -334,9 +336,10 @@
     let Call { endpoint, at, dest, ref items, .. } = *call;
     let open = || node.directory.borrow().open(endpoint, at, dest);
     let mut used = Used::default();
-    let ids: Vec<_> = items.iter().map(|item| MessageId(item.number)).collect();
     let answer = match request(call) {
-        Ok(request) => exchange(node, (endpoint, at), request, until, &open, &ids, &mut used).await,
+        Ok(request) => {
+            exchange(node, (endpoint, at), request, until, &open, (items, call.zone), &mut used).await
+        }
         Err(error) => {
             log::line(format_args!("call to {at}: cannot be written: {error}"));
             Err(Outcome::Error)
@@ -391,7 +394,8 @@
     let request = Request::get("/health/live").header("Host", place.dial.to_string()).body(Full::default());
     let Ok(request) = request else { return (Outcome::Moot, None) };
     let open = || node.directory.borrow().open(endpoint, place.dial, place.dest);
-    match exchange(node, (endpoint, place.dial), request, until, &open, &[], &mut Used::default()).await {
+    let none = (&[][..], place.zone);
+    match exchange(node, (endpoint, place.dial), request, until, &open, none, &mut Used::default()).await {
         Err(outcome) => (outcome, None),
         Ok(answer) if answer.body.is_none() => (Outcome::Spoilt, None),
         Ok(answer) => {
@@ -422,9 +426,11 @@
 /// several the body of an answer with 200 tells something.
 async fn exchange(
     node: &Node, (endpoint, at): (EndpointId, SocketAddr), mut request: Request<Full<Bytes>>, until: Instant,
-    open: &dyn Fn() -> bool, messages: &[MessageId], used: &mut Used,
+    open: &dyn Fn() -> bool, (items, zone): (&[Item], u16), used: &mut Used,
 ) -> Result<Answer, Outcome> {
-    let one = messages.len() == 1;
+    let one = items.len() == 1;
+    let messages: Vec<_> = items.iter().map(|item| MessageId(item.number)).collect();
+    let mut recorded = false;
     loop {
         let mut link;
         (link, used.reused) = match node.pool.reuse(endpoint, at, keepalive(node)) {
@@ -449,10 +455,16 @@
             return Err(Outcome::Moot);
         }
         // The decisions may have learned meanwhile what forbids it. The connection is as good as new.
-        if !node.dispatcher.borrow().may_begin(node.now(), endpoint, messages) {
+        if !node.dispatcher.borrow().may_begin(node.now(), endpoint, &messages) {
             used.kept = node.pool.put_back(endpoint, link);
             return Err(Outcome::Moot);
         }
+        if !std::mem::replace(&mut recorded, true)
+            && let Err(outcome) = node.record_start(items, zone)
+        {
+            used.kept = node.pool.put_back(endpoint, link);
+            return Err(outcome);
+        }
         let sent_at = Instant::now();
         link.heard.clear();
         link.heard
--- a/crates/node/src/records.rs
+++ b/crates/node/src/records.rs
@@ -1,10 +1,11 @@
 //! What is on record, in the form of the decisions; what an earlier process left.
 
+use crate::calls::Item;
 use crate::{Node, log};
 use fawnspoke_control::figures::End;
 use fawnspoke_journal::{Level, Start, UNKNOWN_ZONE};
 use std::time::Instant;
-use waydoor::{DestinationId, Effect, Event, Message, MessageId, Seconds};
+use waydoor::{DestinationId, Effect, Event, Message, MessageId, Outcome, Seconds};
 
 /// The customer of a message is not told or has no share.
 const NO_TENANT: usize = usize::MAX;
@@ -31,6 +32,31 @@
         }
     }
 
+    /// What a repeat of a message of this class would do, where the class is configured.
+    pub fn effect(&self, class: &str) -> Option<Effect> {
+        let index = self.config.classes.iter().position(|known| known == class)?;
+        self.config.settings.classes.get(index).map(|class| class.effect)
+    }
+
+    /// Puts the start of a call on record, before its first byte: it may run from then on. Where a repeat does no harm, a
+    /// folder that refuses writes holds nothing up.
+    ///
+    /// # Errors
+    /// [`Outcome::NotRecorded`], where the call must not begin.
+    pub fn record_start(&self, items: &[Item], zone: u16) -> Result<(), Outcome> {
+        let start = Start { at: self.unix_now(), zone };
+        let mut journal = self.journal.borrow_mut();
+        for item in items {
+            let Err(error) = journal.started(item.number, start) else { continue };
+            self.record(Err(error));
+            if self.effect(&item.handed.class) != Some(Effect::Safe) {
+                return Err(Outcome::NotRecorded);
+            }
+            journal.started_without_record(item.number, start);
+        }
+        Ok(())
+    }
+
     /// A message that was taken has ended.
     pub fn count_end(&self, number: u64, end: End) {
         let journal = self.journal.borrow();
--- a/crates/waydoor/src/choice/attempts.rs
+++ b/crates/waydoor/src/choice/attempts.rs
@@ -112,12 +112,14 @@
         let timeout = self.timeout(now, class, endpoint);
         let Some(parcel) = self.parcels.get_mut(&id) else { return };
         let left = (parcel.message.deadline - ANSWER_MARGIN - now).max(0.001);
-        (parcel.attempts, parcel.out) = (parcel.attempts + 1, Some(Flight { endpoint, call }));
+        let attempt = parcel.attempts;
+        (parcel.attempts, parcel.out) = (attempt + 1, Some(Flight { endpoint, call }));
         if let Some(call) = self.calls.get_mut(&call) {
             (call.messages, call.pending, call.last) = (call.messages + 1, call.pending + 1, id);
             call.cut |= left < timeout;
         }
-        actions.push(Action::Send { id, endpoint, timeout: timeout.min(left), alone: parcel.alone });
+        let (timeout, alone) = (timeout.min(left), parcel.alone);
+        actions.push(Action::Send { id, endpoint, attempt, timeout, alone });
     }
 
     pub(super) fn open_call(
--- a/crates/waydoor/src/interface.rs
+++ b/crates/waydoor/src/interface.rs
@@ -441,6 +441,8 @@
         id: MessageId,
         /// The endpoint.
         endpoint: EndpointId,
+        /// The attempt's number, from 0.
+        attempt: u32,
         /// Give the attempt up after this long.
         timeout: Seconds,
         /// It shares its call with no other message.
--- a/crates/waydoor/tests/common/world.rs
+++ b/crates/waydoor/tests/common/world.rs
@@ -582,7 +582,7 @@
         let mut calls: BTreeMap<u64, (u64, Vec<(u64, f64)>)> = BTreeMap::new();
         for action in actions {
             match action {
-                Action::Send { id, endpoint, timeout, alone } => {
+                Action::Send { id, endpoint, timeout, alone, .. } => {
                     self.judge_send(node, id.0, endpoint.0, timeout);
                     let Some(m) = self.messages.get_mut(&id.0) else { continue };
                     let batch = self.settings.kinds[m.destination % self.plan.kinds.len()].batch;
