--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -170,7 +170,8 @@
                 u64::from(!end.connection_reused && last != Some(Outcome::ConnectFailed));
             match last {
                 Some(Outcome::Overloaded) => {
-                    let remaining_share = end.rate_limit_report.and_then(|report| report.remaining_share);
+                    let told_limit = end.rate_limit_report.filter(|report| report.rate > 0.0);
+                    let remaining_share = told_limit.and_then(|report| report.remaining_share);
                     counters.overloaded += 1;
                     counters.limit_exhausted += u64::from(
                         remaining_share
@@ -243,4 +244,26 @@
         assert!(line.ends_with(" 63:taken=2 rest:taken=72,held=1,oldest_ms=1000"), "{line}");
         assert_eq!(traffic.take_line(3.0, std::iter::empty()), None);
     }
+
+    #[test]
+    fn a_rejection_that_reports_no_limit_is_not_counted_as_an_exhausted_limit() {
+        let traffic = TrafficCounters::default();
+        let end = |rate| CallEnd {
+            rate_limit_report: Some(RateLimitReport { rate, remaining_share: Some(0.0) }),
+            ..CallEnd::without_report(
+                vec![crate::calls::MessageEnd {
+                    number: 1,
+                    attempt: 0,
+                    outcome: Outcome::Overloaded,
+                    settled: false,
+                }],
+                false,
+            )
+        };
+        traffic.record_call_end(1, &end(0.0));
+        traffic.record_call_end(2, &end(5.0));
+        let line = traffic.take_line(1.0, std::iter::empty()).unwrap();
+        assert!(line.contains(" 1:full=1,connects=1"), "{line}");
+        assert!(line.contains(" 2:full=1,full_used=1,"), "{line}");
+    }
 }
--- a/crates/waydoor/src/policy.rs
+++ b/crates/waydoor/src/policy.rs
@@ -9,17 +9,22 @@
 mod attempts;
 mod connections;
 mod endpoint_list;
+mod health_log;
 pub(crate) mod journaling;
 mod outage;
+mod outage_record;
 mod overload;
 mod rate_limit;
+mod recovery_budget;
 mod scheduling;
 mod shutdown;
+mod silence;
 mod undelivered;
 
 use crate::interface::*;
 use crate::state::*;
 use endpoint_list::{FIRST_SUBSCRIBE_BACKOFF_SECONDS, MAX_SUBSCRIBE_BACKOFF_SHARE};
+use health_log::{HealthChangeCause, TargetName};
 use overload::MIN_OVERLOAD_BACKOFF_SECONDS;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -38,8 +43,6 @@
 const MIN_STALL_SECONDS: f64 = 0.25;
 /// Number of ended message ids that are kept, so that repeated events have no effect.
 const MAX_ENDED_MESSAGES: usize = 4096;
-/// Largest number of log lines of one process.
-const MAX_LOG_LINES: u32 = 200;
 
 impl Dispatcher {
     /// Applies one event. Unknown, late and repeated ids have no effect.
@@ -163,11 +166,12 @@
         }
         let (destination_id, after) =
             (endpoint.destination, (endpoint.target.outage.health, destination.target.outage.health));
-        let (health_before, health_after) =
-            if independent { (before.0, after.0) } else { (before.1, after.1) };
-        let (target_kind, number) =
-            if independent { ("endpoint", id.0) } else { ("destination", destination_id.0.into()) };
-        self.log_health_change(MAX_LOG_LINES, target_kind, number, health_before, health_after, outcome);
+        let (target, health_before, health_after) = if independent {
+            (TargetName::Endpoint(id), before.0, after.0)
+        } else {
+            (TargetName::Destination(destination_id), before.1, after.1)
+        };
+        self.log_health_change(target, health_before, health_after, HealthChangeCause::CallEnded(outcome));
         self.record_outage_change(destination_id);
     }
 
@@ -201,7 +205,8 @@
             .map_or(even_share, |demand_share| demand_share + start_weight * even_share)
             .clamp(MIN_OWN_SHARE * even_share, 0.5 + 0.5 * even_share);
         let (slow_start, rng) = (&self.settings.slow_start, &mut self.rng);
-        let mut update = |target: &mut TargetState, enforces_limit: bool| {
+        let mut warmed_up: Vec<(TargetName, Health)> = Vec::new();
+        let mut update = |name: TargetName, target: &mut TargetState, enforces_limit: bool| {
             let share_changed = enforces_limit && target.rate_limiter.even_share != even_share;
             (
                 target.rate_limiter.own_share,
@@ -211,17 +216,23 @@
             if share_changed {
                 target.rate_limiter.randomize_phase(now, rng);
             }
-            let warmed_up =
+            let is_warm =
                 matches!(target.outage.health, Health::Recovering(at) if now - at >= slow_start.warm_up_time);
-            if warmed_up && !target.may_be_cold(now, slow_start) {
+            if is_warm && !target.may_be_cold(now, slow_start) {
+                if enforces_limit {
+                    warmed_up.push((name, target.outage.health));
+                }
                 target.outage.health = Health::Healthy;
             }
         };
-        update(&mut destination.target, !destination.independent_endpoints);
+        update(TargetName::Destination(id), &mut destination.target, !destination.independent_endpoints);
         for endpoint in &destination.endpoints {
-            self.endpoints
-                .entry(*endpoint)
-                .and_modify(|e| update(&mut e.target, destination.independent_endpoints));
+            self.endpoints.entry(*endpoint).and_modify(|e| {
+                update(TargetName::Endpoint(*endpoint), &mut e.target, destination.independent_endpoints)
+            });
+        }
+        for (target, before) in warmed_up {
+            self.log_health_change(target, before, Health::Healthy, HealthChangeCause::WarmedUp);
         }
         self.record_outage_change(id);
     }
--- a/crates/waydoor/src/policy/attempts.rs
+++ b/crates/waydoor/src/policy/attempts.rs
@@ -5,10 +5,9 @@
 //! without an end. The cost is that some calls are given up too early.
 
 use super::connections::{CONNECT_COST_SECONDS, MAX_IDLE_FOR_UNSAFE_SECONDS};
-use super::outage::{
-    FIRST_TRIAL_INTERVAL_SECONDS, MAX_TRIAL_INTERVAL_SECONDS, MIN_SILENCE_SECONDS, SILENCE_LATENCY_MULTIPLE,
-};
+use super::recovery_budget::{FIRST_TRIAL_INTERVAL_SECONDS, MAX_TRIAL_INTERVAL_SECONDS};
 use super::scheduling::SAMPLE_WEIGHT;
+use super::silence::{MIN_SILENCE_SECONDS, SILENCE_LATENCY_MULTIPLE};
 use super::undelivered::ANSWER_MARGIN_SECONDS;
 use super::*;
 
--- /dev/null
+++ b/crates/waydoor/src/policy/outage_record.rs
@@ -0,0 +1,56 @@
+//! Outages beyond one process: records them in the journal, and continues those of the previous process and
+//! those that operators caused.
+//!
+//! Keeps a restarted dispatcher from sending a backlog to a target that is unavailable or cold. The cost is a
+//! delay at a target that recovered meanwhile.
+
+use super::*;
+
+impl Dispatcher {
+    /// Records the start or end of an outage, so that the next process does not send a whole backlog at once.
+    pub(super) fn record_outage_change(&mut self, id: DestinationId) {
+        let Some(destination) = self.destinations.get_mut(&id) else { return };
+        let is_cold =
+            |t: &TargetState| matches!(t.outage.health, Health::Unavailable | Health::Recovering(_));
+        let mut endpoints = destination.endpoints.iter().filter_map(|id| self.endpoints.get(id));
+        let ongoing = if destination.independent_endpoints {
+            endpoints.any(|e| is_cold(&e.target))
+        } else {
+            is_cold(&destination.target)
+        };
+        if ongoing != destination.outage_recorded {
+            destination.outage_recorded = ongoing;
+            self.pending_actions.push(Action::RecordOutage { destination: id, ongoing });
+        }
+    }
+
+    /// A destination that was unavailable when the previous process ended gets trials first and counts as
+    /// cold when it serves. The cost is a delay at one that recovered long before.
+    pub(super) fn restore_outage(&mut self, now: Seconds, id: DestinationId) {
+        let Some(destination) = self.destinations.get_mut(&id) else { return };
+        if destination.endpoints.is_empty() || !self.recovered_outages.remove(&id) {
+            return;
+        }
+        destination.outage_recorded = true;
+        let before = destination.target.outage.health;
+        let target = TargetName::Destination(id);
+        self.for_each_limited_target(id, |target| target.mark_unproven(now));
+        self.log_health_change(target, before, Health::Unavailable, HealthChangeCause::OutageRestored);
+    }
+
+    /// An endpoint that operators had suspended gets trials first and counts as cold when it serves.
+    /// Endpoints of the destination that served meanwhile are not affected.
+    pub(super) fn endpoint_restored(&mut self, now: Seconds, id: EndpointId) {
+        let before = self.limited_target_health(id);
+        self.endpoints.entry(id).and_modify(|e| e.target.mark_unproven(now));
+        let Some(destination_id) = self.endpoints.get(&id).map(|e| e.destination) else { return };
+        let Some(destination) = self.destinations.get_mut(&destination_id) else { return };
+        if !destination.independent_endpoints && destination.endpoints.len() == 1 {
+            destination.target.mark_unproven(now);
+        }
+        if let (Some((target, before)), Some((_, after))) = (before, self.limited_target_health(id)) {
+            self.log_health_change(target, before, after, HealthChangeCause::EndpointRestored);
+        }
+        self.record_outage_change(destination_id);
+    }
+}
--- a/crates/waydoor/src/policy/overload.rs
+++ b/crates/waydoor/src/policy/overload.rs
@@ -101,6 +101,7 @@
 impl Dispatcher {
     /// Applies a retry-after.
     pub(super) fn apply_retry_after(&mut self, now: Seconds, id: EndpointId, delay: Seconds) {
+        let before = self.limited_target_health(id);
         let Some(endpoint) = self.endpoints.get_mut(&id).filter(|_| delay > 0.0) else { return };
         let destination =
             self.destinations.get_mut(&endpoint.destination).filter(|d| !d.independent_endpoints);
@@ -121,6 +122,9 @@
             };
             limited.rate_limiter.next_send_at =
                 limited.backoff.retry_after_until + max_offset * self.rng.f64();
+            if let (Some((target, before)), Some((_, after))) = (before, self.limited_target_health(id)) {
+                self.log_health_change(target, before, after, HealthChangeCause::LongRetryAfter);
+            }
         }
     }
 }
--- a/crates/waydoor/src/policy/rate_limit.rs
+++ b/crates/waydoor/src/policy/rate_limit.rs
@@ -3,7 +3,7 @@
 //! Keeps all dispatchers together within a reported limit: each uses its share. The cost is that unused
 //! shares stay idle.
 
-use super::outage::MAX_TRIALS_IN_FLIGHT;
+use super::recovery_budget::MAX_TRIALS_IN_FLIGHT;
 use super::*;
 
 /// Growth of the rate per second while nothing is rejected, as a share of it.
--- a/crates/waydoor/src/policy/undelivered.rs
+++ b/crates/waydoor/src/policy/undelivered.rs
@@ -3,7 +3,7 @@
 //! Prevents an end that comes too late or promises too much. The cost is that some messages are given up too
 //! early.
 
-use super::outage::FIRST_TRIAL_INTERVAL_SECONDS;
+use super::recovery_budget::FIRST_TRIAL_INTERVAL_SECONDS;
 use super::*;
 
 /// Time reserved before the deadline for reporting the end.
--- a/crates/waydoor/src/state.rs
+++ b/crates/waydoor/src/state.rs
@@ -768,19 +768,6 @@
         self.endpoints.remove(&id);
     }
 
-    /// Adds a log line if a target's health has changed.
-    pub(crate) fn log_health_change(
-        &mut self, max_lines: u32, target_kind: &str, number: u64, before: Health, after: Health,
-        cause: Outcome,
-    ) {
-        if std::mem::discriminant(&before) != std::mem::discriminant(&after)
-            && self.log_line_count < max_lines
-        {
-            self.log_line_count += 1;
-            self.log_lines.push(format!("{target_kind} {number}: {before:?} -> {after:?} after {cause:?}"));
-        }
-    }
-
     /// Applies entries of the list of endpoints; a snapshot takes all others out of service.
     pub(crate) fn update_endpoints(&mut self, entries: Vec<EndpointEntry>, snapshot: bool, latency: Seconds) {
         if snapshot {
--- a/crates/waydoor/tests/limits.rs
+++ b/crates/waydoor/tests/limits.rs
@@ -1,16 +1,20 @@
 //! Limits the size of the policy modules, and checks that the deployment file lists all of them.
 
-const POLICY_MODULES: [(&str, &str); 11] = [
+const POLICY_MODULES: [(&str, &str); 15] = [
     ("policy.rs", include_str!("../src/policy.rs")),
     ("policy/attempts.rs", include_str!("../src/policy/attempts.rs")),
     ("policy/connections.rs", include_str!("../src/policy/connections.rs")),
     ("policy/endpoint_list.rs", include_str!("../src/policy/endpoint_list.rs")),
+    ("policy/health_log.rs", include_str!("../src/policy/health_log.rs")),
     ("policy/journaling.rs", include_str!("../src/policy/journaling.rs")),
     ("policy/outage.rs", include_str!("../src/policy/outage.rs")),
+    ("policy/outage_record.rs", include_str!("../src/policy/outage_record.rs")),
     ("policy/overload.rs", include_str!("../src/policy/overload.rs")),
     ("policy/rate_limit.rs", include_str!("../src/policy/rate_limit.rs")),
+    ("policy/recovery_budget.rs", include_str!("../src/policy/recovery_budget.rs")),
     ("policy/scheduling.rs", include_str!("../src/policy/scheduling.rs")),
     ("policy/shutdown.rs", include_str!("../src/policy/shutdown.rs")),
+    ("policy/silence.rs", include_str!("../src/policy/silence.rs")),
     ("policy/undelivered.rs", include_str!("../src/policy/undelivered.rs")),
 ];
 
