--- a/crates/waydoor/tests/common/mod.rs
+++ b/crates/waydoor/tests/common/mod.rs
@@ -13,6 +13,7 @@
     }
 }
 
+pub mod cold_return;
 pub mod fleet;
 pub mod world;
 
