A rejection makes a destination suspect in a large fleet, as a failed call does

Cause: the budget of a cold destination is one for the fleet, but a rejection took nothing of it. A dispatcher counted an outage only after four rejections in a row over 4 s, which hardly any of a large fleet sees; until then its pauses began at 0.3 s, and where no limit is told its whole queue left in one instant after each pause.

Fix: a rejection that no told limit explains (less than half of it left) makes the destination suspect in a fleet of more than six: further calls are trials within the fleet's budget, and a success after it is followed by slow start. Rejections by a told and used-up limit, waits, and small fleets are as before. The class of the mistake: a threshold on what one dispatcher sees, for a bound on what all do.

--- a/crates/waydoor/src/policy.rs
+++ b/crates/waydoor/src/policy.rs
@@ -25,7 +25,8 @@
 use crate::state::*;
 use endpoint_list::{FIRST_SUBSCRIBE_BACKOFF_SECONDS, MAX_SUBSCRIBE_BACKOFF_SHARE};
 use health_log::{HealthChangeCause, TargetName};
-use overload::MIN_OVERLOAD_BACKOFF_SECONDS;
+use outage::CallResult;
+use overload::{MIN_OVERLOAD_BACKOFF_SECONDS, OverloadCause};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -157,12 +158,14 @@
             return;
         }
         let before = (endpoint.target.outage.health, destination.target.outage.health);
-        endpoint.target.record_outcome(now, outcome, latency, independent, slow_start, &mut self.rng);
+        let overload_cause = OverloadCause::from_report(rate_limit_report);
+        let result = CallResult { outcome, latency, overload_cause };
+        endpoint.target.record_outcome(now, result, independent, slow_start, &mut self.rng);
         // One failing endpoint among healthy ones is not an outage of the destination.
         let fails_again =
             before.0 != Health::Healthy && outcome != Outcome::Served && outcome != Outcome::Overloaded;
         if !(fails_again && destination.endpoints.len() > 1 && before.1 == Health::Healthy) {
-            destination.target.record_outcome(now, outcome, latency, !independent, slow_start, &mut self.rng);
+            destination.target.record_outcome(now, result, !independent, slow_start, &mut self.rng);
         }
         let (destination_id, after) =
             (endpoint.destination, (endpoint.target.outage.health, destination.target.outage.health));
--- a/crates/waydoor/src/policy/outage.rs
+++ b/crates/waydoor/src/policy/outage.rs
@@ -3,6 +3,7 @@
 //! Prevents a cold target from being overloaded by what is queued for it, and messages from being lost at one
 //! that is unavailable. The cost is delay after a false alarm.
 
+use super::overload::OverloadCause;
 use super::*;
 
 /// Consecutive failures that make a target unavailable: a single one may be chance ...
@@ -21,6 +22,15 @@
 /// Maximum gap between failure and success by which a recovery is dated, as a share of the warm-up time.
 const MAX_RECOVERY_GAP_SHARE: f64 = 0.5;
 
+/// The end of a call or probe, as far as it concerns the health of a target.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CallResult {
+    pub(super) outcome: Outcome,
+    pub(super) latency: Seconds,
+    /// Applies if the outcome is a rejection.
+    pub(super) overload_cause: OverloadCause,
+}
+
 impl TargetState {
     pub(super) fn mark_unproven(&mut self, now: Seconds) {
         (self.outage.health, self.outage.next_trial_at, self.outage.last_failure_sent_at) =
@@ -37,9 +47,10 @@
 
     /// Applies the end of a call or probe. `own_limit`: the rate limit applies to this target.
     pub(super) fn record_outcome(
-        &mut self, now: Seconds, outcome: Outcome, latency: f64, own_limit: bool, slow_start: &SlowStart,
+        &mut self, now: Seconds, result: CallResult, own_limit: bool, slow_start: &SlowStart,
         rng: &mut fastrand::Rng,
     ) {
+        let CallResult { outcome, latency, .. } = result;
         match outcome {
             Outcome::Served => {
                 self.stats.record_sample(now, Some(latency), 0.0);
@@ -50,8 +61,10 @@
                 self.update_baseline_loss(0.0);
                 let state = &mut self.outage;
                 state.last_success_sent_at = state.last_success_sent_at.max(now - latency);
-                let was_outage =
-                    was_outage && (state.health == Health::Unavailable || state.consecutive_failures > 0);
+                let was_outage = was_outage
+                    && (state.health == Health::Unavailable
+                        || state.consecutive_failures > 0
+                        || self.backoff.consecutive_overloads > 0);
                 (
                     state.consecutive_failures,
                     self.backoff.consecutive_overloads,
@@ -73,7 +86,7 @@
                     other => other,
                 };
             }
-            Outcome::Overloaded => self.record_overload(now, latency, own_limit, slow_start, rng),
+            Outcome::Overloaded => self.record_overload(now, result, own_limit, slow_start, rng),
             Outcome::Error | Outcome::TimedOut | Outcome::ConnectFailed | Outcome::ConnectionReset => {
                 self.stats.record_sample(now, None, 1.0);
                 // A call that was sent before the last served one says nothing about the present.
@@ -87,20 +100,14 @@
                 let failure_limit = (MIN_FAILURES_FOR_OUTAGE as f64)
                     .max((MAX_CHANCE_OF_FAILURES.ln() / normal_loss.ln()).ceil());
                 self.update_baseline_loss(1.0);
-                let OutageState { consecutive_failures, baseline_loss, health, .. } = self.outage;
+                let OutageState { consecutive_failures, baseline_loss, .. } = self.outage;
                 if f64::from(consecutive_failures) >= failure_limit
                     || self.stats.failure_share > UNHEALTHY_FAILURE_SHARE + baseline_loss
                     || trial_failed
                 {
                     self.mark_unavailable(now, slow_start, rng);
-                } else if consecutive_failures > 0
-                    && self.rate_limiter.is_large_fleet()
-                    && health == Health::Healthy
-                {
-                    // One more call from each of a large fleet is too much for a cold target.
-                    (self.outage.health, self.outage.trial_count) = (Health::Suspect, 0);
-                    self.outage.next_trial_at = now + self.trial_interval(now, slow_start, rng);
-                    self.admit_by_chance(now, slow_start, rng);
+                } else if consecutive_failures > 0 {
+                    self.suspect_in_large_fleet(now, slow_start, rng);
                 }
             }
             // An answer that cannot be used shows that the process runs, not that it delivers.
@@ -112,6 +119,18 @@
         }
     }
 
+    /// Suspects an outage after one failed or rejected call: one more call from each dispatcher of a large
+    /// fleet would be too much for a cold target.
+    pub(super) fn suspect_in_large_fleet(
+        &mut self, now: Seconds, slow_start: &SlowStart, rng: &mut fastrand::Rng,
+    ) {
+        if self.rate_limiter.is_large_fleet() && self.outage.health == Health::Healthy {
+            (self.outage.health, self.outage.trial_count) = (Health::Suspect, 0);
+            self.outage.next_trial_at = now + self.trial_interval(now, slow_start, rng);
+            self.admit_by_chance(now, slow_start, rng);
+        }
+    }
+
     /// Updates the share of calls that the target loses while it is available.
     fn update_baseline_loss(&mut self, failed: f64) {
         if self.outage.health == Health::Healthy {
--- a/crates/waydoor/src/policy/overload.rs
+++ b/crates/waydoor/src/policy/overload.rs
@@ -3,6 +3,7 @@
 //! Keeps rejected calls from using up a rate limit, and honours retry-after. The cost is that pauses are
 //! longer than necessary.
 
+use super::outage::CallResult;
 use super::rate_limit::{MIN_RATE_SHARE, RATE_GROWTH_PER_SECOND};
 use super::scheduling::STATS_HALF_LIFE_SECONDS;
 use super::*;
@@ -20,9 +21,30 @@
 const LARGE_FLEET_BACKOFF_TURNS: f64 = 2.0;
 /// ... but no longer than this, which leaves a message several attempts.
 const MAX_LARGE_FLEET_BACKOFF_SECONDS: f64 = 9.0;
+/// A rate limit caused a rejection if less than this share of it is left: reports are late and noisy, and a
+/// target that is unavailable has nearly all of it left.
+const MAX_EXHAUSTED_SHARE: f64 = 0.5;
 /// A rejection reduces the rate to this share of the rate at which calls were sent.
 const OVERLOAD_RATE_FACTOR: f64 = 0.8;
 
+/// What a rejection says about its cause.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum OverloadCause {
+    /// The response reported a rate limit of which little is left.
+    RateLimit,
+    /// A full queue, a rate limit that is not reported, or an outage.
+    Unknown,
+}
+
+impl OverloadCause {
+    pub(super) fn from_report(report: Option<RateLimitReport>) -> Self {
+        let exhausted = report.is_some_and(|report| {
+            report.rate > 0.0 && report.remaining_share.is_some_and(|share| share < MAX_EXHAUSTED_SHARE)
+        });
+        if exhausted { OverloadCause::RateLimit } else { OverloadCause::Unknown }
+    }
+}
+
 impl OverloadBackoff {
     pub(super) fn current_concurrency_limit(&self, now: Seconds) -> Option<f64> {
         self.concurrency_limit.map(|(calls, at)| calls * (1.0 + RATE_GROWTH_PER_SECOND).powf(now - at))
@@ -45,9 +67,10 @@
 impl TargetState {
     /// Applies a rejection. `own_limit`: the rate limit applies to this target.
     pub(super) fn record_overload(
-        &mut self, now: Seconds, latency: f64, own_limit: bool, slow_start: &SlowStart,
+        &mut self, now: Seconds, result: CallResult, own_limit: bool, slow_start: &SlowStart,
         rng: &mut fastrand::Rng,
     ) {
+        let CallResult { latency, overload_cause, .. } = result;
         let TargetState { rate_limiter, backoff, outage, .. } = self;
         outage.last_failure_sent_at = outage.last_failure_sent_at.max(now - latency);
         // A target without a rate limit accepts as many calls at once as are still in flight after a
@@ -94,6 +117,8 @@
             now - backoff.overloaded_since.max(self.outage.last_success_at) > MIN_OVERLOAD_OUTAGE_SECONDS;
         if backoff.consecutive_overloads >= MIN_OVERLOADS_FOR_OUTAGE && lasts_long {
             self.mark_unavailable(now, slow_start, rng);
+        } else if overload_cause == OverloadCause::Unknown && self.backoff.retry_after_until <= now {
+            self.suspect_in_large_fleet(now, slow_start, rng);
         }
     }
 }
--- /dev/null
+++ b/crates/waydoor/tests/slow_start.rs
@@ -0,0 +1,123 @@
+//! What dispatchers may send after the first signs of an outage, and while a destination may still be cold.
+
+mod common;
+
+use common::*;
+use waydoor::*;
+
+const FLEET_SIZE: usize = 40;
+const STEP_SECONDS: Seconds = 0.05;
+/// The time in which the acceptance test counts calls.
+const WINDOW_SECONDS: Seconds = 3.0;
+const NO_LIMIT: RateLimitReport = RateLimitReport { rate: 0.0, remaining_share: Some(0.0) };
+
+/// One dispatcher of a fleet, and the calls and probes that it started.
+struct Member {
+    dispatcher: Dispatcher,
+    now: Seconds,
+    calls: Vec<(Seconds, MessageId, EndpointId, u32)>,
+    probes: Vec<(Seconds, EndpointId)>,
+}
+
+impl Member {
+    /// A member of a fleet of [`FLEET_SIZE`] with `messages` queued messages of a class.
+    fn new(seed: u64, class: usize, messages: u64) -> Self {
+        let settings = Settings { dispatcher_count: FLEET_SIZE as u32, max_attempts: 1000, ..settings() };
+        let mut dispatcher = Dispatcher::new(settings, seed).unwrap();
+        dispatcher.handle(0.0, Event::ListSnapshot(vec![entry(1, 1)]));
+        for id in 1..=messages {
+            dispatcher.handle(
+                0.0,
+                Event::Accepted(Message {
+                    id: MessageId(id),
+                    class,
+                    destination: DESTINATION_1,
+                    deadline: 1000.0,
+                    key: None,
+                    tenant: 0,
+                    over_quota: None,
+                }),
+            );
+        }
+        Member { dispatcher, now: 0.0, calls: Vec::new(), probes: Vec::new() }
+    }
+
+    /// Runs one round; returns the number of calls and probes that it started.
+    fn step(&mut self) -> usize {
+        self.now += STEP_SECONDS;
+        let before = self.arrivals();
+        let mut actions = Vec::new();
+        self.dispatcher.decide(self.now, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send { id, endpoint, attempt, .. } => {
+                    self.calls.push((self.now, id, endpoint, attempt))
+                }
+                Action::Probe(endpoint) => self.probes.push((self.now, endpoint)),
+                _ => {}
+            }
+        }
+        self.arrivals() - before
+    }
+
+    fn arrivals(&self) -> usize {
+        self.calls.len() + self.probes.len()
+    }
+
+    /// Ends the last call at once.
+    fn end_last_call(&mut self, outcome: Outcome, rate_limit_report: Option<RateLimitReport>) {
+        let Some((_, id, endpoint, attempt)) = self.calls.last().copied() else { return };
+        self.dispatcher.handle(
+            self.now,
+            Event::AttemptEnded(AttemptEnd {
+                id,
+                endpoint,
+                attempt,
+                outcome,
+                retry_after: None,
+                settled: false,
+                latency: STEP_SECONDS,
+                rate_limit_report,
+                connection_reused: false,
+                connection_kept: false,
+            }),
+        );
+    }
+
+    /// Runs until the first call has started.
+    fn start_first_call(&mut self) {
+        while self.calls.is_empty() {
+            self.step();
+        }
+    }
+}
+
+fn fleet(class: usize, messages: u64) -> Vec<Member> {
+    (0..FLEET_SIZE as u64).map(|seed| Member::new(seed, class, messages)).collect()
+}
+
+/// The calls that the settings allow all dispatchers together, at a destination that is cold, in one window.
+fn cold_budget() -> f64 {
+    let slow_start = settings().slow_start;
+    slow_start.overload_multiple * slow_start.cold_capacity_share * entry(1, 1).rate * WINDOW_SECONDS
+}
+
+#[test]
+fn a_large_fleet_whose_calls_were_rejected_once_stays_within_the_budget_of_a_cold_destination() {
+    let mut calls = 0;
+    for mut member in fleet(0, 3) {
+        member.start_first_call();
+        member.end_last_call(Outcome::Overloaded, Some(NO_LIMIT));
+        let until = member.now + WINDOW_SECONDS;
+        while member.now < until {
+            if member.step() > 0 {
+                member.end_last_call(Outcome::Overloaded, Some(NO_LIMIT));
+            }
+        }
+        calls += member.calls.len() - 1;
+    }
+    assert!(
+        calls as f64 <= max_cold_calls(cold_budget()),
+        "{calls} calls in the window after the rejections"
+    );
+}
