Overlapping connects that all fail count as an outage

When the destination was back, a dispatcher went on at its full rate at once: fleets of 2 to 100 were over the bound.

Cause: a failed connect beside another call in flight counts as a shortage of connections and not as a failure. Connects that take 1.5 s to fail overlap, so each excused the one before; the destination became suspect by silence only, and a suspect without a failure is healthy after its first success, without slow start.

Fix: it is a shortage only where the endpoint has served a call within the time after which silence is suspicious (1.2 s at least).

--- a/crates/waydoor/src/policy.rs
+++ b/crates/waydoor/src/policy.rs
@@ -148,12 +148,12 @@
             }
             return;
         }
-        // A failed connect while other calls to the endpoint are in flight is a shortage of connections.
-        // Taking it for an outage would stop an endpoint whose connection table is full; the cost is that a
-        // crash is noticed later.
+        // A failed connect while other calls to the endpoint are in flight and served is a shortage of
+        // connections. Taking it for an outage would stop an endpoint whose connection table is full; the
+        // cost is that a crash is noticed later.
         let others_in_flight =
             endpoint.target.in_flight > 0 && endpoint.target.outage.consecutive_failures == 0 && !is_probe;
-        if outcome == Outcome::ConnectFailed && others_in_flight {
+        if outcome == Outcome::ConnectFailed && others_in_flight && endpoint.target.served_recently(now) {
             endpoint.target.backoff.backoff_until = now + MIN_OVERLOAD_BACKOFF_SECONDS;
             return;
         }
--- a/crates/waydoor/src/policy/silence.rs
+++ b/crates/waydoor/src/policy/silence.rs
@@ -12,6 +12,18 @@
 /// ... but not before this time, for the same reason as `MIN_TIMEOUT_SECONDS`.
 pub(super) const MIN_SILENCE_SECONDS: f64 = 1.2;
 
+impl TargetState {
+    /// Whether a call was served so recently that the target cannot have had an outage since.
+    pub(super) fn served_recently(&self, now: Seconds) -> bool {
+        now - self.outage.last_success_at < self.silence_limit(now)
+    }
+
+    /// How long a call may be unanswered before the target is suspected.
+    pub(super) fn silence_limit(&self, now: Seconds) -> Seconds {
+        (SILENCE_LATENCY_MULTIPLE * self.stats.expected_latency(now)).max(MIN_SILENCE_SECONDS)
+    }
+}
+
 impl Dispatcher {
     /// Marks a target suspect if a call is unanswered for far longer than usual and nothing was served since.
     /// A stall of this process is not counted as silence. The cost is that a slow call delays others.
@@ -41,9 +53,7 @@
             let names = [TargetName::Endpoint(call.endpoint), TargetName::Destination(endpoint.destination)];
             let independent = destination.independent_endpoints;
             for (name, target) in names.into_iter().zip([&mut endpoint.target, &mut destination.target]) {
-                let suspect_at = since
-                    + (SILENCE_LATENCY_MULTIPLE * target.stats.expected_latency(now))
-                        .max(MIN_SILENCE_SECONDS);
+                let suspect_at = since + target.silence_limit(now);
                 let state = &mut target.outage;
                 let unanswered = state.health == Health::Healthy && state.last_success_at < call.sent_at;
                 if unanswered && now >= suspect_at {
--- a/crates/waydoor/tests/slow_start.rs
+++ b/crates/waydoor/tests/slow_start.rs
@@ -121,3 +121,28 @@
         "{calls} calls in the window after the rejections"
     );
 }
+
+#[test]
+fn overlapping_connects_that_all_fail_count_as_an_outage() {
+    const CONNECT_SECONDS: Seconds = 1.5;
+    let mut harness = Harness::new(settings());
+    let mut connecting: Vec<(Seconds, StartedAttempt)> = Vec::new();
+    let mut log = Vec::new();
+    for step in 1..=160 {
+        harness.now += STEP_SECONDS;
+        if step % 10 == 0 {
+            harness.accept(step, 0, 1);
+        }
+        while connecting.first().is_some_and(|(started_at, _)| started_at + CONNECT_SECONDS <= harness.now) {
+            let (_, call) = connecting.remove(0);
+            harness.end_attempt(call.id, call.endpoint, 0, Outcome::ConnectFailed, CONNECT_SECONDS);
+        }
+        let started = harness.run_round();
+        connecting.extend(started.into_iter().map(|call| (harness.now, call)));
+        log.extend(harness.actions.iter().filter_map(|action| match action {
+            Action::Log(line) => Some(line.clone()),
+            _ => None,
+        }));
+    }
+    assert!(log.iter().any(|line| line.contains("-> Unavailable after ConnectFailed")), "{log:?}");
+}
