After a silence, a large fleet tries within its budget instead of half a second later

A dispatcher that suspects a destination after 1.2 s without an answer made its first trial 0.5 s later whatever the size of the fleet: one more call of each, besides the budget for trials, just while the destination returned.

Fix: in a fleet of more than six the first trial comes after an interval from the budget, as after a failed or rejected call. Smaller fleets are as before.

--- a/crates/waydoor/src/policy/silence.rs
+++ b/crates/waydoor/src/policy/silence.rs
@@ -57,8 +57,13 @@
                 let state = &mut target.outage;
                 let unanswered = state.health == Health::Healthy && state.last_success_at < call.sent_at;
                 if unanswered && now >= suspect_at {
-                    (state.health, state.next_trial_at, state.trial_count) =
-                        (Health::Suspect, now + FIRST_TRIAL_INTERVAL_SECONDS, 0);
+                    (state.health, state.trial_count) = (Health::Suspect, 0);
+                    target.outage.next_trial_at = now
+                        + if target.rate_limiter.is_large_fleet() {
+                            target.trial_interval(now, &self.settings.slow_start, &mut self.rng)
+                        } else {
+                            FIRST_TRIAL_INTERVAL_SECONDS
+                        };
                     if matches!(name, TargetName::Endpoint(_)) == independent {
                         suspected.push(name);
                     }
--- a/crates/waydoor/tests/slow_start.rs
+++ b/crates/waydoor/tests/slow_start.rs
@@ -146,3 +146,20 @@
     }
     assert!(log.iter().any(|line| line.contains("-> Unavailable after ConnectFailed")), "{log:?}");
 }
+
+#[test]
+fn a_large_fleet_that_waits_for_answers_stays_within_the_budget_of_a_cold_destination() {
+    const UNTIL_SUSPECTED: Seconds = 1.2;
+    let mut calls = 0;
+    for mut member in fleet(0, 3) {
+        member.start_first_call();
+        let suspected_at = member.now + UNTIL_SUSPECTED;
+        while member.now < suspected_at {
+            member.step();
+        }
+        while member.now < suspected_at + WINDOW_SECONDS {
+            calls += member.step();
+        }
+    }
+    assert!(calls as f64 <= max_cold_calls(cold_budget()), "{calls} calls in the window after the suspicion");
+}
