A late time-out during slow start does not end it

Cause: a call that was sent during the outage times out after the first calls were served. It can make the target unavailable again by the share of failures; the next success, less than a second after the last one, counts as no outage, so the target became healthy and slow start was forgotten.

Fix: while the time since the recovery was first seen is shorter than the warm-up time, a success leads back to slow start, dated at that first success. Its initial value is the distant past, not 0, which is a time on the clock.

--- a/crates/waydoor/src/policy/outage.rs
+++ b/crates/waydoor/src/policy/outage.rs
@@ -59,6 +59,7 @@
                 let was_outage = now - self.outage.last_success_at > MIN_OUTAGE_SECONDS
                     || self.stats.failure_share > UNHEALTHY_FAILURE_SHARE;
                 self.update_baseline_loss(0.0);
+                let may_be_cold = self.may_be_cold(now, slow_start);
                 let state = &mut self.outage;
                 state.last_success_sent_at = state.last_success_sent_at.max(now - latency);
                 let was_outage = was_outage
@@ -82,6 +83,10 @@
                         state.recovery_seen_at = sent_at;
                         Health::Recovering(sent_at - gap / 2.0)
                     }
+                    // A failure during slow start does not end it.
+                    Health::Unavailable | Health::Suspect if may_be_cold => {
+                        Health::Recovering(state.recovery_seen_at)
+                    }
                     Health::Unavailable | Health::Suspect => Health::Healthy,
                     other => other,
                 };
--- a/crates/waydoor/src/state.rs
+++ b/crates/waydoor/src/state.rs
@@ -172,6 +172,7 @@
                 last_success_at: never,
                 last_success_sent_at: never,
                 last_failure_sent_at: never,
+                recovery_seen_at: never,
                 ..Default::default()
             },
             stats: ServiceStats { mean_latency: latency, updated_at: never, ..Default::default() },
--- a/crates/waydoor/tests/slow_start.rs
+++ b/crates/waydoor/tests/slow_start.rs
@@ -163,3 +163,53 @@
     }
     assert!(calls as f64 <= max_cold_calls(cold_budget()), "{calls} calls in the window after the suspicion");
 }
+
+/// Runs rounds until a call starts; collects the log.
+fn next_call(harness: &mut Harness, log: &mut Vec<String>) -> StartedAttempt {
+    loop {
+        harness.now += STEP_SECONDS;
+        let started = harness.run_round();
+        log.extend(harness.actions.iter().filter_map(|action| match action {
+            Action::Log(line) => Some(line.clone()),
+            _ => None,
+        }));
+        if let Some(call) = started.first() {
+            return *call;
+        }
+        assert!(harness.now < 1100.0, "no call within 100 s: {log:?}");
+    }
+}
+
+#[test]
+fn a_late_timeout_during_slow_start_does_not_end_it() {
+    const LATENCY: Seconds = 0.05;
+    const UNANSWERED: u64 = 100;
+    let mut harness = Harness::new(settings());
+    let mut log: Vec<String> = Vec::new();
+    harness.accept(UNANSWERED, 0, 1);
+    let unanswered = next_call(&mut harness, &mut log);
+    let unanswered_since = harness.now;
+    for id in 1..=8 {
+        harness.accept(id, 0, 1);
+        let call = next_call(&mut harness, &mut log);
+        harness.end_attempt(call.id, call.endpoint, 0, Outcome::Error, LATENCY);
+        harness.handle(Event::Withdrawn(MessageId(id)));
+    }
+    for id in 9..=10 {
+        harness.accept(id, 0, 1);
+        let call = next_call(&mut harness, &mut log);
+        harness.end_attempt(call.id, call.endpoint, 0, Outcome::Served, LATENCY);
+    }
+    let latency = harness.now - unanswered_since;
+    harness.end_attempt(UNANSWERED, unanswered.endpoint, 0, Outcome::TimedOut, latency);
+    for id in 11..=12 {
+        harness.accept(id, 0, 1);
+        let call = next_call(&mut harness, &mut log);
+        harness.end_attempt(call.id, call.endpoint, 0, Outcome::Served, LATENCY);
+    }
+    assert!(
+        log.iter().any(|line| line.contains("Recovering(") && line.contains("-> Unavailable")),
+        "{log:?}"
+    );
+    assert!(!log.iter().any(|line| line.contains("-> Healthy")), "{log:?}");
+}
