The test of a kill waits until the ends of both calls are recorded

The test counts requests, so it failed beside load.

Change: it waits until the dispatcher has logged two served messages, which it does in a round after that of the record. The checks are the same. logged_total of the lab reads the counters.

--- a/crates/fawnspoke/tests/sockets/main.rs
+++ b/crates/fawnspoke/tests/sockets/main.rs
@@ -132,7 +132,9 @@
     let mut ids = endpoint.message_ids();
     ids.sort();
     assert_eq!(ids, ["m1", "m2"]);
-    // The third process doesn't send the delivered messages again.
+    // The third process doesn't send messages again whose ends the second one has recorded. It logs its counts in a
+    // later round than that of the record.
+    eventually("the ends of both calls", || dispatcher.logged_total("served") == 2);
     dispatcher.kill();
     dispatcher.start();
     assert_eq!(dispatcher.submit("safe", "m3", 7), 202);
--- a/crates/lab/src/blocking.rs
+++ b/crates/lab/src/blocking.rs
@@ -419,6 +419,15 @@
         lock(&self.log).iter().any(|line| line.contains(text))
     }
 
+    /// The sum of a traffic counter over all destinations and lines of the log.
+    pub fn logged_total(&self, counter: &str) -> u64 {
+        let log = lock(&self.log);
+        let fields =
+            log.iter().filter(|line| line.contains(" counts ")).flat_map(|line| line.split([' ', ':', ',']));
+        let values = fields.filter_map(|field| field.split_once('=')).filter(|(name, _)| *name == counter);
+        values.filter_map(|(_, value)| value.parse::<u64>().ok()).sum()
+    }
+
     /// The command that runs it, with its configuration written.
     pub fn command(&self) -> Command {
         let config = self.write_config(&self.config.to_string());
