--- a/crates/waydoor/tests/cold_return.rs
+++ b/crates/waydoor/tests/cold_return.rs
@@ -117,3 +117,19 @@
 fn dispatchers_that_restart_together_as_a_destination_returns_do_not_overload_it() {
     check(&cases_with_restarts(Restarts::AtTheReturn));
 }
+
+#[test]
+fn a_large_destination_with_more_demand_than_capacity_is_not_overloaded_when_it_returns() {
+    let mut cases = Vec::new();
+    for outage in OUTAGES {
+        for fleet_size in [48, 100] {
+            for capacity in [30.0, 60.0] {
+                for reports in [Reports::NoLimit, Reports::Nothing] {
+                    let case = cold_return(outage, fleet_size, capacity, reports);
+                    cases.push(ColdReturn { load: 1.4, ..case });
+                }
+            }
+        }
+    }
+    check(&cases);
+}
