The end of a wait that no limit explains is followed by slow start in a large fleet

Cause: three faults of the same class at one place. A message that arrived during the wait could draw a chance of being sent at once, which cancelled the random turn after the wait for each that drew it. A wait of 4 s or less was taken for a rate limit even where the response said that there is none. And where the next call was already due later than the end of the wait, by the pace of the listed rate, no slow start began; the first report of no limit then lifted that pace. Evidence: cold_return, rejected with honest waits, no limit told, 40 and 100 dispatchers: all in one instant at the return, one call served before the collapse.

Fix: no chance while a wait lasts; a rejection that reports no limit, or at least half of it left, with a wait begins slow start at its end, at a random turn, in a fleet of more than six; the later of turn and pace holds.

Tests seen to fail before: slow_start::...told_to_wait...

--- a/crates/waydoor/src/policy/overload.rs
+++ b/crates/waydoor/src/policy/overload.rs
@@ -32,16 +32,22 @@
 pub(super) enum OverloadCause {
     /// The response reported a rate limit of which little is left.
     RateLimit,
-    /// A full queue, a rate limit that is not reported, or an outage.
+    /// The response reported that no rate limit caused it: a full queue or an outage did.
+    NotRateLimit,
+    /// The response reported nothing.
     Unknown,
 }
 
 impl OverloadCause {
     pub(super) fn from_report(report: Option<RateLimitReport>) -> Self {
-        let exhausted = report.is_some_and(|report| {
-            report.rate > 0.0 && report.remaining_share.is_some_and(|share| share < MAX_EXHAUSTED_SHARE)
-        });
-        if exhausted { OverloadCause::RateLimit } else { OverloadCause::Unknown }
+        match report {
+            Some(RateLimitReport { rate, .. }) if rate <= 0.0 => OverloadCause::NotRateLimit,
+            Some(RateLimitReport { remaining_share: Some(share), .. }) if share < MAX_EXHAUSTED_SHARE => {
+                OverloadCause::RateLimit
+            }
+            Some(RateLimitReport { remaining_share: Some(_), .. }) => OverloadCause::NotRateLimit,
+            _ => OverloadCause::Unknown,
+        }
     }
 }
 
@@ -117,9 +123,29 @@
             now - backoff.overloaded_since.max(self.outage.last_success_at) > MIN_OVERLOAD_OUTAGE_SECONDS;
         if backoff.consecutive_overloads >= MIN_OVERLOADS_FOR_OUTAGE && lasts_long {
             self.mark_unavailable(now, slow_start, rng);
-        } else if overload_cause == OverloadCause::Unknown && self.backoff.retry_after_until <= now {
+        } else if overload_cause != OverloadCause::RateLimit && self.backoff.retry_after_until <= now {
             self.suspect_in_large_fleet(now, slow_start, rng);
+        } else if overload_cause == OverloadCause::NotRateLimit && self.rate_limiter.is_large_fleet() {
+            self.recover_after_wait(now, slow_start, rng);
+        }
+    }
+
+    /// Takes the end of the wait for the end of an outage: the target will be cold, and all dispatchers that
+    /// wait for the same moment would call at once.
+    fn recover_after_wait(&mut self, now: Seconds, slow_start: &SlowStart, rng: &mut fastrand::Rng) {
+        let wait_until = self.backoff.retry_after_until;
+        if self.outage.health == Health::Recovering(wait_until) {
+            return;
         }
+        self.outage.health = Health::Recovering(wait_until);
+        self.outage.recovery_seen_at = wait_until;
+        let max_offset = if self.rate_limiter.is_large_fleet() {
+            1.0 / self.recovery_budget(now, slow_start).1
+        } else {
+            0.0
+        };
+        self.rate_limiter.next_send_at =
+            self.rate_limiter.next_send_at.max(wait_until + max_offset * rng.f64());
     }
 }
 
@@ -132,21 +158,9 @@
             self.destinations.get_mut(&endpoint.destination).filter(|d| !d.independent_endpoints);
         let limited = destination.map_or(&mut endpoint.target, |destination| &mut destination.target);
         limited.backoff.retry_after_until = limited.backoff.retry_after_until.max(now + delay);
-        // Such a long wait is an outage, not a rate limit. The target will be cold, and all dispatchers that
-        // wait for the same moment would call at once.
-        if delay > MIN_OVERLOAD_OUTAGE_SECONDS
-            && limited.backoff.retry_after_until > limited.rate_limiter.next_send_at
-        {
-            let slow_start = &self.settings.slow_start;
-            limited.outage.health = Health::Recovering(limited.backoff.retry_after_until);
-            limited.outage.recovery_seen_at = limited.backoff.retry_after_until;
-            let max_offset = if limited.rate_limiter.is_large_fleet() {
-                1.0 / limited.recovery_budget(now, slow_start).1
-            } else {
-                0.0
-            };
-            limited.rate_limiter.next_send_at =
-                limited.backoff.retry_after_until + max_offset * self.rng.f64();
+        // Such a long wait is an outage, not a rate limit.
+        if delay > MIN_OVERLOAD_OUTAGE_SECONDS {
+            limited.recover_after_wait(now, &self.settings.slow_start, &mut self.rng);
             if let (Some((target, before)), Some((_, after))) = (before, self.limited_target_health(id)) {
                 self.log_health_change(target, before, after, HealthChangeCause::LongRetryAfter);
             }
--- a/crates/waydoor/src/policy/recovery_budget.rs
+++ b/crates/waydoor/src/policy/recovery_budget.rs
@@ -98,6 +98,7 @@
     pub(super) fn admit_by_chance(&mut self, now: Seconds, slow_start: &SlowStart, rng: &mut fastrand::Rng) {
         let (share, own_rate) = self.recovery_budget(now, slow_start);
         if self.outage.health != Health::Healthy
+            && self.backoff.retry_after_until <= now
             && own_rate * MAX_TRIAL_INTERVAL_SECONDS < 1.0
             && rng.f64() < share
         {
--- a/crates/waydoor/tests/cold_return.rs
+++ b/crates/waydoor/tests/cold_return.rs
@@ -133,3 +133,8 @@
     }
     check(&cases);
 }
+
+#[test]
+fn a_destination_that_told_callers_to_wait_for_its_return_is_not_overloaded() {
+    check(&cases(Outage::RejectedWithWait));
+}
--- a/crates/waydoor/tests/common/cold_return.rs
+++ b/crates/waydoor/tests/common/cold_return.rs
@@ -36,6 +36,8 @@
     Hung,
     /// Every call is rejected.
     Rejected,
+    /// Every call is rejected and told to wait until the destination returns.
+    RejectedWithWait,
     /// Most calls fail.
     Errors,
 }
@@ -206,7 +208,9 @@
         if self.is_out(now) {
             match self.scenario.outage {
                 Outage::Hung => return None,
-                Outage::Rejected => return Some((Outcome::Overloaded, FAST_RESPONSE_SECONDS)),
+                Outage::Rejected | Outage::RejectedWithWait => {
+                    return Some((Outcome::Overloaded, FAST_RESPONSE_SECONDS));
+                }
                 Outage::Errors if self.rng.f64() < ERROR_SHARE => {
                     return Some((Outcome::Error, SERVICE_SECONDS));
                 }
@@ -402,6 +406,12 @@
                             connection_kept: false,
                         });
                         set_outcome(&mut end, outcome, ends_at - now, report);
+                        let waits = scenario.outage == Outage::RejectedWithWait && simulation.is_out(now);
+                        if let Event::AttemptEnded(end) = &mut end
+                            && waits
+                        {
+                            end.retry_after = Some(scenario.returns_at - ends_at).filter(|wait| *wait > 0.0);
+                        }
                         pending.push(Pending { ends_at, dispatcher: index, life, end, connects_at });
                     }
                     Action::Probe(endpoint) => {
--- a/crates/waydoor/tests/slow_start.rs
+++ b/crates/waydoor/tests/slow_start.rs
@@ -25,21 +25,23 @@
         let settings = Settings { dispatcher_count: FLEET_SIZE as u32, max_attempts: 1000, ..settings() };
         let mut dispatcher = Dispatcher::new(settings, seed).unwrap();
         dispatcher.handle(0.0, Event::ListSnapshot(vec![entry(1, 1)]));
-        for id in 1..=messages {
-            dispatcher.handle(
-                0.0,
-                Event::Accepted(Message {
-                    id: MessageId(id),
-                    class,
-                    destination: DESTINATION_1,
-                    deadline: 1000.0,
-                    key: None,
-                    tenant: 0,
-                    over_quota: None,
-                }),
-            );
-        }
-        Member { dispatcher, now: 0.0, calls: Vec::new(), probes: Vec::new() }
+        let mut member = Member { dispatcher, now: 0.0, calls: Vec::new(), probes: Vec::new() };
+        (1..=messages).for_each(|id| member.accept(id, class));
+        member
+    }
+
+    /// Accepts a message.
+    fn accept(&mut self, id: u64, class: usize) {
+        let message = Message {
+            id: MessageId(id),
+            class,
+            destination: DESTINATION_1,
+            deadline: 1000.0,
+            key: None,
+            tenant: 0,
+            over_quota: None,
+        };
+        self.dispatcher.handle(self.now, Event::Accepted(message));
     }
 
     /// Runs one round; returns the number of calls and probes that it started.
@@ -66,6 +68,13 @@
 
     /// Ends the last call at once.
     fn end_last_call(&mut self, outcome: Outcome, rate_limit_report: Option<RateLimitReport>) {
+        self.end_last_call_with_wait(outcome, rate_limit_report, None);
+    }
+
+    /// Ends the last call at once; its response may ask to wait.
+    fn end_last_call_with_wait(
+        &mut self, outcome: Outcome, rate_limit_report: Option<RateLimitReport>, retry_after: Option<Seconds>,
+    ) {
         let Some((_, id, endpoint, attempt)) = self.calls.last().copied() else { return };
         self.dispatcher.handle(
             self.now,
@@ -74,7 +83,7 @@
                 endpoint,
                 attempt,
                 outcome,
-                retry_after: None,
+                retry_after,
                 settled: false,
                 latency: STEP_SECONDS,
                 rate_limit_report,
@@ -241,3 +250,32 @@
     }
     assert!(calls as f64 <= max_cold_calls(cold_budget()), "{calls} calls in the first window");
 }
+
+#[test]
+fn a_large_fleet_that_was_told_to_wait_stays_within_the_budget_of_a_cold_destination() {
+    const RETURNS_AT: Seconds = 16.0;
+    // All dispatchers together get as many messages as the destination can take.
+    const SECONDS_PER_MESSAGE: Seconds = 5.0;
+    let mut calls = 0;
+    for (index, mut member) in fleet(0, 1).into_iter().enumerate() {
+        // The first calls are spread over the outage, so that some waits are short and some are long.
+        let first_call_at = index as f64 * RETURNS_AT / FLEET_SIZE as f64;
+        let mut next_id = 2;
+        while member.now < RETURNS_AT + WINDOW_SECONDS {
+            let is_sent = member.now >= first_call_at && member.step() > 0;
+            if !is_sent && member.now < first_call_at {
+                member.now += STEP_SECONDS;
+            }
+            let wait = Some(RETURNS_AT - member.now).filter(|wait| *wait > 0.0);
+            if is_sent {
+                calls += usize::from(wait.is_none());
+                member.end_last_call_with_wait(Outcome::Overloaded, Some(NO_LIMIT), wait);
+            }
+            if member.now > SECONDS_PER_MESSAGE * (next_id - 1) as f64 {
+                member.accept(next_id, 0);
+                next_id += 1;
+            }
+        }
+    }
+    assert!(calls as f64 <= max_cold_calls(cold_budget()), "{calls} calls in the window after the wait");
+}
