Slow start in a large fleet leaves room for the new messages beside it

Cause: a dispatcher whose own pace is below one call in 0.9 s lets some new messages pass by chance, beside that pace, and each of the two uses 0.9 of the budget. For trials the two are divided by 1 + load; for slow start they were not.

Fix: while the target is cold both parts are divided likewise, and less so up to half of the warm-up time.

--- a/crates/waydoor/src/policy/recovery_budget.rs
+++ b/crates/waydoor/src/policy/recovery_budget.rs
@@ -19,9 +19,17 @@
 const LARGE_FLEET_TRIAL_USE: f64 = 0.65;
 /// Share of the budget for all trials, including the new messages, whose number grows with the load.
 const LARGE_FLEET_TOTAL_USE: f64 = 1.2;
+/// From this share of the warm-up time on, slow start uses its budget beside new messages.
+const FULL_USE_WARMTH: f64 = 0.5;
 /// Upper limit of the demand for a target, relative to its limit, as estimated from the own share.
 const MAX_LARGE_FLEET_LOAD: f64 = 1.5;
 
+/// Whether a dispatcher with this part of the budget, in calls a second, sends so seldom that some new
+/// messages are sent at once.
+fn admits_by_chance(own_rate: f64) -> bool {
+    own_rate * MAX_TRIAL_INTERVAL_SECONDS < 1.0
+}
+
 impl TargetState {
     /// Time until the next trial, with jitter: each dispatcher of a large fleet uses its part of the recovery
     /// budget. The cost is that a recovery is noticed later.
@@ -60,11 +68,12 @@
     /// are admitted by chance come on top, in proportion to its load.
     fn large_fleet_trial_share(&self) -> f64 {
         // Some dispatchers get several times the mean load, which says nothing about the load of all.
-        LARGE_FLEET_TRIAL_USE.min(
-            LARGE_FLEET_TOTAL_USE
-                / (1.0
-                    + (self.rate_limiter.own_share / self.rate_limiter.even_share).min(MAX_LARGE_FLEET_LOAD)),
-        )
+        LARGE_FLEET_TRIAL_USE.min(LARGE_FLEET_TOTAL_USE / (1.0 + self.estimated_load()))
+    }
+
+    /// The demand for the target relative to its capacity, as this dispatcher sees it.
+    fn estimated_load(&self) -> f64 {
+        (self.rate_limiter.own_share / self.rate_limiter.even_share).min(MAX_LARGE_FLEET_LOAD)
     }
 
     /// Whether a recovering target may still be cold: only the first served call proves its recovery.
@@ -91,7 +100,17 @@
         let share = budget_use
             * slow_start.overload_multiple
             * (slow_start.cold_capacity_share + (1.0 - slow_start.cold_capacity_share) * warmth);
-        (share, share * self.rate_limiter.budget_share() * self.rate_limiter.total_capacity())
+        let own_rate = share * self.rate_limiter.budget_share() * self.rate_limiter.total_capacity();
+        let is_recovering = matches!(self.outage.health, Health::Recovering(_));
+        if is_recovering && self.rate_limiter.is_large_fleet() && admits_by_chance(own_rate) {
+            // New messages that are admitted by chance use the budget as well. The warmer the target is, the
+            // less they matter.
+            let cold_use = (LARGE_FLEET_TOTAL_USE / (1.0 + self.estimated_load())).min(1.0);
+            let use_factor = cold_use + (1.0 - cold_use) * (warmth / FULL_USE_WARMTH).min(1.0);
+            (share * use_factor, own_rate * use_factor)
+        } else {
+            (share, own_rate)
+        }
     }
 
     /// Admits a new message at once, with a probability that keeps all dispatchers within the budget.
@@ -99,7 +118,7 @@
         let (share, own_rate) = self.recovery_budget(now, slow_start);
         if self.outage.health != Health::Healthy
             && self.backoff.retry_after_until <= now
-            && own_rate * MAX_TRIAL_INTERVAL_SECONDS < 1.0
+            && admits_by_chance(own_rate)
             && rng.f64() < share
         {
             (self.outage.next_trial_at, self.rate_limiter.next_send_at) = (now, now);
