A rejection without a report is no sign of an outage where a rate is listed

A rejection there is most often the limit, and the fleet's budget for trials is small (one in 9 s each).

Where a report tells no limit or one that is not used up, or where no rate is known, it stays a sign of an outage. Found by the existing test; no check changed.

--- a/crates/waydoor/src/policy/overload.rs
+++ b/crates/waydoor/src/policy/overload.rs
@@ -119,11 +119,17 @@
                 now,
             ));
         }
+        // Where nothing is reported, a listed rate is a limit that other dispatchers may use up.
+        let may_be_rate_limit = match overload_cause {
+            OverloadCause::RateLimit => true,
+            OverloadCause::NotRateLimit => false,
+            OverloadCause::Unknown => self.rate_limiter.capacity.is_some(),
+        };
         let lasts_long =
             now - backoff.overloaded_since.max(self.outage.last_success_at) > MIN_OVERLOAD_OUTAGE_SECONDS;
         if backoff.consecutive_overloads >= MIN_OVERLOADS_FOR_OUTAGE && lasts_long {
             self.mark_unavailable(now, slow_start, rng);
-        } else if overload_cause != OverloadCause::RateLimit && self.backoff.retry_after_until <= now {
+        } else if !may_be_rate_limit && self.backoff.retry_after_until <= now {
             self.suspect_in_large_fleet(now, slow_start, rng);
         } else if overload_cause == OverloadCause::NotRateLimit && self.rate_limiter.is_large_fleet() {
             self.recover_after_wait(now, slow_start, rng);
