--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -1,307 +1,31 @@
-//! Calls and probes to endpoints over HTTP/1.1, and the pool of idle connections.
+//! Calls and probes to endpoints over HTTP/1.1.
 //!
 //! A call carries one message (`/receive`) or a batch (`/receive-many`). [`perform`] always returns a [`CallEnd`] with
 //! the outcome for each message. Above all the outcome says whether the message may have run at the endpoint, since
-//! that decides whether it may be sent again. hyper reports only that a request failed, so [`ResponseMonitor`] also
-//! watches the bytes of the connection.
+//! that decides whether it may be sent again.
 
+use crate::connection::{self, Connection, RESPONSE_COMPLETION_TIMEOUT};
+use crate::connection_pool::idle_reuse_limit;
 use crate::serving::Phase;
-use crate::stream::{HeadScanner, SharedStream, Unread};
 use crate::{Node, log};
-use fawnspoke_control::metrics::Metrics;
 use fawnspoke_journal::AcceptedMessage;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
-use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{HeaderMap, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
-use std::io;
+use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::pin::{Pin, pin};
-use std::rc::Rc;
-use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::pin::pin;
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
-use tokio::sync::Notify;
-use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 use waydoor::{EndpointId, Event, MessageId, Outcome, RateLimitReport, Seconds};
 
 /// Longest response body: twice the longest request body, since a batch response reports on several messages.
 const MAX_RESPONSE_BYTES: usize = 128 * 1024;
-/// Longest head of a response.
-const MAX_HEAD_BYTES: usize = 16 * 1024;
-/// Most header lines of a response.
-const MAX_HEADERS: usize = 64;
-/// Fraction of the keep-alive time after which an idle connection is dropped: well before the endpoint closes it.
-const KEEP_ALIVE_FRACTION: f64 = 0.85;
-/// Time from the first byte of a response to its last. Without this limit a response that stalls midway would occupy
-/// its slot until the call times out.
-const RESPONSE_COMPLETION_TIMEOUT: Duration = Duration::from_millis(300);
-/// The same for a single message once a status line with 200 is read: the message is delivered then, and the rest of
-/// the response only brings a rate limit report and a reusable connection.
-const HEAD_COMPLETION_TIMEOUT: Duration = Duration::from_millis(50);
 /// Time to read bytes that have already arrived.
 const BUFFERED_READ_TIMEOUT: Duration = Duration::from_millis(5);
 
-/// Observes the bytes of a connection since the last request was put on it.
-#[derive(Default)]
-struct ResponseMonitor {
-    head: RefCell<HeadScanner>,
-    /// When the first byte of the response arrived; preceding 1xx responses do not count.
-    first_byte_at: Cell<Option<Instant>>,
-    /// Signals the first byte of the response.
-    first_byte: Notify,
-    /// The peer has closed the connection. Recorded here because hyper itself closes a connection after a head that it
-    /// cannot parse, and then the socket does not show any more who closed first.
-    peer_closed: Cell<bool>,
-    /// A write has failed.
-    write_failed: Cell<bool>,
-    /// Bytes were written since the last flush.
-    unflushed: Cell<bool>,
-    /// The metrics that count the messages of the current request once it is written, and their number.
-    relay_count: RefCell<Option<(Arc<Metrics>, u64)>>,
-}
-
-impl ResponseMonitor {
-    /// Resets the monitor for the next request.
-    fn clear(&self) {
-        self.head.take();
-        self.first_byte_at.set(None);
-        self.write_failed.set(false);
-        self.unflushed.set(false);
-    }
-
-    /// Counts the messages of the request as relayed. hyper flushes once it has nothing more to write, so the whole
-    /// request has been written to the socket.
-    fn on_flush(&self) {
-        if self.unflushed.take()
-            && let Some((metrics, messages)) = self.relay_count.take()
-        {
-            metrics.add_relayed(messages);
-        }
-    }
-
-    /// Scans bytes that were read.
-    fn observe(&self, bytes: &[u8]) {
-        let mut head = self.head.borrow_mut();
-        head.scan(bytes);
-        let first_byte_at = head.has_started().then(|| self.first_byte_at.get().unwrap_or_else(Instant::now));
-        self.first_byte_at.set(first_byte_at);
-        if first_byte_at.is_some() {
-            self.first_byte.notify_one();
-        }
-    }
-
-    /// When to stop waiting for the response, given the deadline of the call. `is_single`: the call carries one
-    /// message.
-    fn response_deadline(&self, call_deadline: Instant, is_single: bool) -> Instant {
-        let is_delivered = is_single && self.head.borrow().status() == Some(StatusCode::OK);
-        let limit = if is_delivered { HEAD_COMPLETION_TIMEOUT } else { RESPONSE_COMPLETION_TIMEOUT };
-        self.first_byte_at.get().map_or(call_deadline, |at| call_deadline.min(at + limit))
-    }
-}
-
-/// The stream that hyper reads and writes; reports all bytes to the monitor.
-struct MonitoredStream {
-    stream: SharedStream,
-    monitor: Rc<ResponseMonitor>,
-}
-
-impl AsyncRead for MonitoredStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let bytes = &buf.filled()[before..];
-        self.monitor.observe(bytes);
-        self.monitor.peer_closed.set(read.is_ready() && bytes.is_empty());
-        read
-    }
-}
-
-impl MonitoredStream {
-    /// Records the result of a write.
-    fn track_write(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        match written {
-            Poll::Ready(Ok(1..)) => self.monitor.unflushed.set(true),
-            Poll::Ready(Err(_)) => self.monitor.write_failed.set(true),
-            _ => {}
-        }
-        written
-    }
-}
-
-impl AsyncWrite for MonitoredStream {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
-        self.track_write(written)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>, cx: &mut Context<'_>, parts: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, parts);
-        self.track_write(written)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.monitor.on_flush();
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
-
-/// A connection to an endpoint. Dropping it closes it, even while a response is outstanding.
-pub struct Connection {
-    pub sender: SendRequest<Full<Bytes>>,
-    pub address: SocketAddr,
-    pub stream: SharedStream,
-    monitor: Rc<ResponseMonitor>,
-    /// Task that drives the connection.
-    driver: AbortHandle,
-    /// When it was last put into the pool or opened.
-    pub idle_since: Instant,
-}
-
-impl Connection {
-    /// Whether another request may use it. Unread bytes belong to no outstanding response, and would be taken for the
-    /// response to the next request. A request on a connection that the peer has closed would be lost.
-    pub fn is_reusable(&self) -> bool {
-        !self.sender.is_closed() && self.stream.unread() == Unread::Nothing
-    }
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.driver.abort();
-    }
-}
-
-/// Opens a connection.
-pub async fn connect(address: SocketAddr) -> io::Result<Connection> {
-    wrap_stream(TcpStream::connect(address).await?, address, Instant::now()).await
-}
-
-/// Makes a [`Connection`] of an open stream that has been idle since `idle_since`.
-pub async fn wrap_stream(
-    stream: TcpStream, address: SocketAddr, idle_since: Instant,
-) -> io::Result<Connection> {
-    let stream = SharedStream::new(stream)?;
-    let monitor = Rc::new(ResponseMonitor::default());
-    let monitored = MonitoredStream { stream: stream.clone(), monitor: monitor.clone() };
-    let mut builder = Builder::new();
-    builder.max_buf_size(MAX_HEAD_BYTES).max_headers(MAX_HEADERS);
-    let (sender, http) = builder.handshake(TokioIo::new(monitored)).await.map_err(io::Error::other)?;
-    let driver = spawn_local(async {
-        // The sender reports the end of the connection.
-        let _ = http.await;
-    });
-    Ok(Connection { sender, address, stream, monitor, driver: driver.abort_handle(), idle_since })
-}
-
-/// The idle connections by endpoint, the most recently used last. They are not keyed by address, since an address may
-/// belong to another endpoint by now.
-#[derive(Default)]
-pub struct ConnectionPool {
-    idle: RefCell<BTreeMap<EndpointId, Vec<Connection>>>,
-}
-
-impl ConnectionPool {
-    /// Takes the most recently used connection that is still reusable, and drops those that are not.
-    fn checkout(&self, endpoint: EndpointId, address: SocketAddr, max_idle: Duration) -> Option<Connection> {
-        let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(&endpoint)?;
-        loop {
-            let connection = connections.pop()?;
-            if connection.address == address
-                && connection.idle_since.elapsed() < max_idle
-                && connection.is_reusable()
-            {
-                return Some(connection);
-            }
-        }
-    }
-
-    /// Keeps a connection that was just used; false if it is not reusable.
-    fn put_back(&self, endpoint: EndpointId, mut connection: Connection) -> bool {
-        connection.idle_since = Instant::now();
-        self.add_idle(endpoint, connection)
-    }
-
-    /// Keeps a connection that has been idle; false if it is not reusable.
-    pub fn add_idle(&self, endpoint: EndpointId, connection: Connection) -> bool {
-        if !connection.is_reusable() {
-            return false;
-        }
-        self.idle.borrow_mut().entry(endpoint).or_default().push(connection);
-        true
-    }
-
-    /// Empties the pool and returns the connections that are reusable.
-    pub fn take_reusable(&self) -> Vec<(EndpointId, Connection)> {
-        let idle = self.idle.take().into_iter().flat_map(|(endpoint, connections)| {
-            connections
-                .into_iter()
-                .filter(Connection::is_reusable)
-                .map(move |connection| (endpoint, connection))
-        });
-        idle.collect()
-    }
-
-    /// Closes the idle connections to an endpoint.
-    pub fn close_idle(&self, endpoint: EndpointId) {
-        self.idle.borrow_mut().remove(&endpoint);
-    }
-
-    /// Drops connections that have been idle since `since` or longer, after a call has failed: they are probably dead
-    /// too, and each would fail another call.
-    fn drop_idle_since(&self, endpoint: EndpointId, since: Instant) {
-        if let Some(connections) = self.idle.borrow_mut().get_mut(&endpoint) {
-            connections.retain(|connection| connection.idle_since > since);
-        }
-    }
-
-    /// Drops connections that have been idle for `max_idle` or are dead, then the oldest beyond `max_connections`.
-    pub fn sweep(&self, max_idle: Duration, max_connections: usize) {
-        let mut idle = self.idle.borrow_mut();
-        for connections in idle.values_mut() {
-            connections
-                .retain(|connection| connection.idle_since.elapsed() < max_idle && connection.is_reusable());
-        }
-        let total: usize = idle.values().map(Vec::len).sum();
-        for _ in max_connections..total {
-            let oldest = idle.values_mut().filter(|connections| !connections.is_empty());
-            if let Some(connections) = oldest.min_by_key(|connections| connections[0].idle_since) {
-                connections.remove(0);
-            }
-        }
-        idle.retain(|_, connections| !connections.is_empty());
-    }
-}
-
-/// How long an idle connection may be reused.
-pub fn idle_reuse_limit(node: &Node) -> Duration {
-    node.config
-        .settings
-        .keepalive
-        .map_or(Duration::MAX, |seconds| Duration::from_secs_f64(seconds * KEEP_ALIVE_FRACTION))
-}
-
 /// A message that a call carries.
 pub struct CallMessage {
     /// Its number in the journal.
@@ -528,7 +252,7 @@
                 Some(conn) => (conn, true),
                 None => {
                     let connect_timeout = Duration::from_secs_f64(node.config.connect_timeout_seconds);
-                    match timeout_at(deadline, timeout(connect_timeout, connect(address))).await {
+                    match timeout_at(deadline, timeout(connect_timeout, connection::connect(address))).await {
                         Ok(Ok(Ok(conn))) => (conn, false),
                         // Nothing was sent, so this is not the timeout of a call that may have run.
                         _ => return Err(Outcome::ConnectFailed),
@@ -710,34 +434,3 @@
         remaining_field.and_then(|field| report.get(field)?.as_f64()).filter(|share| share.is_finite());
     Some(RateLimitReport { rate, remaining_share: remaining.map(|share| share.clamp(0.0, 1.0)) })
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use socket2::SockRef;
-    use tokio::io::AsyncWriteExt;
-    use tokio::net::TcpListener;
-
-    #[tokio::test]
-    async fn a_failed_write_is_recorded_until_the_monitor_is_cleared() {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
-        let stream = SharedStream::new(stream).unwrap();
-        let monitor = Rc::new(ResponseMonitor::default());
-        let mut monitored = MonitoredStream { stream: stream.clone(), monitor: monitor.clone() };
-        let (peer, _) = listener.accept().await.unwrap();
-        monitored.write_all(b"first").await.unwrap();
-        assert!(!monitor.write_failed.get());
-        // With a zero linger time, closing resets the connection.
-        SockRef::from(&peer).set_linger(Some(Duration::ZERO)).unwrap();
-        drop(peer);
-        while stream.unread() != Unread::Closed {
-            tokio::task::yield_now().await;
-        }
-        // The write reports the error that the socket holds.
-        monitored.write_all(b"second").await.unwrap_err();
-        assert!(monitor.write_failed.get());
-        monitor.clear();
-        assert!(!monitor.write_failed.get());
-    }
-}
--- /dev/null
+++ b/crates/node/src/connection.rs
@@ -0,0 +1,230 @@
+//! A connection to an endpoint or to discovery: an HTTP/1.1 client over a socket whose bytes are observed.
+//!
+//! hyper reports only that a request failed, so [`ResponseMonitor`] also watches the bytes of the connection.
+
+use crate::stream::{HeadScanner, SharedStream, Unread};
+use fawnspoke_control::metrics::Metrics;
+use http_body_util::Full;
+use hyper::StatusCode;
+use hyper::body::Bytes;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::Instant;
+
+/// Most bytes of the head of a response.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Most header lines of a response.
+const MAX_HEADERS: usize = 64;
+/// Time from the first byte of a response to its last. Without this limit a response that stalls midway would occupy
+/// its slot until the call times out.
+pub const RESPONSE_COMPLETION_TIMEOUT: Duration = Duration::from_millis(300);
+/// The same for a single message once a status line with 200 is read: the message is delivered then, and the rest of
+/// the response only brings a rate limit report and a reusable connection.
+const HEAD_COMPLETION_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// Observes the bytes of a connection since the last request was put on it.
+#[derive(Default)]
+pub struct ResponseMonitor {
+    pub head: RefCell<HeadScanner>,
+    /// When the first byte of the response arrived; preceding 1xx responses do not count.
+    pub first_byte_at: Cell<Option<Instant>>,
+    /// Signals the first byte of the response.
+    pub first_byte: Notify,
+    /// The peer has closed the connection. Recorded here because hyper itself closes a connection after a head that it
+    /// cannot parse, and then the socket does not show any more who closed first.
+    pub peer_closed: Cell<bool>,
+    /// A write has failed.
+    pub write_failed: Cell<bool>,
+    /// Bytes were written since the last flush.
+    unflushed: Cell<bool>,
+    /// The metrics that count the messages of the current request once it is written, and their number.
+    pub relay_count: RefCell<Option<(Arc<Metrics>, u64)>>,
+}
+
+impl ResponseMonitor {
+    /// Resets the monitor for the next request.
+    pub fn clear(&self) {
+        self.head.take();
+        self.first_byte_at.set(None);
+        self.write_failed.set(false);
+        self.unflushed.set(false);
+    }
+
+    /// Counts the messages of the request as relayed. hyper flushes once it has nothing more to write, so the whole
+    /// request has been written to the socket.
+    fn on_flush(&self) {
+        if self.unflushed.take()
+            && let Some((metrics, messages)) = self.relay_count.take()
+        {
+            metrics.add_relayed(messages);
+        }
+    }
+
+    /// Scans bytes that were read.
+    fn observe(&self, bytes: &[u8]) {
+        let mut head = self.head.borrow_mut();
+        head.scan(bytes);
+        let first_byte_at = head.has_started().then(|| self.first_byte_at.get().unwrap_or_else(Instant::now));
+        self.first_byte_at.set(first_byte_at);
+        if first_byte_at.is_some() {
+            self.first_byte.notify_one();
+        }
+    }
+
+    /// When to stop waiting for the response, given the deadline of the call. `is_single`: the call carries one
+    /// message.
+    pub fn response_deadline(&self, call_deadline: Instant, is_single: bool) -> Instant {
+        let is_delivered = is_single && self.head.borrow().status() == Some(StatusCode::OK);
+        let limit = if is_delivered { HEAD_COMPLETION_TIMEOUT } else { RESPONSE_COMPLETION_TIMEOUT };
+        self.first_byte_at.get().map_or(call_deadline, |at| call_deadline.min(at + limit))
+    }
+}
+
+/// The stream that hyper reads and writes; reports all bytes to the monitor.
+struct MonitoredStream {
+    stream: SharedStream,
+    pub monitor: Rc<ResponseMonitor>,
+}
+
+impl AsyncRead for MonitoredStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let bytes = &buf.filled()[before..];
+        self.monitor.observe(bytes);
+        self.monitor.peer_closed.set(read.is_ready() && bytes.is_empty());
+        read
+    }
+}
+
+impl MonitoredStream {
+    /// Records the result of a write.
+    fn track_write(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        match written {
+            Poll::Ready(Ok(1..)) => self.monitor.unflushed.set(true),
+            Poll::Ready(Err(_)) => self.monitor.write_failed.set(true),
+            _ => {}
+        }
+        written
+    }
+}
+
+impl AsyncWrite for MonitoredStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.track_write(written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, parts);
+        self.track_write(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.monitor.on_flush();
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// A connection to an endpoint. Dropping it closes it, even while a response is outstanding.
+pub struct Connection {
+    pub sender: SendRequest<Full<Bytes>>,
+    pub address: SocketAddr,
+    pub stream: SharedStream,
+    pub monitor: Rc<ResponseMonitor>,
+    /// Task that drives the connection.
+    driver: AbortHandle,
+    /// When it was last put into the pool or opened.
+    pub idle_since: Instant,
+}
+
+impl Connection {
+    /// Whether another request may use it. Unread bytes belong to no outstanding response, and would be taken for the
+    /// response to the next request. A request on a connection that the peer has closed would be lost.
+    pub fn is_reusable(&self) -> bool {
+        !self.sender.is_closed() && self.stream.unread() == Unread::Nothing
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Opens a connection.
+pub async fn connect(address: SocketAddr) -> io::Result<Connection> {
+    wrap_stream(TcpStream::connect(address).await?, address, Instant::now()).await
+}
+
+/// Makes a [`Connection`] of an open stream that has been idle since `idle_since`.
+pub async fn wrap_stream(
+    stream: TcpStream, address: SocketAddr, idle_since: Instant,
+) -> io::Result<Connection> {
+    let stream = SharedStream::new(stream)?;
+    let monitor = Rc::new(ResponseMonitor::default());
+    let monitored = MonitoredStream { stream: stream.clone(), monitor: monitor.clone() };
+    let mut builder = Builder::new();
+    builder.max_buf_size(MAX_HEAD_BYTES).max_headers(MAX_HEADERS);
+    let (sender, http) = builder.handshake(TokioIo::new(monitored)).await.map_err(io::Error::other)?;
+    let driver = spawn_local(async {
+        // The sender reports the end of the connection.
+        let _ = http.await;
+    });
+    Ok(Connection { sender, address, stream, monitor, driver: driver.abort_handle(), idle_since })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use socket2::SockRef;
+    use tokio::io::AsyncWriteExt;
+    use tokio::net::TcpListener;
+
+    #[tokio::test]
+    async fn a_failed_write_is_recorded_until_the_monitor_is_cleared() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        let stream = SharedStream::new(stream).unwrap();
+        let monitor = Rc::new(ResponseMonitor::default());
+        let mut monitored = MonitoredStream { stream: stream.clone(), monitor: monitor.clone() };
+        let (peer, _) = listener.accept().await.unwrap();
+        monitored.write_all(b"first").await.unwrap();
+        assert!(!monitor.write_failed.get());
+        // With a zero linger time, closing resets the connection.
+        SockRef::from(&peer).set_linger(Some(Duration::ZERO)).unwrap();
+        drop(peer);
+        while stream.unread() != Unread::Closed {
+            tokio::task::yield_now().await;
+        }
+        // The write reports the error that the socket holds.
+        monitored.write_all(b"second").await.unwrap_err();
+        assert!(monitor.write_failed.get());
+        monitor.clear();
+        assert!(!monitor.write_failed.get());
+    }
+}
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,7 +1,7 @@
 //! Client of the platform: receives the list of endpoints from its discovery service, and sends
 //! notices to it.
 
-use crate::calls::{self, Connection};
+use crate::connection::{self, Connection};
 use crate::{Node, control, log};
 use fawnspoke_journal::Notice;
 use http_body_util::{BodyExt, Full};
@@ -120,7 +120,7 @@
 
 /// Runs one watch, from connecting to its end, and returns why it ended.
 async fn run_watch(node: &Node, address: SocketAddr, seq: u64) -> Result<String, BoxError> {
-    let mut connection = timeout(RESPONSE_TIMEOUT, calls::connect(address)).await??;
+    let mut connection = timeout(RESPONSE_TIMEOUT, connection::connect(address)).await??;
     let request = Request::get(format!("/registry/instances?stream=1&index={seq}"))
         .header("Host", address.to_string())
         .body(Full::default())?;
@@ -306,7 +306,7 @@
     let deadline = Instant::now() + response_timeout;
     let mut connection = match kept_alive.take() {
         Some((to, connection)) if to == address && connection.is_reusable() => connection,
-        _ => timeout_at(deadline, calls::connect(address)).await??,
+        _ => timeout_at(deadline, connection::connect(address)).await??,
     };
     let request = Request::builder()
         .method(Method::POST)
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -6,7 +6,7 @@
 use crate::calls::{self, CallEnd};
 use crate::handover::{self, HandoverRequest, HandoverResult};
 use crate::transfer::Transfer;
-use crate::{Node, compaction, control, log};
+use crate::{Node, compaction, connection_pool, control, log};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::Signal;
@@ -177,7 +177,7 @@
             sweep_at = now + if stop_requested_at.is_some() { 0.05 } else { 0.5 };
             node.overrides.retry_save();
             node.pool.sweep(
-                calls::idle_reuse_limit(&node),
+                connection_pool::idle_reuse_limit(&node),
                 node.config.limits.max_idle_connections(node.config.settings.max_concurrent_calls),
             );
         }
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -3,8 +3,9 @@
 //! decisions are made by these state machines.
 
 use crate::actions::complete_call;
-use crate::calls::{self, CallEnd, MessageEnd};
+use crate::calls::{CallEnd, MessageEnd};
 use crate::config::Config;
+use crate::connection;
 use crate::directory::Directory;
 use crate::serving::Phase;
 use crate::startup::open_journal;
@@ -689,7 +690,7 @@
             let endpoint = EndpointId(endpoint);
             // The connection is usable as long as the list has the endpoint at this address.
             if node.directory.borrow().ready_address(endpoint) == Some(address)
-                && let Ok(connection) = calls::wrap_stream(stream, address, idle_since).await
+                && let Ok(connection) = connection::wrap_stream(stream, address, idle_since).await
             {
                 node.pool.add_idle(endpoint, connection);
             }
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -1,9 +1,9 @@
 //! Startup of a dispatcher process: signal handlers, the journal, and the tasks in their order.
 
-use crate::calls::ConnectionPool;
 use crate::clients::{self, ClientConnections};
 use crate::clock::JournalClock;
 use crate::config::Config;
+use crate::connection_pool::ConnectionPool;
 use crate::directory::Directory;
 use crate::event_loop::{EventSources, ExitAction, apply_input, run_event_loop};
 use crate::fleet::{self, FleetConstraints};
--- a/crates/node/src/transfer.rs
+++ b/crates/node/src/transfer.rs
@@ -1,6 +1,7 @@
 //! Items that are transferred to the new process after a handover.
 
-use crate::calls::{CallEnd, Connection};
+use crate::calls::CallEnd;
+use crate::connection::Connection;
 use crate::stream::SharedStream;
 use fawnspoke_control::server::OverrideCommand;
 use serde::{Deserialize, Serialize};
