Log and count responses that belong to no request, by connection

A scanner follows the framing of all responses on a connection to an endpoint and counts them against its requests; each surplus response is logged with its connection, address, status and the requests sent, and counted as surplus in the line of counters. A connection with a surplus is not reused; hyper closed it before too.

--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -252,7 +252,15 @@
                 Some(conn) => (conn, true),
                 None => {
                     let connect_timeout = Duration::from_secs_f64(node.config.connect_timeout_seconds);
-                    match timeout_at(deadline, timeout(connect_timeout, connection::connect(address))).await {
+                    match timeout_at(
+                        deadline,
+                        timeout(
+                            connect_timeout,
+                            connection::connect(address, Some(node.endpoint_connection(endpoint, address))),
+                        ),
+                    )
+                    .await
+                    {
                         Ok(Ok(Ok(conn))) => (conn, false),
                         // Nothing was sent, so this is not the timeout of a call that may have run.
                         _ => return Err(Outcome::ConnectFailed),
@@ -281,7 +289,7 @@
             return Err(outcome);
         }
         let sent_at = Instant::now();
-        conn.monitor.clear();
+        conn.monitor.begin_request();
         conn.monitor.relay_count.replace((!ids.is_empty()).then(|| (node.metrics.clone(), ids.len() as u64)));
         let monitor = conn.monitor.clone();
         let mut sending = pin!(conn.sender.try_send_request(request));
@@ -302,6 +310,7 @@
             Ok(Err(mut error)) => match error.take_message() {
                 // The peer closed a pooled connection before a byte was written, so sending again is no repeat.
                 Some(unsent) if pool_use.connection_reused => {
+                    conn.monitor.cancel_request();
                     request = unsent;
                     continue;
                 }
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -2,6 +2,9 @@
 //!
 //! hyper reports only that a request failed, so [`ResponseMonitor`] also watches the bytes of the connection.
 
+use crate::event_loop::Input;
+use crate::log;
+use crate::pairing::{ResponseHead, ResponsePairing};
 use crate::stream::{HeadScanner, SharedStream, Unread};
 use fawnspoke_control::metrics::Metrics;
 use http_body_util::Full;
@@ -20,8 +23,10 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::Instant;
+use waydoor::EndpointId;
 
 /// Most bytes of the head of a response.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
@@ -34,9 +39,45 @@
 /// the response only brings a rate limit report and a reusable connection.
 const HEAD_COMPLETION_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// A response that arrived on a connection to an endpoint while no request was outstanding there.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SurplusResponse {
+    pub endpoint: EndpointId,
+    pub destination: u32,
+    pub address: SocketAddr,
+    /// The number of the connection in this process.
+    pub connection: u64,
+    /// Requests sent on the connection so far.
+    pub requests: u64,
+    pub head: ResponseHead,
+}
+
+/// Names a connection to an endpoint, and reports its surplus responses to the event loop.
+pub struct EndpointConnection {
+    pub endpoint: EndpointId,
+    pub destination: u32,
+    pub address: SocketAddr,
+    /// The number of the connection in this process.
+    pub number: u64,
+    pub inputs: UnboundedSender<Input>,
+}
+
+impl EndpointConnection {
+    fn report(&self, requests: u64, head: ResponseHead) {
+        let &EndpointConnection { endpoint, destination, address, number: connection, .. } = self;
+        let surplus = SurplusResponse { endpoint, destination, address, connection, requests, head };
+        // The receiver, in the event loop, lives as long as the process.
+        let _ = self.inputs.send(Input::SurplusResponse(surplus));
+    }
+}
+
 /// Observes the bytes of a connection since the last request was put on it.
 #[derive(Default)]
 pub struct ResponseMonitor {
+    /// None for a connection to discovery.
+    endpoint: Option<EndpointConnection>,
+    /// Counts all requests and responses of the connection.
+    pairing: RefCell<ResponsePairing>,
     pub head: RefCell<HeadScanner>,
     /// When the first byte of the response arrived; preceding 1xx responses do not count.
     pub first_byte_at: Cell<Option<Instant>>,
@@ -54,14 +95,25 @@
 }
 
 impl ResponseMonitor {
-    /// Resets the monitor for the next request.
-    pub fn clear(&self) {
+    /// Prepares for a request that is about to be sent.
+    pub fn begin_request(&self) {
+        self.pairing.borrow_mut().request_sent();
         self.head.take();
         self.first_byte_at.set(None);
         self.write_failed.set(false);
         self.unflushed.set(false);
     }
 
+    /// Notes that the request which had begun was not sent after all.
+    pub fn cancel_request(&self) {
+        self.pairing.borrow_mut().request_not_sent();
+    }
+
+    /// Whether more responses than requests have started.
+    fn has_surplus(&self) -> bool {
+        self.pairing.borrow().has_surplus()
+    }
+
     /// Counts the messages of the request as relayed. hyper flushes once it has nothing more to write, so the whole
     /// request has been written to the socket.
     fn on_flush(&self) {
@@ -74,6 +126,11 @@
 
     /// Scans bytes that were read.
     fn observe(&self, bytes: &[u8]) {
+        let surplus = self.pairing.borrow_mut().observe(bytes);
+        for head in surplus {
+            let requests = self.pairing.borrow().requests();
+            self.endpoint.iter().for_each(|endpoint| endpoint.report(requests, head));
+        }
         let mut head = self.head.borrow_mut();
         head.scan(bytes);
         let first_byte_at = head.has_started().then(|| self.first_byte_at.get().unwrap_or_else(Instant::now));
@@ -166,7 +223,14 @@
     /// Whether another request may use it. Unread bytes belong to no outstanding response, and would be taken for the
     /// response to the next request. A request on a connection that the peer has closed would be lost.
     pub fn is_reusable(&self) -> bool {
-        !self.sender.is_closed() && self.stream.unread() == Unread::Nothing
+        let unread = self.stream.unread();
+        if unread == Unread::Bytes {
+            log::info_limited(format_args!(
+                "connection to {}: bytes beyond its responses; closing it",
+                self.address
+            ));
+        }
+        !self.sender.is_closed() && !self.monitor.has_surplus() && unread == Unread::Nothing
     }
 }
 
@@ -176,17 +240,17 @@
     }
 }
 
-/// Opens a connection.
-pub async fn connect(address: SocketAddr) -> io::Result<Connection> {
-    wrap_stream(TcpStream::connect(address).await?, address, Instant::now()).await
+/// Opens a connection. `endpoint`: None for one to discovery.
+pub async fn connect(address: SocketAddr, endpoint: Option<EndpointConnection>) -> io::Result<Connection> {
+    wrap_stream(TcpStream::connect(address).await?, address, Instant::now(), endpoint).await
 }
 
 /// Makes a [`Connection`] of an open stream that has been idle since `idle_since`.
 pub async fn wrap_stream(
-    stream: TcpStream, address: SocketAddr, idle_since: Instant,
+    stream: TcpStream, address: SocketAddr, idle_since: Instant, endpoint: Option<EndpointConnection>,
 ) -> io::Result<Connection> {
     let stream = SharedStream::new(stream)?;
-    let monitor = Rc::new(ResponseMonitor::default());
+    let monitor = Rc::new(ResponseMonitor { endpoint, ..ResponseMonitor::default() });
     let monitored = MonitoredStream { stream: stream.clone(), monitor: monitor.clone() };
     let mut builder = Builder::new();
     builder.max_buf_size(MAX_HEAD_BYTES).max_headers(MAX_HEADERS);
@@ -206,7 +270,7 @@
     use tokio::net::TcpListener;
 
     #[tokio::test]
-    async fn a_failed_write_is_recorded_until_the_monitor_is_cleared() {
+    async fn a_failed_write_is_recorded_until_the_next_request() {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
         let stream = SharedStream::new(stream).unwrap();
@@ -224,7 +288,7 @@
         // The write reports the error that the socket holds.
         monitored.write_all(b"second").await.unwrap_err();
         assert!(monitor.write_failed.get());
-        monitor.clear();
+        monitor.begin_request();
         assert!(!monitor.write_failed.get());
     }
 }
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -120,13 +120,14 @@
 
 /// Runs one watch, from connecting to its end, and returns why it ended.
 async fn run_watch(node: &Node, address: SocketAddr, seq: u64) -> Result<String, BoxError> {
-    let mut connection = timeout(RESPONSE_TIMEOUT, connection::connect(address)).await??;
+    let mut connection = timeout(RESPONSE_TIMEOUT, connection::connect(address, None)).await??;
     let request = Request::get(format!("/registry/instances?stream=1&index={seq}"))
         .header("Host", address.to_string())
         .body(Full::default())?;
     // The requests of many dispatchers queue at the service. One that is abandoned early still costs the
     // service its work, and is sent again.
     let response_timeout = if is_list_on_request(node) { WATCH_TIMEOUT } else { RESPONSE_TIMEOUT };
+    connection.monitor.begin_request();
     let response = timeout(response_timeout, connection.sender.send_request(request)).await??;
     if response.status() != StatusCode::OK {
         return Ok(format!("answered {}", response.status()));
@@ -306,7 +307,7 @@
     let deadline = Instant::now() + response_timeout;
     let mut connection = match kept_alive.take() {
         Some((to, connection)) if to == address && connection.is_reusable() => connection,
-        _ => timeout_at(deadline, connection::connect(address)).await??,
+        _ => timeout_at(deadline, connection::connect(address, None)).await??,
     };
     let request = Request::builder()
         .method(Method::POST)
@@ -314,6 +315,7 @@
         .header("Host", address.to_string())
         .body(Full::new(Bytes::from(lines)))?;
     timeout_at(deadline, connection.sender.ready()).await??;
+    connection.monitor.begin_request();
     let response = timeout_at(deadline, connection.sender.send_request(request)).await??;
     let status = response.status();
     timeout_at(deadline, response.into_body().collect()).await??;
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -4,6 +4,7 @@
 
 use crate::actions::execute;
 use crate::calls::{self, CallEnd};
+use crate::connection::SurplusResponse;
 use crate::handover::{self, HandoverRequest, HandoverResult};
 use crate::transfer::Transfer;
 use crate::{Node, compaction, connection_pool, control, log};
@@ -37,12 +38,25 @@
     Accepted { number: u64 },
     /// A call ended.
     CallEnded { endpoint: EndpointId, sent_at: Seconds, end: CallEnd },
+    /// A response arrived that belongs to no request.
+    SurplusResponse(SurplusResponse),
+}
+
+/// Logs and counts a response that belongs to no request.
+fn record_surplus_response(node: &Node, surplus: &SurplusResponse) {
+    let SurplusResponse { destination, address, connection, requests, head, .. } = surplus;
+    let status = head.status.map_or("malformed".into(), |status| status.as_u16().to_string());
+    log::info_limited(format_args!(
+        "connection {connection} to {address}: a response ({status}) beyond its {requests} requests; closing it"
+    ));
+    node.traffic.update(*destination, |counters| counters.surplus_responses += 1);
 }
 
 /// Passes one input to the decision core.
 pub fn apply_input(node: &Node, now: Seconds, input: Input) {
     let mut dispatcher = node.dispatcher.borrow_mut();
     match input {
+        Input::SurplusResponse(surplus) => record_surplus_response(node, &surplus),
         Input::Event(event) => dispatcher.handle(now, event),
         Input::Accepted { number } => {
             if let Some(message) = node.journaled_message(number) {
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -690,7 +690,9 @@
             let endpoint = EndpointId(endpoint);
             // The connection is usable as long as the list has the endpoint at this address.
             if node.directory.borrow().ready_address(endpoint) == Some(address)
-                && let Ok(connection) = connection::wrap_stream(stream, address, idle_since).await
+                && let endpoint_connection = node.endpoint_connection(endpoint, address)
+                && let Ok(connection) =
+                    connection::wrap_stream(stream, address, idle_since, Some(endpoint_connection)).await
             {
                 node.pool.add_idle(endpoint, connection);
             }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 mod handover;
 mod journaling;
 mod log;
+mod pairing;
 mod requests;
 mod retry;
 mod serving;
@@ -35,6 +36,7 @@
 use clients::ClientConnections;
 use clock::JournalClock;
 use config::Config;
+use connection::EndpointConnection;
 use connection_pool::ConnectionPool;
 use directory::Directory;
 use event_loop::{ExitAction, Input};
@@ -61,7 +63,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::LocalSet;
 use transfer::Transfer;
-use waydoor::{DestinationId, Dispatcher, Event, Seconds};
+use waydoor::{DestinationId, Dispatcher, EndpointId, Event, Seconds};
 
 /// The state that the modules of the dispatcher share.
 struct Node {
@@ -75,6 +77,8 @@
     journal: RefCell<Journal>,
     directory: RefCell<Directory>,
     pool: ConnectionPool,
+    /// Connections to endpoints that were opened so far.
+    opened_connections: Cell<u64>,
     traffic: traffic::TrafficCounters,
     /// Metrics shown to operators.
     metrics: Arc<Metrics>,
@@ -141,6 +145,15 @@
         }
     }
 
+    /// Names a new connection to an endpoint.
+    fn endpoint_connection(&self, endpoint: EndpointId, address: SocketAddr) -> EndpointConnection {
+        let destination = self.directory.borrow().get(endpoint).map_or(0, |listed| listed.destination);
+        let number = self.opened_connections.get() + 1;
+        self.opened_connections.set(number);
+        let inputs = self.input_sender.clone();
+        EndpointConnection { endpoint, destination, address, number, inputs }
+    }
+
     /// Queues an item for the process that has taken over.
     fn transfer(&self, item: Transfer) {
         let _ = self.transfer_sender.send(item);
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -14,7 +14,7 @@
 const LIMIT_EXHAUSTED_BELOW: f64 = 0.2;
 const LIMIT_UNUSED_FROM: f64 = 0.8;
 /// The names of the counters in the line, which `fawnspoke lab fleet` reads.
-const COUNTER_NAMES: [&str; 18] = [
+const COUNTER_NAMES: [&str; 19] = [
     "taken",
     "calls",
     "messages",
@@ -33,6 +33,7 @@
     "reports",
     "left_pct",
     "limit",
+    "surplus",
 ];
 
 /// Counters and gauges of one destination for one second.
@@ -73,10 +74,12 @@
     pub remaining_percent_sum: u64,
     /// The rate limit that was reported last, in calls per second.
     pub rate_limit: u64,
+    /// Responses that belong to no call.
+    pub surplus_responses: u64,
 }
 
 impl DestinationCounters {
-    fn values(&self) -> [u64; 18] {
+    fn values(&self) -> [u64; 19] {
         let DestinationCounters {
             accepted,
             calls,
@@ -98,6 +101,7 @@
             reports,
             remaining_percent_sum,
             rate_limit,
+            surplus_responses,
             ..
         } = *self;
         [
@@ -119,6 +123,7 @@
             reports,
             remaining_percent_sum,
             rate_limit,
+            surplus_responses,
         ]
     }
 
@@ -140,6 +145,7 @@
         self.oldest_ms = self.oldest_ms.max(other.oldest_ms);
         self.reports += other.reports;
         self.remaining_percent_sum += other.remaining_percent_sum;
+        self.surplus_responses += other.surplus_responses;
     }
 }
 
