--- a/crates/fawnspoke/tests/sockets/main.rs
+++ b/crates/fawnspoke/tests/sockets/main.rs
@@ -8,6 +8,7 @@
 mod machine_faults;
 mod malformed_responses;
 mod manual_endpoint;
+mod misplaced_responses;
 mod operations;
 mod races;
 mod reload;
--- /dev/null
+++ b/crates/fawnspoke/tests/sockets/misplaced_responses/endpoint.rs
@@ -0,0 +1,293 @@
+//! A stand-in for an endpoint or the platform that writes responses at any time, also such that no request asked for.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How often a waiting connection is checked for its end.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(2);
+/// Tolerance of time limits because of that interval and the sockets' latency.
+const TOLERANCE: Duration = Duration::from_millis(50);
+/// Calls that start within this time after a Retry-After was written may have been under way already.
+const RETRY_AFTER_GRACE: Duration = Duration::from_millis(100);
+
+/// Bytes that are written some time after an event.
+#[derive(Clone)]
+pub struct Extra {
+    pub delay: Duration,
+    pub bytes: Vec<u8>,
+}
+
+/// What an endpoint does with a request.
+#[derive(Clone)]
+pub struct Script {
+    /// The response; `None` closes the connection.
+    response: Option<Vec<u8>>,
+    delay: Duration,
+    /// Written after the request's last byte.
+    before: Vec<Extra>,
+    /// Written after the response.
+    behind: Vec<Extra>,
+}
+
+impl Script {
+    pub fn respond(response: impl Into<Vec<u8>>) -> Script {
+        let response = Some(response.into());
+        Script { response, delay: Duration::ZERO, before: Vec::new(), behind: Vec::new() }
+    }
+
+    pub fn disconnect() -> Script {
+        Script { response: None, ..Script::respond("") }
+    }
+
+    /// Delays the response.
+    pub fn after(mut self, delay: Duration) -> Script {
+        self.delay = delay;
+        self
+    }
+
+    /// Writes bytes after the request's last byte.
+    pub fn with_extra(mut self, extra: Extra) -> Script {
+        self.before.push(extra);
+        self
+    }
+
+    /// Writes bytes after the response.
+    pub fn followed_by(mut self, extra: Extra) -> Script {
+        self.behind.push(extra);
+        self
+    }
+}
+
+/// A request as it was received.
+pub struct Request {
+    /// Its number at this endpoint, from 0.
+    pub index: usize,
+    /// Its number on its connection, from 0.
+    pub index_on_connection: usize,
+    pub path: String,
+    /// Its Request-Id, or nothing.
+    pub id: String,
+}
+
+/// A request and what became of it.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub id: String,
+    pub body: String,
+    pub received_at: Instant,
+    /// The status of its own response.
+    pub status: u16,
+    pub retry_after: Option<Duration>,
+    /// When its own response was written.
+    pub answered_at: Option<Instant>,
+    /// When its connection was found closed by the dispatcher, if that was before its own response.
+    pub abandoned_at: Option<Instant>,
+}
+
+impl Call {
+    /// Whether it takes effect, also if the dispatcher does not wait for the response.
+    pub fn may_have_run(&self) -> bool {
+        matches!(self.status, 0 | 200 | 500)
+    }
+
+    fn is_open_at(&self, at: Instant) -> bool {
+        let end = self.answered_at.or(self.abandoned_at);
+        self.received_at < at && end.is_none_or(|end| end > at + TOLERANCE)
+    }
+}
+
+type Decide = dyn Fn(&Request) -> Script + Send + Sync;
+
+struct Shared {
+    calls: Mutex<Vec<Call>>,
+    decide: Box<Decide>,
+}
+
+impl Shared {
+    fn calls(&self) -> MutexGuard<'_, Vec<Call>> {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The stand-in. It runs until the test process ends.
+#[derive(Clone)]
+pub struct Endpoint {
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+impl Endpoint {
+    pub fn start(decide: impl Fn(&Request) -> Script + Send + Sync + 'static) -> Endpoint {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free address");
+        let address = listener.local_addr().expect("its address");
+        let shared = Arc::new(Shared { calls: Mutex::default(), decide: Box::new(decide) });
+        let accepting = shared.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let shared = accepting.clone();
+                thread::spawn(move || serve(&shared, stream));
+            }
+        });
+        Endpoint { address, shared }
+    }
+
+    /// All calls so far.
+    pub fn all_calls(&self) -> Vec<Call> {
+        self.shared.calls().clone()
+    }
+
+    /// The calls of a message so far.
+    pub fn calls(&self, id: &str) -> Vec<Call> {
+        self.all_calls().into_iter().filter(|call| call.id == id).collect()
+    }
+
+    /// Requests whose own response was written.
+    pub fn answered(&self) -> usize {
+        self.all_calls().iter().filter(|call| call.answered_at.is_some()).count()
+    }
+
+    /// How often the message's own response with 200 was written.
+    pub fn deliveries(&self, id: &str) -> usize {
+        self.calls(id).iter().filter(|call| call.status == 200 && call.answered_at.is_some()).count()
+    }
+
+    /// Whether a request whose body contains the text was answered with this status.
+    pub fn has_answered(&self, text: &str, status: u16) -> bool {
+        let is_match = |call: &Call| call.body.contains(text) && call.status == status;
+        self.all_calls().iter().any(|call| is_match(call) && call.answered_at.is_some())
+    }
+}
+
+/// Each call that began while an earlier one of its message was open.
+pub fn overlapping_attempts(calls: &[Call]) -> Vec<String> {
+    let overlaps = |(number, call): (usize, &Call)| {
+        let earlier = calls[..number].iter().filter(|other| other.id == call.id);
+        earlier.filter(|other| other.is_open_at(call.received_at)).count() > 0
+    };
+    let overlapping = calls.iter().enumerate().filter(|(number, call)| overlaps((*number, call)));
+    overlapping.map(|(_, call)| format!("{}: a second attempt beside an open one", call.id)).collect()
+}
+
+/// Each call that began inside a Retry-After that was written on an open connection.
+pub fn calls_inside_waits(calls: &[Call]) -> Vec<String> {
+    let mut inside = Vec::new();
+    for told in calls {
+        let (Some(retry_after), Some(at)) = (told.retry_after, told.answered_at) else { continue };
+        let is_inside = |call: &&Call| {
+            let elapsed = call.received_at.saturating_duration_since(at);
+            elapsed > RETRY_AFTER_GRACE + TOLERANCE && elapsed + TOLERANCE < retry_after
+        };
+        let early = calls.iter().filter(is_inside);
+        inside.extend(early.map(|call| format!("{}: called inside the Retry-After of {}", call.id, told.id)));
+    }
+    inside
+}
+
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let mut lines = head.lines().filter_map(|line| line.split_once(':'));
+    lines.find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim())
+}
+
+/// Reads one request; `None` once the connection has ended.
+fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<(String, String)> {
+    let mut chunk = [0; 8192];
+    loop {
+        if let Some(end) = buffer.windows(4).position(|window| window == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
+            let length: usize =
+                header(&head, "content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+            if buffer.len() >= end + 4 + length {
+                let body = String::from_utf8_lossy(&buffer[end + 4..end + 4 + length]).into_owned();
+                buffer.drain(..end + 4 + length);
+                return Some((head, body));
+            }
+        }
+        match stream.read(&mut chunk) {
+            Ok(0) => return None,
+            Ok(length) => buffer.extend_from_slice(&chunk[..length]),
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
+            Err(_) => return None,
+        }
+    }
+}
+
+/// Writes bytes after a delay, in the background.
+fn write_later(writer: &Arc<Mutex<TcpStream>>, extra: Extra) {
+    let writer = writer.clone();
+    thread::spawn(move || {
+        thread::sleep(extra.delay);
+        let mut stream = writer.lock().unwrap_or_else(PoisonError::into_inner);
+        // The dispatcher may have closed the connection.
+        let _ = stream.write_all(&extra.bytes);
+    });
+}
+
+/// Waits until `until` or the end of the connection; returns whether it ended.
+fn wait(stream: &TcpStream, until: Instant) -> bool {
+    loop {
+        match stream.peek(&mut [0]) {
+            Ok(0) => return true,
+            Err(error) if !matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
+                return true;
+            }
+            // The read timeout of the socket has passed.
+            _ if Instant::now() >= until => return false,
+            _ => {}
+        }
+    }
+}
+
+fn serve(shared: &Shared, mut stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let Ok(()) = stream.set_read_timeout(Some(CLOSE_CHECK_INTERVAL)) else { return };
+    let Ok(writer) = stream.try_clone().map(Mutex::new).map(Arc::new) else { return };
+    let (mut buffer, mut index_on_connection) = (Vec::new(), 0);
+    while let Some((head, body)) = read_request(&mut stream, &mut buffer) {
+        let received_at = Instant::now();
+        let id = header(&head, "request-id").unwrap_or_default().to_string();
+        let path = head.split(' ').nth(1).unwrap_or_default().to_string();
+        let index = {
+            let mut calls = shared.calls();
+            let (status, retry_after) = (0, None);
+            let (answered_at, abandoned_at) = (None, None);
+            calls.push(Call {
+                id: id.clone(),
+                body,
+                received_at,
+                status,
+                retry_after,
+                answered_at,
+                abandoned_at,
+            });
+            calls.len() - 1
+        };
+        let script = (shared.decide)(&Request { index, index_on_connection, path, id });
+        index_on_connection += 1;
+        let Some(response) = script.response else {
+            shared.calls()[index].answered_at = Some(Instant::now());
+            return;
+        };
+        let text = String::from_utf8_lossy(&response).into_owned();
+        {
+            let call = &mut shared.calls()[index];
+            call.status = text.get(9..12).and_then(|status| status.parse().ok()).unwrap_or(0);
+            let seconds = header(&text, "retry-after").and_then(|seconds| seconds.parse().ok());
+            call.retry_after = seconds.map(Duration::from_secs_f64);
+        }
+        script.before.into_iter().for_each(|extra| write_later(&writer, extra));
+        if wait(&stream, received_at + script.delay) {
+            shared.calls()[index].abandoned_at = Some(Instant::now());
+            return;
+        }
+        let written = writer.lock().unwrap_or_else(PoisonError::into_inner).write_all(&response);
+        if written.is_err() {
+            shared.calls()[index].abandoned_at = Some(Instant::now());
+            return;
+        }
+        shared.calls()[index].answered_at = Some(Instant::now());
+        script.behind.into_iter().for_each(|extra| write_later(&writer, extra));
+    }
+}
--- a/crates/fawnspoke/tests/sockets/soak.rs
+++ b/crates/fawnspoke/tests/sockets/soak.rs
@@ -20,10 +20,10 @@
 
 /// Earliest SIGKILL after a SIGTERM, and earliest start after a SIGKILL, by the protocol.
 const KILL_AFTER_TERM: Duration = Duration::from_millis(3700);
-const START_AFTER_KILL: Duration = Duration::from_millis(600);
+pub const START_AFTER_KILL: Duration = Duration::from_millis(600);
 /// Latest notice after the message's deadline, or after the dispatcher is ready again if that is later.
-const NOTICE_GRACE: Duration = Duration::from_millis(350);
-const READY_GRACE: Duration = Duration::from_millis(1550);
+pub const NOTICE_GRACE: Duration = Duration::from_millis(350);
+pub const READY_GRACE: Duration = Duration::from_millis(1550);
 /// Repeat window of keyed messages, and the tolerance added to time limits because of the sockets' latency.
 const KEY_WINDOW_SECONDS: f64 = 4.0;
 const TOLERANCE: Duration = Duration::from_millis(50);
@@ -120,7 +120,7 @@
 }
 
 /// The result of a request as its client sees it.
-enum RequestResult {
+pub enum RequestResult {
     /// A status, and whether the connection stays open.
     Status(u16, bool),
     /// The connection was reset: the dispatcher had not read the request.
@@ -132,7 +132,7 @@
 }
 
 /// Sends a request and reads the head of its answer.
-fn send_request(stream: &mut TcpStream, request: &[u8]) -> RequestResult {
+pub fn send_request(stream: &mut TcpStream, request: &[u8]) -> RequestResult {
     if stream.write_all(request).is_err() {
         return RequestResult::Unread;
     }
@@ -243,7 +243,7 @@
 }
 
 /// Ends a run of the process with a series of signals, or none, and a kill. Returns the time of the kill.
-fn end_process(dispatcher: &mut Dispatcher, alive: &AtomicBool, rng: &mut fastrand::Rng) -> Instant {
+pub fn end_process(dispatcher: &mut Dispatcher, alive: &AtomicBool, rng: &mut fastrand::Rng) -> Instant {
     let kill_at = Instant::now() + KILL_AFTER_TERM;
     if rng.u32(..3) > 0 {
         for signal in ["HUP", "TERM", "HUP", "TERM", "INT"] {
