Each request with notices goes over a connection of its own

Evidence: a_late_copy_of_a_204_does_not_end_an_owed_notice failed before (the second notice never accepted in 30 s). Why this works: a connection that carries one request has no earlier response that could be copied. The first failure is retried at once, as it was on a kept connection: with a pause the notices would be overdue. Passed after: the five notice tests of the sockets suite.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,7 +1,7 @@
 //! Client of the platform: receives the list of endpoints from its discovery service, and sends
 //! notices to it.
 
-use crate::connection::{self, Connection};
+use crate::connection;
 use crate::{Node, control, log};
 use fawnspoke_journal::Notice;
 use http_body_util::{BodyExt, Full};
@@ -20,9 +20,9 @@
 /// Discovery, through the agent on this machine, and the platform's receiver of notices answer at once
 /// or are down.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
-/// A request with notices that is not answered within this time is repeated on another connection:
-/// the kept-alive one may be dead without a sign, and a notice is overdue 0.3 s after its message's
-/// deadline. Each failure doubles the time, up to `RESPONSE_TIMEOUT`. Repeated notices do no harm.
+/// A request with notices that is not answered within this time is repeated: a notice is overdue 0.3 s
+/// after its message's deadline. Each failure doubles the time, up to `RESPONSE_TIMEOUT`. Repeated
+/// notices do no harm.
 const FIRST_NOTICE_TIMEOUT: Duration = Duration::from_millis(200);
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
@@ -222,10 +222,10 @@
 
 async fn delivery_loop(node: Rc<Node>) {
     let mut address_changes = node.discovery_address.subscribe();
-    let mut connection = None;
     let mut backoff = INITIAL_BACKOFF;
     let mut batch_limit = MAX_NOTICES_PER_REQUEST;
     let mut response_timeout = FIRST_NOTICE_TIMEOUT;
+    let mut has_failed = false;
     loop {
         let due = node.journal.borrow().due_notices(node.unix_now(), batch_limit);
         if due.is_empty() {
@@ -239,17 +239,17 @@
             continue;
         }
         let address = *address_changes.borrow_and_update();
-        let reused = connection.is_some();
         let response = tokio::select! {
-            response = post(address, &mut connection, &due, response_timeout) => response,
+            response = post(address, &due, response_timeout) => response,
             // Notices that the old address has received already do no harm at the new one.
             _ = address_changes.changed() => {
-                (connection, backoff, response_timeout) = (None, INITIAL_BACKOFF, FIRST_NOTICE_TIMEOUT);
+                (backoff, response_timeout) = (INITIAL_BACKOFF, FIRST_NOTICE_TIMEOUT);
                 continue;
             }
         };
         match response {
             Ok(StatusCode::NO_CONTENT) => {
+                has_failed = false;
                 (backoff, batch_limit, response_timeout) =
                     (INITIAL_BACKOFF, MAX_NOTICES_PER_REQUEST, FIRST_NOTICE_TIMEOUT);
                 for (number, ..) in due {
@@ -274,24 +274,21 @@
             Err(error) => {
                 log::info_limited(format_args!("notices: {error}"));
                 response_timeout = (response_timeout * 2).min(RESPONSE_TIMEOUT);
-                // A new connection may succeed at once where the kept-alive one failed.
-                if reused {
-                    connection = None;
+                // After a pause as well, the notices would be overdue.
+                if !std::mem::replace(&mut has_failed, true) {
                     continue;
                 }
             }
         }
-        connection = None;
         let _ = timeout(backoff, address_changes.wait_for(|current| *current != address)).await;
         backoff = (backoff * 2).min(MAX_BACKOFF);
     }
 }
 
-/// Sends one request with notices, over the kept-alive connection of the last one if that is to the
-/// same address.
+/// Sends one request with notices. Its connection carries no other request: a late copy of an earlier response would
+/// be taken for the acknowledgement.
 async fn post(
-    address: SocketAddr, kept_alive: &mut Option<(SocketAddr, Connection)>,
-    notices: &[(u64, String, Notice)], response_timeout: Duration,
+    address: SocketAddr, notices: &[(u64, String, Notice)], response_timeout: Duration,
 ) -> Result<StatusCode, BoxError> {
     let mut lines = Vec::new();
     for (_, id, notice) in notices {
@@ -305,20 +302,16 @@
         lines.push(b'\n');
     }
     let deadline = Instant::now() + response_timeout;
-    let mut connection = match kept_alive.take() {
-        Some((to, connection)) if to == address && connection.is_reusable() => connection,
-        _ => timeout_at(deadline, connection::connect(address, None)).await??,
-    };
+    let mut connection = timeout_at(deadline, connection::connect(address, None)).await??;
     let request = Request::builder()
         .method(Method::POST)
         .uri("/status")
         .header("Host", address.to_string())
+        .header("Connection", "close")
         .body(Full::new(Bytes::from(lines)))?;
-    timeout_at(deadline, connection.sender.ready()).await??;
     connection.monitor.begin_request();
     let response = timeout_at(deadline, connection.sender.send_request(request)).await??;
     let status = response.status();
     timeout_at(deadline, response.into_body().collect()).await??;
-    *kept_alive = Some((address, connection));
     Ok(status)
 }
