Unsafe messages and probes use a new connection to the endpoint

Evidence: a_late_copy_of_a_503_does_not_repeat_an_unsafe_message failed before (3 calls, 1 allowed). Why this works: no response precedes the first one on a connection, so no copy of one can be taken for it, however late; a response that is there before the request is written closes the connection unused. The longest idle connection is closed for each new one, so that the endpoint's table holds as many as before.

--- a/crates/node/src/actions.rs
+++ b/crates/node/src/actions.rs
@@ -117,7 +117,9 @@
         };
         let effect = node.class_effect(&message.content.class);
         let max_batch = node.config.settings.kinds.get(listed.kind).map_or(1, |kind| kind.max_batch);
-        let batch_key = (endpoint, effect == Some(Effect::Unsafe));
+        // The effect of a class that is no longer configured isn't known.
+        let carries_unsafe = matches!(effect, Some(Effect::Unsafe) | None);
+        let batch_key = (endpoint, carries_unsafe);
         if !unbatched
             && let Some(call) = self.open.get(&batch_key).and_then(|index| self.calls.get_mut(*index))
             && call.messages.len() < max_batch
@@ -130,7 +132,8 @@
             self.open.insert(batch_key, self.calls.len());
         }
         let ListedEndpoint { address, destination, zone, .. } = listed;
-        self.calls.push(Call { endpoint, address, destination, zone, messages: vec![message], timeout });
+        let messages = vec![message];
+        self.calls.push(Call { endpoint, address, destination, zone, messages, timeout, carries_unsafe });
     }
 }
 
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -44,6 +44,8 @@
     pub zone: u16,
     pub messages: Vec<CallMessage>,
     pub timeout: Seconds,
+    /// A message of the call must not be sent again once it may have run.
+    pub carries_unsafe: bool,
 }
 
 /// How a call ended for one of its messages.
@@ -96,7 +98,7 @@
 /// Makes a call and waits for its end.
 pub async fn perform(node: &Node, call: &Call) -> CallEnd {
     let deadline = Instant::now() + Duration::from_secs_f64(call.timeout.clamp(0.0, 3600.0));
-    let Call { endpoint, address, destination, ref messages, .. } = *call;
+    let Call { endpoint, address, destination, zone, ref messages, carries_unsafe, .. } = *call;
     let is_open = || node.directory.borrow().may_receive(endpoint, address, destination);
     let mut pool_use = PoolUse::default();
     let response = match build_request(call) {
@@ -107,7 +109,7 @@
                 request,
                 deadline,
                 &is_open,
-                (messages, call.zone),
+                &RequestContent { messages, zone, needs_new_connection: carries_unsafe },
                 &mut pool_use,
             )
             .await
@@ -193,14 +195,14 @@
         Request::get("/health/live").header("Host", listed.address.to_string()).body(Full::default());
     let Ok(request) = request else { return (Outcome::NotSent, None) };
     let is_open = || node.directory.borrow().may_receive(endpoint, listed.address, listed.destination);
-    let no_messages = (&[][..], listed.zone);
+    let content = RequestContent { messages: &[], zone: listed.zone, needs_new_connection: true };
     match exchange(
         node,
         (endpoint, listed.address),
         request,
         deadline,
         &is_open,
-        no_messages,
+        &content,
         &mut PoolUse::default(),
     )
     .await
@@ -234,44 +236,60 @@
     connection_kept: bool,
 }
 
+/// What a request carries.
+struct RequestContent<'a> {
+    /// None for a probe.
+    messages: &'a [CallMessage],
+    /// The endpoint's zone.
+    zone: u16,
+    /// The response must be the first one on its connection, so that no copy of an earlier one is taken for it.
+    needs_new_connection: bool,
+}
+
 /// Sends a request over a pooled or a new connection and reads the response. The outcome in an error says whether the
-/// request may have run. `messages`: those that the request carries, none for a probe; their start is journaled before
-/// the first byte is sent. `is_open`: whether the endpoint may still get requests.
+/// request may have run. The start of the messages is journaled before the first byte is sent. `is_open`: whether the
+/// endpoint may still get requests.
 async fn exchange(
     node: &Node, (endpoint, address): (EndpointId, SocketAddr), mut request: Request<Full<Bytes>>,
-    deadline: Instant, is_open: &dyn Fn() -> bool, (messages, zone): (&[CallMessage], u16),
-    pool_use: &mut PoolUse,
+    deadline: Instant, is_open: &dyn Fn() -> bool, content: &RequestContent<'_>, pool_use: &mut PoolUse,
 ) -> Result<EndpointResponse, Outcome> {
+    let RequestContent { messages, zone, needs_new_connection } = *content;
     let is_single = messages.len() == 1;
     let ids: Vec<_> = messages.iter().map(|message| MessageId(message.number)).collect();
     let mut start_recorded = false;
     loop {
         let mut conn;
-        (conn, pool_use.connection_reused) =
-            match node.pool.checkout(endpoint, address, idle_reuse_limit(node)) {
-                Some(conn) => (conn, true),
-                None => {
-                    let connect_timeout = Duration::from_secs_f64(node.config.connect_timeout_seconds);
-                    match timeout_at(
-                        deadline,
-                        timeout(
-                            connect_timeout,
-                            connection::connect(address, Some(node.endpoint_connection(endpoint, address))),
-                        ),
-                    )
-                    .await
-                    {
-                        Ok(Ok(Ok(conn))) => (conn, false),
-                        // Nothing was sent, so this is not the timeout of a call that may have run.
-                        _ => return Err(Outcome::ConnectFailed),
-                    }
+        (conn, pool_use.connection_reused) = match checkout(node, endpoint, address, needs_new_connection) {
+            Some(conn) => (conn, true),
+            None => {
+                let connect_timeout = Duration::from_secs_f64(node.config.connect_timeout_seconds);
+                match timeout_at(
+                    deadline,
+                    timeout(
+                        connect_timeout,
+                        connection::connect(address, Some(node.endpoint_connection(endpoint, address))),
+                    ),
+                )
+                .await
+                {
+                    Ok(Ok(Ok(conn))) => (conn, false),
+                    // Nothing was sent, so this is not the timeout of a call that may have run.
+                    _ => return Err(Outcome::ConnectFailed),
                 }
-            };
+            }
+        };
         match timeout_at(deadline, conn.sender.ready()).await {
             Ok(Ok(())) => {}
             _ if pool_use.connection_reused => continue,
             _ => return Err(Outcome::ConnectFailed),
         }
+        // A response that precedes its request can't belong to it.
+        if !conn.is_reusable() {
+            match pool_use.connection_reused {
+                true => continue,
+                false => return Err(Outcome::ConnectFailed),
+            }
+        }
         // Connecting takes time. Meanwhile the endpoint may have begun draining or left the list, or this process may
         // have begun a handover.
         if !is_open() || node.serving_state.phase() != Phase::Serving {
@@ -344,6 +362,17 @@
     }
 }
 
+/// Takes an idle connection. If a new one is needed instead, closes one to make room at the endpoint.
+fn checkout(
+    node: &Node, endpoint: EndpointId, address: SocketAddr, needs_new_connection: bool,
+) -> Option<Connection> {
+    if needs_new_connection {
+        node.pool.close_longest_idle(endpoint);
+        return None;
+    }
+    node.pool.checkout(endpoint, address, idle_reuse_limit(node))
+}
+
 /// Reads the body of a response and returns the connection to the pool if the response is complete. Waits no longer
 /// than the deadline of the call, when the outcomes of its messages are due. `body_reports`: the body of a response
 /// with 200 has the outcomes of a batch.
--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -63,6 +63,14 @@
         idle.collect()
     }
 
+    /// Closes the connection to an endpoint that has been idle for the longest time.
+    pub fn close_longest_idle(&self, endpoint: EndpointId) {
+        let mut idle = self.idle.borrow_mut();
+        if let Some(connections) = idle.get_mut(&endpoint).filter(|connections| !connections.is_empty()) {
+            connections.remove(0);
+        }
+    }
+
     /// Closes the idle connections to an endpoint.
     pub fn close_idle(&self, endpoint: EndpointId) {
         self.idle.borrow_mut().remove(&endpoint);
