A rejection on a reused connection may belong to an earlier request: it may have run

What callers saw: a charge was called a second time while its first call was out (18.024 and 18.384, the first answered at 19.147). Cause: a response that another request was owed, or a copy, was taken for the rejection of the call; the retry followed while the call ran on, on a connection that went back to the pool. Why this works: only the first response on a connection is certain to be the call's own. Any other response but a 200 counts as before for limits, waits and health, but its message may have run (a keyed one goes again only inside its window, a 410 settles nothing), and its connection is closed, which gives the call up, so that a retry is no second attempt beside it. Unsafe messages are always first on theirs.

--- a/crates/node/src/actions.rs
+++ b/crates/node/src/actions.rs
@@ -1,7 +1,7 @@
 //! Executes the actions of the decision core: starts calls and probes, journals how they end, ends messages
 //! undelivered.
 
-use crate::calls::{self, Call, CallEnd, CallMessage};
+use crate::calls::{self, Call, CallEnd, CallMessage, MessageEnd};
 use crate::directory::ListedEndpoint;
 use crate::event_loop::Input;
 use crate::serving::Phase;
@@ -27,7 +27,7 @@
                 true => journal.close(end.number),
                 // Its start was not journaled, so the call never began.
                 false if journal.get(end.number).is_none_or(|entry| entry.in_flight.is_none()) => continue,
-                false => journal.attempt_ended(end.number, !end.outcome.never_ran()),
+                false => journal.attempt_ended(end.number, end.may_have_run()),
             });
         }
     }
@@ -42,12 +42,7 @@
     let cancellation = Rc::new(Notify::new());
     single.inspect(|number| drop(node.cancellations.borrow_mut().insert(*number, cancellation.clone())));
     let end_with = |outcome: Outcome| {
-        let end = |message: &CallMessage| calls::MessageEnd {
-            number: message.number,
-            attempt: message.attempt,
-            outcome,
-            settled: false,
-        };
+        let end = |message: &CallMessage| MessageEnd::unsettled(message.number, message.attempt, outcome);
         CallEnd::without_report(call.messages.iter().map(end).collect(), false)
     };
     let (mut end, is_aborted) = tokio::select! {
@@ -63,6 +58,7 @@
         Phase::HandedOver => {
             // The connection is not transferred.
             end.connection_kept = false;
+            end.make_transferable();
             node.transfer(Transfer::Completion(Completion::Call {
                 endpoint: endpoint.0,
                 destination,
@@ -106,8 +102,7 @@
             .get(endpoint)
             .filter(|listed| listed.destination == message.content.destination);
         let Some(listed) = listed.filter(|listed| node.fleet.may_send(listed.destination)) else {
-            let message_ends =
-                vec![calls::MessageEnd { number, attempt, outcome: Outcome::NotSent, settled: false }];
+            let message_ends = vec![MessageEnd::unsettled(number, attempt, Outcome::NotSent)];
             node.send_input(Input::CallEnded {
                 endpoint,
                 sent_at: node.now(),
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -58,6 +58,22 @@
     pub outcome: Outcome,
     /// The message needs neither a retry nor a notice.
     pub settled: bool,
+    /// The response may belong to an earlier request on its connection: the message may have run, whatever the outcome
+    /// says.
+    #[serde(skip)]
+    pub unproven: bool,
+}
+
+impl MessageEnd {
+    /// The end of a message that needs a retry or a notice.
+    pub fn unsettled(number: u64, attempt: u32, outcome: Outcome) -> MessageEnd {
+        MessageEnd { number, attempt, outcome, settled: false, unproven: false }
+    }
+
+    /// Whether the message may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.unproven || !self.outcome.never_ran()
+    }
 }
 
 /// How a call ended.
@@ -74,6 +90,13 @@
 }
 
 impl CallEnd {
+    /// Expresses by the outcomes alone which messages may have run: the frame to another process has no more.
+    pub fn make_transferable(&mut self) {
+        for end in self.message_ends.iter_mut().filter(|end| end.unproven && end.outcome.never_ran()) {
+            end.outcome = Outcome::MalformedResponse;
+        }
+    }
+
     /// The end of a call whose response, if any, gives no usable information beyond the outcome.
     pub fn without_report(message_ends: Vec<MessageEnd>, connection_reused: bool) -> CallEnd {
         CallEnd {
@@ -121,10 +144,8 @@
     };
     let end_all = |outcome: Outcome, settled: bool| {
         let end = |message: &CallMessage| MessageEnd {
-            number: message.number,
-            attempt: message.attempt,
-            outcome,
             settled,
+            ..MessageEnd::unsettled(message.number, message.attempt, outcome)
         };
         messages.iter().map(end).collect::<Vec<_>>()
     };
@@ -150,7 +171,7 @@
             ..CallEnd::without_report(message_ends, pool_use.connection_reused)
         };
     };
-    let message_ends = match response.status {
+    let mut message_ends = match response.status {
         StatusCode::OK if messages.len() > 1 => parse_batch_response(messages, body),
         StatusCode::OK => end_all(Outcome::Served, true),
         StatusCode::SERVICE_UNAVAILABLE
@@ -176,6 +197,11 @@
             end_all(Outcome::Error, false)
         }
     };
+    if pool_use.connection_reused && response.status != StatusCode::OK {
+        for end in &mut message_ends {
+            (end.settled, end.unproven) = (false, true);
+        }
+    }
     let rate_limit_report =
         node.config.report_fields.and_then(|fields| parse_rate_limit_report(&response.headers, fields));
     CallEnd {
@@ -401,7 +427,11 @@
     let body = body.ok().and_then(Result::ok).map(|body| body.to_bytes());
     // The endpoint may have left the list meanwhile.
     let is_listed = node.directory.borrow().ready_address(endpoint) == Some(connection.address);
-    let connection_kept = body.is_some() && is_listed && node.pool.put_back(endpoint, connection);
+    // A rejection that may belong to an earlier request leaves the call possibly open. Closing its connection gives it
+    // up, so that a retry is no second attempt beside it.
+    let is_settled = head.status == StatusCode::OK || connection.monitor.is_first_request();
+    let connection_kept =
+        body.is_some() && is_listed && is_settled && node.pool.put_back(endpoint, connection);
     EndpointResponse { status: head.status, headers: head.headers, body, connection_kept }
 }
 
@@ -442,7 +472,7 @@
             Some("spent") => (Outcome::NotSent, false),
             _ => (Outcome::ConnectionReset, false),
         };
-        MessageEnd { number: message.number, attempt: message.attempt, outcome, settled }
+        MessageEnd { settled, ..MessageEnd::unsettled(message.number, message.attempt, outcome) }
     };
     let mut ends: Vec<MessageEnd> = messages.iter().map(end).collect();
     // The last end represents the whole call: "not sent" is the least informative outcome, a rejection the most.
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -76,6 +76,8 @@
 pub struct ResponseMonitor {
     /// None for a connection to discovery.
     endpoint: Option<EndpointConnection>,
+    /// Another process opened the connection, and may have used it.
+    is_adopted: bool,
     /// Counts all requests and responses of the connection.
     pairing: RefCell<ResponsePairing>,
     pub head: RefCell<HeadScanner>,
@@ -109,6 +111,11 @@
         self.pairing.borrow_mut().request_not_sent();
     }
 
+    /// Whether the last request was the first one on the connection: its response can be no copy of an earlier one.
+    pub fn is_first_request(&self) -> bool {
+        !self.is_adopted && self.pairing.borrow().requests() == 1
+    }
+
     /// Whether more responses than requests have started.
     fn has_surplus(&self) -> bool {
         self.pairing.borrow().has_surplus()
@@ -242,15 +249,24 @@
 
 /// Opens a connection. `endpoint`: None for one to discovery.
 pub async fn connect(address: SocketAddr, endpoint: Option<EndpointConnection>) -> io::Result<Connection> {
-    wrap_stream(TcpStream::connect(address).await?, address, Instant::now(), endpoint).await
+    let monitor = ResponseMonitor { endpoint, ..ResponseMonitor::default() };
+    wrap_stream(TcpStream::connect(address).await?, address, Instant::now(), monitor).await
+}
+
+/// Makes a [`Connection`] of a stream that another process opened and that has been idle since `idle_since`.
+pub async fn adopt(
+    stream: TcpStream, address: SocketAddr, idle_since: Instant, endpoint: EndpointConnection,
+) -> io::Result<Connection> {
+    let monitor =
+        ResponseMonitor { endpoint: Some(endpoint), is_adopted: true, ..ResponseMonitor::default() };
+    wrap_stream(stream, address, idle_since, monitor).await
 }
 
-/// Makes a [`Connection`] of an open stream that has been idle since `idle_since`.
-pub async fn wrap_stream(
-    stream: TcpStream, address: SocketAddr, idle_since: Instant, endpoint: Option<EndpointConnection>,
+async fn wrap_stream(
+    stream: TcpStream, address: SocketAddr, idle_since: Instant, monitor: ResponseMonitor,
 ) -> io::Result<Connection> {
     let stream = SharedStream::new(stream)?;
-    let monitor = Rc::new(ResponseMonitor { endpoint, ..ResponseMonitor::default() });
+    let monitor = Rc::new(monitor);
     let monitored = MonitoredStream { stream: stream.clone(), monitor: monitor.clone() };
     let mut builder = Builder::new();
     builder.max_buf_size(MAX_HEAD_BYTES).max_headers(MAX_HEADERS);
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -69,8 +69,11 @@
                 end;
             let latency = now - sent_at;
             for end in message_ends {
-                let calls::MessageEnd { number, attempt, outcome, settled } = end;
+                let calls::MessageEnd { number, attempt, outcome, settled, unproven } = end;
                 let id = MessageId(number);
+                if unproven {
+                    dispatcher.handle(now, Event::AttemptMayHaveRun { id, attempt });
+                }
                 dispatcher.handle(
                     now,
                     Event::AttemptEnded(AttemptEnd {
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -655,12 +655,7 @@
         ));
     }
     for attempt in in_flight.into_values() {
-        let end = MessageEnd {
-            number: attempt.id.0,
-            attempt: attempt.attempt,
-            outcome: Outcome::ConnectionReset,
-            settled: false,
-        };
+        let end = MessageEnd::unsettled(attempt.id.0, attempt.attempt, Outcome::ConnectionReset);
         let destination = node.directory.borrow().get(attempt.endpoint).map_or(0, |info| info.destination);
         complete_call(
             &node,
@@ -692,7 +687,7 @@
             if node.directory.borrow().ready_address(endpoint) == Some(address)
                 && let endpoint_connection = node.endpoint_connection(endpoint, address)
                 && let Ok(connection) =
-                    connection::wrap_stream(stream, address, idle_since, Some(endpoint_connection)).await
+                    connection::adopt(stream, address, idle_since, endpoint_connection).await
             {
                 node.pool.add_idle(endpoint, connection);
             }
--- a/crates/waydoor/src/interface.rs
+++ b/crates/waydoor/src/interface.rs
@@ -436,6 +436,14 @@
     },
     /// The dispatcher stops at this time: no attempt may be in flight any more.
     ShutdownAt(Seconds),
+    /// The response to an attempt is not certain to be its own: the attempt may have run, whatever outcome its end
+    /// has. Its end follows.
+    AttemptMayHaveRun {
+        /// The message.
+        id: MessageId,
+        /// Number of the attempt, from 0.
+        attempt: u32,
+    },
     /// An attempt ended.
     AttemptEnded(AttemptEnd),
     /// An endpoint sent a retry-after in an answer that is not complete yet; the end of the attempt follows
--- a/crates/waydoor/src/policy.rs
+++ b/crates/waydoor/src/policy.rs
@@ -72,6 +72,7 @@
                 self.set_quota_balance(now, tenant, remaining, at)
             }
             Event::ShutdownAt(at) => (self.shutdown_at, self.next_review_at) = (at, now),
+            Event::AttemptMayHaveRun { id, attempt } => self.attempt_may_have_run(now, id, attempt),
             Event::AttemptEnded(end) => self.attempt_ended(now, end),
             Event::RetryAfter { endpoint, delay } => self.apply_retry_after(now, endpoint, delay),
             Event::Withdrawn(id) => self.withdraw(id, MAX_ENDED_MESSAGES),
--- a/crates/waydoor/tests/rules.rs
+++ b/crates/waydoor/tests/rules.rs
@@ -84,6 +84,18 @@
     );
 }
 
+#[test]
+fn repeat_keyed_message_whose_rejection_is_unproven_is_retried_only_within_its_window() {
+    let mut harness = Harness::new(settings());
+    harness.accept(1, 1, 1);
+    assert_eq!(harness.run_round().len(), 1);
+    harness.handle(Event::AttemptMayHaveRun { id: MessageId(1), attempt: 0 });
+    harness.now += 11.9;
+    harness.end_attempt(1, 1, 0, Outcome::Overloaded, 11.9);
+    assert!(harness.run_round().is_empty());
+    assert!(harness.is_rejected(1));
+}
+
 #[test]
 fn repeat_keyed_message_stays_in_its_zone_and_fails_where_keys_are_per_zone() {
     let mut settings = settings();
