Unsafe messages leave the idle connections of their endpoint to others

The core closed all idle connections of an endpoint before an unsafe message if they had been idle for over a second, since none of them may be used for it. On sockets such a message always opens a new connection now, so closing the others only costs more new ones. The core says AvoidIdle instead of CloseIdle; the simulator's adapter closes as before, the dispatcher does nothing; the pool closes an idle connection for the new one only where there is more than one.

--- a/crates/drill/src/host.rs
+++ b/crates/drill/src/host.rs
@@ -285,7 +285,9 @@
             body.put_f64(*at);
         }
         Action::Probe(endpoint) => put_endpoint(writer.record(70, instance_id), endpoint.0),
-        Action::CloseIdle(endpoint) => put_endpoint(writer.record(100, instance_id), endpoint.0),
+        Action::CloseIdle(endpoint) | Action::AvoidIdle(endpoint) => {
+            put_endpoint(writer.record(100, instance_id), endpoint.0)
+        }
         Action::Subscribe => writer.record(110, instance_id).put_u8(1),
         // The simulator does not keep a dispatcher's state beyond its end.
         Action::RecordOutage { .. } => {}
--- a/crates/node/src/actions.rs
+++ b/crates/node/src/actions.rs
@@ -205,6 +205,8 @@
             Action::CloseIdle(endpoint) => {
                 node.pool.close_idle(*endpoint);
             }
+            // An unsafe message always gets a new connection.
+            Action::AvoidIdle(_) => {}
             Action::Subscribe => node.resubscribe.notify_one(),
             Action::RecordOutage { destination, ongoing } => {
                 node.fleet.set_unavailable(node, destination.0, *ongoing);
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -388,12 +388,12 @@
     }
 }
 
-/// Takes an idle connection. If a new one is needed instead, closes one to make room at the endpoint.
+/// Takes an idle connection. If a new one is needed instead, closes a spare one to make room at the endpoint.
 fn checkout(
     node: &Node, endpoint: EndpointId, address: SocketAddr, needs_new_connection: bool,
 ) -> Option<Connection> {
     if needs_new_connection {
-        node.pool.close_longest_idle(endpoint);
+        node.pool.close_spare(endpoint);
         return None;
     }
     node.pool.checkout(endpoint, address, idle_reuse_limit(node))
--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -63,10 +63,10 @@
         idle.collect()
     }
 
-    /// Closes the connection to an endpoint that has been idle for the longest time.
-    pub fn close_longest_idle(&self, endpoint: EndpointId) {
+    /// Closes the connection to an endpoint that has been idle for the longest time, unless it is the only one.
+    pub fn close_spare(&self, endpoint: EndpointId) {
         let mut idle = self.idle.borrow_mut();
-        if let Some(connections) = idle.get_mut(&endpoint).filter(|connections| !connections.is_empty()) {
+        if let Some(connections) = idle.get_mut(&endpoint).filter(|connections| connections.len() > 1) {
             connections.remove(0);
         }
     }
--- a/crates/waydoor/src/interface.rs
+++ b/crates/waydoor/src/interface.rs
@@ -535,4 +535,7 @@
     /// Write a line to the log.
     #[serde(rename = "Note")]
     Log(String),
+    /// The next call to the endpoint carries an unsafe message, and must not use a connection that has been idle. Hosts
+    /// that send unsafe messages on new connections alone have nothing to do.
+    AvoidIdle(EndpointId),
 }
--- a/crates/waydoor/src/policy/attempts.rs
+++ b/crates/waydoor/src/policy/attempts.rs
@@ -182,7 +182,7 @@
             }
         }
         if carries_unsafe && connection_idle > MAX_IDLE_FOR_UNSAFE_SECONDS {
-            actions.push(Action::CloseIdle(endpoint));
+            actions.push(Action::AvoidIdle(endpoint));
             connection_idle = 0.0;
         }
         self.next_silence_check_at = self.next_silence_check_at.min(now + silence_limit);
