--- a/crates/fawnspoke/tests/sockets/machine_faults.rs
+++ b/crates/fawnspoke/tests/sockets/machine_faults.rs
@@ -235,6 +235,10 @@
     assert!(status.unwrap().success());
 }
 
+/// Longest time for which a call here awaits its response, so that a late copy may be one: eight times the default
+/// latency, and the interval of the checks.
+const LONGEST_PROOF: Duration = Duration::from_millis(2600);
+
 /// The state directory rejects writes while messages are queued; their endpoint becomes available before the fault ends.
 fn deliver_queued_messages_while_writes_fail(error: i32) {
     let platform = Platform::start();
@@ -256,14 +260,15 @@
     assert!(platform.notices().is_empty());
     assert_eq!(dispatcher.submit("safe", "after", 7), 202);
     eventually("the last call", || endpoint.message_ids().contains(&"after".to_string()));
-    // The next process doesn't send the ended messages again.
+    // The next process doesn't send the ended messages again, once the deliveries on reused connections are proven.
+    thread::sleep(LONGEST_PROOF);
     eventually("a write to the journal", || dispatcher.submit("unsafe", "m2", 7) == 202);
     dispatcher.kill();
     dispatcher.config["known"]["hosts"] = serde_json::json!([endpoint.list_entry("e", 7, "up")]);
     dispatcher.start();
     assert_eq!(dispatcher.submit("safe", "later", 7), 202);
     eventually("the new call", || endpoint.message_ids().contains(&"later".to_string()));
-    assert_eq!(endpoint.requests().len(), ids.len() + 2);
+    assert_eq!(endpoint.requests().len(), ids.len() + 2, "{:?}", endpoint.message_ids());
 }
 
 #[test]
--- a/crates/fawnspoke/tests/sockets/misplaced_responses.rs
+++ b/crates/fawnspoke/tests/sockets/misplaced_responses.rs
@@ -27,7 +27,7 @@
 fn misplaced(request: &Request, first: &str, own: &str) -> Script {
     let script = Script::respond(own).after(OWN_RESPONSE_DELAY);
     let is_first = request.index_on_connection == 0;
-    if is_first { script } else { script.with_extra(Extra { delay: Duration::ZERO, bytes: first.into() }) }
+    if is_first { script } else { script.with_extra(Extra::new(Duration::ZERO, first)) }
 }
 
 /// Submits a message once an earlier one has had its response.
--- a/crates/fawnspoke/tests/sockets/misplaced_responses/endpoint.rs
+++ b/crates/fawnspoke/tests/sockets/misplaced_responses/endpoint.rs
@@ -1,23 +1,31 @@
 //! A stand-in for an endpoint or the platform that writes responses at any time, also such that no request asked for.
 
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// How often a waiting connection is checked for its end.
+/// How often a connection is checked for its end while a response is due.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(2);
 /// Tolerance of time limits because of that interval and the sockets' latency.
 const TOLERANCE: Duration = Duration::from_millis(50);
 /// Calls that start within this time after a Retry-After was written may have been under way already.
 const RETRY_AFTER_GRACE: Duration = Duration::from_millis(100);
 
-/// Bytes that are written some time after an event.
+/// Bytes that are written some time after an event, at once or in two parts with nothing between them.
 #[derive(Clone)]
 pub struct Extra {
     pub delay: Duration,
     pub bytes: Vec<u8>,
+    /// What follows, and how much later.
+    pub rest: Option<(Duration, Vec<u8>)>,
+}
+
+impl Extra {
+    pub fn new(delay: Duration, bytes: impl Into<Vec<u8>>) -> Extra {
+        Extra { delay, bytes: bytes.into(), rest: None }
+    }
 }
 
 /// What an endpoint does with a request.
@@ -76,6 +84,9 @@
 #[derive(Clone, Debug)]
 pub struct Call {
     pub id: String,
+    /// The endpoint's address, and the port of the connection's other end.
+    pub address: SocketAddr,
+    pub connection: u16,
     pub body: String,
     pub received_at: Instant,
     /// The status of its own response.
@@ -110,6 +121,22 @@
     fn calls(&self) -> MutexGuard<'_, Vec<Call>> {
         self.calls.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Adds a call and returns its number.
+    fn add(&self, call: Call) -> usize {
+        let mut calls = self.calls();
+        calls.push(call);
+        calls.len() - 1
+    }
+
+    /// Records the status and wait of a call's own response.
+    fn set_status(&self, index: usize, response: &[u8]) {
+        let text = String::from_utf8_lossy(response).into_owned();
+        let call = &mut self.calls()[index];
+        call.status = text.get(9..12).and_then(|status| status.parse().ok()).unwrap_or(0);
+        let seconds = header(&text, "retry-after").and_then(|seconds| seconds.parse().ok());
+        call.retry_after = seconds.map(Duration::from_secs_f64);
+    }
 }
 
 /// The stand-in. It runs until the test process ends.
@@ -219,75 +246,99 @@
     let writer = writer.clone();
     thread::spawn(move || {
         thread::sleep(extra.delay);
+        // Held between the parts as well: no other response comes between them.
         let mut stream = writer.lock().unwrap_or_else(PoisonError::into_inner);
         // The dispatcher may have closed the connection.
         let _ = stream.write_all(&extra.bytes);
+        if let Some((delay, rest)) = extra.rest {
+            thread::sleep(delay);
+            let _ = stream.write_all(&rest);
+        }
     });
 }
 
-/// Waits until `until` or the end of the connection; returns whether it ended.
-fn wait(stream: &TcpStream, until: Instant) -> bool {
-    loop {
-        match stream.peek(&mut [0]) {
-            Ok(0) => return true,
-            Err(error) if !matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
-                return true;
-            }
-            // The read timeout of the socket has passed.
-            _ if Instant::now() >= until => return false,
-            _ => {}
+/// What the reading thread of a connection tells the one that responds.
+struct Connection {
+    /// When the dispatcher was found to have closed it.
+    closed_at: Mutex<Option<Instant>>,
+}
+
+impl Connection {
+    fn closed_at(&self) -> Option<Instant> {
+        *self.closed_at.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits until `until` or the end of the connection, and returns when it ended.
+    fn wait(&self, until: Instant) -> Option<Instant> {
+        while self.closed_at().is_none() && Instant::now() < until {
+            thread::sleep(CLOSE_CHECK_INTERVAL.min(until.saturating_duration_since(Instant::now())));
         }
+        self.closed_at()
     }
 }
 
-fn serve(shared: &Shared, mut stream: TcpStream) {
+/// Reads requests as they arrive, and responds to them one after the other on another thread.
+fn serve(shared: &Arc<Shared>, mut stream: TcpStream) {
     let _ = stream.set_nodelay(true);
-    let Ok(()) = stream.set_read_timeout(Some(CLOSE_CHECK_INTERVAL)) else { return };
+    let (Ok(address), Ok(peer)) = (stream.local_addr(), stream.peer_addr()) else { return };
     let Ok(writer) = stream.try_clone().map(Mutex::new).map(Arc::new) else { return };
+    let connection = Arc::new(Connection { closed_at: Mutex::default() });
+    let (requests, received) = mpsc::channel();
+    let (responder, responding) = (shared.clone(), connection.clone());
+    thread::spawn(move || {
+        for (index, script) in received {
+            if !respond(&responder, &responding, &writer, index, script) {
+                break;
+            }
+        }
+        let stream = writer.lock().unwrap_or_else(PoisonError::into_inner);
+        let _ = stream.shutdown(Shutdown::Both);
+    });
     let (mut buffer, mut index_on_connection) = (Vec::new(), 0);
     while let Some((head, body)) = read_request(&mut stream, &mut buffer) {
-        let received_at = Instant::now();
         let id = header(&head, "request-id").unwrap_or_default().to_string();
         let path = head.split(' ').nth(1).unwrap_or_default().to_string();
-        let index = {
-            let mut calls = shared.calls();
-            let (status, retry_after) = (0, None);
-            let (answered_at, abandoned_at) = (None, None);
-            calls.push(Call {
-                id: id.clone(),
-                body,
-                received_at,
-                status,
-                retry_after,
-                answered_at,
-                abandoned_at,
-            });
-            calls.len() - 1
+        let call = Call {
+            id: id.clone(),
+            address,
+            connection: peer.port(),
+            body,
+            received_at: Instant::now(),
+            status: 0,
+            retry_after: None,
+            answered_at: None,
+            abandoned_at: None,
         };
+        let index = shared.add(call);
         let script = (shared.decide)(&Request { index, index_on_connection, path, id });
         index_on_connection += 1;
-        let Some(response) = script.response else {
-            shared.calls()[index].answered_at = Some(Instant::now());
-            return;
-        };
-        let text = String::from_utf8_lossy(&response).into_owned();
-        {
-            let call = &mut shared.calls()[index];
-            call.status = text.get(9..12).and_then(|status| status.parse().ok()).unwrap_or(0);
-            let seconds = header(&text, "retry-after").and_then(|seconds| seconds.parse().ok());
-            call.retry_after = seconds.map(Duration::from_secs_f64);
-        }
-        script.before.into_iter().for_each(|extra| write_later(&writer, extra));
-        if wait(&stream, received_at + script.delay) {
-            shared.calls()[index].abandoned_at = Some(Instant::now());
-            return;
-        }
-        let written = writer.lock().unwrap_or_else(PoisonError::into_inner).write_all(&response);
-        if written.is_err() {
-            shared.calls()[index].abandoned_at = Some(Instant::now());
-            return;
+        shared.set_status(index, script.response.as_deref().unwrap_or_default());
+        if requests.send((index, script)).is_err() {
+            break;
         }
+    }
+    *connection.closed_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+}
+
+/// Carries out a script; returns whether the connection goes on.
+fn respond(
+    shared: &Shared, connection: &Connection, writer: &Arc<Mutex<TcpStream>>, index: usize, script: Script,
+) -> bool {
+    let Some(response) = script.response else {
         shared.calls()[index].answered_at = Some(Instant::now());
-        script.behind.into_iter().for_each(|extra| write_later(&writer, extra));
+        return false;
+    };
+    script.before.into_iter().for_each(|extra| write_later(writer, extra));
+    if let Some(closed_at) = connection.wait(Instant::now() + script.delay) {
+        shared.calls()[index].abandoned_at = Some(closed_at);
+        return true;
+    }
+    let written = writer.lock().unwrap_or_else(PoisonError::into_inner).write_all(&response);
+    let now = Instant::now();
+    match written {
+        Ok(()) => shared.calls()[index].answered_at = Some(now),
+        Err(_) => shared.calls()[index].abandoned_at = Some(connection.closed_at().unwrap_or(now)),
     }
+    script.behind.into_iter().for_each(|extra| write_later(writer, extra));
+    true
 }
--- a/crates/fawnspoke/tests/sockets/misplaced_responses/soak.rs
+++ b/crates/fawnspoke/tests/sockets/misplaced_responses/soak.rs
@@ -24,6 +24,7 @@
 const MAX_DISTANCE: Duration = Duration::from_secs(2);
 /// Share of the responses that others follow, in percent.
 const MISPLACED_PERCENT: u32 = 60;
+const MAX_NOTICE_RETRY_TIME: Duration = Duration::from_secs(20);
 const PROCESS_RUNS: usize = 2;
 const RUN_TIME: Duration = Duration::from_secs(4);
 
@@ -42,15 +43,15 @@
 /// What follows a response, given it and the one before it from the same endpoint.
 fn misplaced(rng: &mut fastrand::Rng, own: &[u8], earlier: &[u8]) -> Vec<Extra> {
     let delay = random_distance(rng);
-    let extra = |bytes: &[u8]| Extra { delay, bytes: bytes.into() };
+    let extra = |bytes: &[u8]| Extra::new(delay, bytes);
     match rng.u32(..8) {
         0..3 => vec![extra(own)],
         3 => vec![extra(earlier)],
-        4 => vec![extra(own), Extra { delay: delay * 2, bytes: own.into() }],
+        4 => vec![extra(own), Extra::new(delay * 2, own)],
         5 => vec![extra(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")],
         6 => {
             let (first, rest) = own.split_at(own.len() / 2);
-            vec![Extra { delay: Duration::ZERO, bytes: first.into() }, extra(rest)]
+            vec![Extra { rest: Some((delay, rest.into())), ..Extra::new(Duration::ZERO, first) }]
         }
         _ => vec![extra(b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")],
     }
@@ -190,6 +191,46 @@
     violations
 }
 
+/// Writes what a failed run observed, for its analysis.
+fn write_trace(
+    seed: u64, violations: &[String], dispatcher: &Dispatcher, endpoints: &[Endpoint], platform: &Endpoint,
+) {
+    let mut lines = violations.to_vec();
+    let calls: Vec<Call> = endpoints.iter().flat_map(Endpoint::all_calls).collect();
+    let begin = calls.iter().map(|call| call.received_at).min().unwrap_or_else(Instant::now);
+    let seconds = |at: Option<Instant>| {
+        at.map_or("-".into(), |at| format!("{:.3}", at.saturating_duration_since(begin).as_secs_f64()))
+    };
+    lines.extend(calls.iter().map(|call| {
+        format!(
+            "{} {} {} connection {} status {} answered {} abandoned {} wait {:?}",
+            seconds(Some(call.received_at)),
+            call.address,
+            call.id,
+            call.connection,
+            call.status,
+            seconds(call.answered_at),
+            seconds(call.abandoned_at),
+            call.retry_after
+        )
+    }));
+    let notices = platform.all_calls().into_iter().filter(|notice| !notice.body.is_empty());
+    lines.extend(notices.map(|notice| {
+        let answered_at = seconds(notice.answered_at);
+        format!(
+            "{} notice {} answered {answered_at}: {}",
+            seconds(Some(notice.received_at)),
+            notice.status,
+            notice.body
+        )
+    }));
+    lines.extend(dispatcher.log());
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("misplaced-{seed}.log"));
+    // The trace is only an aid: the violations are reported in any case.
+    let _ = std::fs::write(&path, lines.join("\n"));
+    println!("seed {seed}: trace in {}", path.display());
+}
+
 /// What a seed found.
 struct RunResult {
     accepted: usize,
@@ -234,6 +275,8 @@
         drop(crowd);
         if run + 1 < PROCESS_RUNS {
             let killed_at = end_process(&mut dispatcher, &alive, &mut rng);
+            // The process that it took over from may still run, and restarts now.
+            restarts.push(killed_at);
             thread::sleep(START_AFTER_KILL.saturating_sub(killed_at.elapsed()));
             restarts.push(Instant::now());
             dispatcher.start();
@@ -244,8 +287,17 @@
     let accepted = std::mem::take(&mut *accepted.lock().unwrap());
     let last_deadline = accepted.iter().map(|message| message.expires).max().unwrap_or_else(Instant::now);
     thread::sleep((last_deadline + NOTICE_GRACE).saturating_duration_since(Instant::now()).max(READY_GRACE));
-    let violations = audit(&accepted, &endpoints, &platform, &restarts);
+    // This platform rejects some notices, each of which is repeated after the dispatcher's backoff.
+    let rejected_until = Instant::now() + MAX_NOTICE_RETRY_TIME;
+    let mut violations = audit(&accepted, &endpoints, &platform, &restarts);
+    while violations.iter().any(|violation| violation.contains("lost")) && Instant::now() < rejected_until {
+        thread::sleep(Duration::from_millis(500));
+        violations = audit(&accepted, &endpoints, &platform, &restarts);
+    }
     let calls = endpoints.iter().map(|endpoint| endpoint.all_calls().len()).sum();
+    if !violations.is_empty() {
+        write_trace(seed, &violations, &dispatcher, &endpoints, &platform);
+    }
     RunResult { accepted: accepted.len(), calls, violations }
 }
 
--- a/crates/node/src/actions.rs
+++ b/crates/node/src/actions.rs
@@ -6,7 +6,7 @@
 use crate::event_loop::Input;
 use crate::serving::Phase;
 use crate::transfer::{Completion, Transfer};
-use crate::{Node, log};
+use crate::{Node, log, unproven};
 use fawnspoke_control::metrics::CountedOutcome;
 use fawnspoke_journal::Notice;
 use std::collections::BTreeMap;
@@ -20,16 +20,20 @@
     for end in end.message_ends.iter().filter(|end| end.outcome == Outcome::Served) {
         node.count_message_end(end.number, CountedOutcome::Fulfilled);
     }
-    {
-        let mut journal = node.journal.borrow_mut();
-        for end in &end.message_ends {
-            node.observe_journal_write(match end.settled {
-                true => journal.close(end.number),
-                // Its start was not journaled, so the call never began.
-                false if journal.get(end.number).is_none_or(|entry| entry.in_flight.is_none()) => continue,
-                false => journal.attempt_ended(end.number, end.may_have_run()),
-            });
+    for message_end in &end.message_ends {
+        if message_end.is_unproven_delivery() {
+            unproven::add(node, message_end.number, end.monitor.as_ref());
+            continue;
         }
+        let mut journal = node.journal.borrow_mut();
+        let has_begun = journal.get(message_end.number).is_some_and(|entry| entry.in_flight.is_some());
+        let written = match message_end.settled {
+            true => journal.close(message_end.number),
+            false if has_begun => journal.attempt_ended(message_end.number, message_end.may_have_run()),
+            false => continue,
+        };
+        drop(journal);
+        node.observe_journal_write(written);
     }
     node.traffic.record_call_end(destination, &end);
     node.fleet.report_outcomes(destination, end.message_ends.iter().map(|end| end.outcome));
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -4,7 +4,7 @@
 //! the outcome for each message. Above all the outcome says whether the message may have run at the endpoint, since
 //! that decides whether it may be sent again.
 
-use crate::connection::{self, Connection, RESPONSE_COMPLETION_TIMEOUT};
+use crate::connection::{self, Connection, RESPONSE_COMPLETION_TIMEOUT, ResponseMonitor};
 use crate::connection_pool::idle_reuse_limit;
 use crate::serving::Phase;
 use crate::{Node, log};
@@ -17,6 +17,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 use waydoor::{EndpointId, Event, MessageId, Outcome, RateLimitReport, Seconds};
@@ -70,6 +71,11 @@
         MessageEnd { number, attempt, outcome, settled: false, unproven: false }
     }
 
+    /// Whether the message was delivered, unless the response belongs to an earlier request.
+    pub fn is_unproven_delivery(&self) -> bool {
+        self.outcome == Outcome::Served && !self.settled
+    }
+
     /// Whether the message may have run.
     pub fn may_have_run(&self) -> bool {
         self.unproven || !self.outcome.never_ran()
@@ -87,6 +93,9 @@
     pub connection_reused: bool,
     /// The connection went back to the pool.
     pub connection_kept: bool,
+    /// The connection, if the request was sent by this process.
+    #[serde(skip)]
+    pub monitor: Option<Rc<ResponseMonitor>>,
 }
 
 impl CallEnd {
@@ -105,6 +114,7 @@
             rate_limit_report: None,
             connection_reused,
             connection_kept: false,
+            monitor: None,
         }
     }
 }
@@ -116,6 +126,8 @@
     connection_reused: bool,
     /// The request was not sent, and its connection went back to the pool.
     connection_kept: bool,
+    /// The connection on which the request was sent.
+    monitor: Option<Rc<ResponseMonitor>>,
 }
 
 /// Makes a call and waits for its end.
@@ -152,28 +164,37 @@
     let response = match response {
         Ok(response) => response,
         Err(outcome) => {
-            let PoolUse { connection_reused, connection_kept } = pool_use;
+            let PoolUse { connection_reused, connection_kept, .. } = pool_use;
             return CallEnd {
                 connection_kept,
                 ..CallEnd::without_report(end_all(outcome, false), connection_reused)
             };
         }
     };
+    let (is_first, monitor) = (!pool_use.connection_reused, pool_use.monitor);
     let Some(body) = &response.body else {
         // Of a malformed response only a status line with 200 counts, and only for a single message: for a batch the
         // status line says nothing about its messages.
         let is_delivered = response.status == StatusCode::OK && messages.len() == 1;
-        let message_ends =
-            end_all(if is_delivered { Outcome::Served } else { Outcome::MalformedResponse }, is_delivered);
+        let outcome = if is_delivered { Outcome::Served } else { Outcome::MalformedResponse };
+        let message_ends = end_all(outcome, is_delivered && is_first);
         // Retry-After counts from when it was sent; honouring one that was not meant only delays messages.
         return CallEnd {
             retry_after: parse_retry_after(&response.headers),
+            monitor,
             ..CallEnd::without_report(message_ends, pool_use.connection_reused)
         };
     };
     let mut message_ends = match response.status {
-        StatusCode::OK if messages.len() > 1 => parse_batch_response(messages, body),
-        StatusCode::OK => end_all(Outcome::Served, true),
+        StatusCode::OK if messages.len() > 1 => {
+            let (ends, are_all_named) = parse_batch_response(messages, body);
+            if let Some(monitor) = monitor.iter().find(|_| !are_all_named) {
+                monitor.pairing.borrow_mut().mark_foreign();
+            }
+            ends
+        }
+        // A 200 names its messages for a batch only.
+        StatusCode::OK => end_all(Outcome::Served, is_first),
         StatusCode::SERVICE_UNAVAILABLE
             if response.headers.get("X-Line-Busy").is_some_and(|value| value == "1") =>
         {
@@ -197,7 +218,7 @@
             end_all(Outcome::Error, false)
         }
     };
-    if pool_use.connection_reused && response.status != StatusCode::OK {
+    if !is_first && response.status != StatusCode::OK {
         for end in &mut message_ends {
             (end.settled, end.unproven) = (false, true);
         }
@@ -210,6 +231,7 @@
         rate_limit_report,
         connection_reused: pool_use.connection_reused,
         connection_kept: response.connection_kept,
+        monitor,
     }
 }
 
@@ -306,15 +328,19 @@
         };
         match timeout_at(deadline, conn.sender.ready()).await {
             Ok(Ok(())) => {}
-            _ if pool_use.connection_reused => continue,
+            _ if pool_use.connection_reused => {
+                node.pool.retire(conn);
+                continue;
+            }
             _ => return Err(Outcome::ConnectFailed),
         }
         // A response that precedes its request can't belong to it.
         if !conn.is_reusable() {
-            match pool_use.connection_reused {
-                true => continue,
-                false => return Err(Outcome::ConnectFailed),
+            if !pool_use.connection_reused {
+                return Err(Outcome::ConnectFailed);
             }
+            node.pool.retire(conn);
+            continue;
         }
         // Connecting takes time. Meanwhile the endpoint may have begun draining or left the list, or this process may
         // have begun a handover.
@@ -333,7 +359,8 @@
             return Err(outcome);
         }
         let sent_at = Instant::now();
-        conn.monitor.begin_request();
+        conn.monitor.begin_request(deadline);
+        pool_use.monitor = Some(conn.monitor.clone());
         conn.monitor.relay_count.replace((!ids.is_empty()).then(|| (node.metrics.clone(), ids.len() as u64)));
         let monitor = conn.monitor.clone();
         let mut sending = pin!(conn.sender.try_send_request(request));
@@ -355,6 +382,7 @@
                 // The peer closed a pooled connection before a byte was written, so sending again is no repeat.
                 Some(unsent) if pool_use.connection_reused => {
                     conn.monitor.cancel_request();
+                    node.pool.retire(conn);
                     request = unsent;
                     continue;
                 }
@@ -392,6 +420,10 @@
 fn checkout(
     node: &Node, endpoint: EndpointId, address: SocketAddr, needs_new_connection: bool,
 ) -> Option<Connection> {
+    if !node.pool.is_trusted(endpoint) {
+        node.pool.close_idle(endpoint);
+        return None;
+    }
     if needs_new_connection {
         node.pool.close_spare(endpoint);
         return None;
@@ -459,10 +491,12 @@
     head("/receive-many").body(Full::new(body.into()))
 }
 
-/// Parses the body of a batch response. A message that the body does not name may have run.
-fn parse_batch_response(messages: &[CallMessage], body: &[u8]) -> Vec<MessageEnd> {
+/// Parses the body of a batch response; returns also whether it names all messages. One that it does not name may have
+/// run.
+fn parse_batch_response(messages: &[CallMessage], body: &[u8]) -> (Vec<MessageEnd>, bool) {
     let text = String::from_utf8_lossy(body);
     let results: HashMap<&str, &str> = text.lines().filter_map(|line| line.trim().split_once(' ')).collect();
+    let are_all_named = messages.iter().all(|message| results.contains_key(&*message.content.id));
     let end = |message: &CallMessage| {
         let (outcome, settled) = match results.get(&*message.content.id).map(|result| result.trim()) {
             Some("delivered") => (Outcome::Served, true),
@@ -482,7 +516,7 @@
         Outcome::Overloaded => 3,
         _ => 2,
     });
-    ends
+    (ends, are_all_named)
 }
 
 /// The Retry-After of a response, in seconds.
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -4,8 +4,8 @@
 
 use crate::event_loop::Input;
 use crate::log;
-use crate::pairing::{ResponseHead, ResponsePairing};
-use crate::stream::{HeadScanner, SharedStream, Unread};
+use crate::pairing::{ResponseHead, ResponsePairing, SocketState};
+use crate::stream::{HeadScanner, SharedStream, Unread, WeakStream};
 use fawnspoke_control::metrics::Metrics;
 use http_body_util::Full;
 use hyper::StatusCode;
@@ -20,7 +20,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
@@ -30,6 +30,8 @@
 
 /// Most bytes of the head of a response.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Bytes that are read at a time once hyper reads no more.
+const READ_BUFFER_BYTES: usize = 4096;
 /// Most header lines of a response.
 const MAX_HEADERS: usize = 64;
 /// Time from the first byte of a response to its last. Without this limit a response that stalls midway would occupy
@@ -76,10 +78,9 @@
 pub struct ResponseMonitor {
     /// None for a connection to discovery.
     endpoint: Option<EndpointConnection>,
-    /// Another process opened the connection, and may have used it.
-    is_adopted: bool,
-    /// Counts all requests and responses of the connection.
-    pairing: RefCell<ResponsePairing>,
+    stream: WeakStream,
+    /// Pairs all requests and responses of the connection.
+    pub pairing: RefCell<ResponsePairing>,
     pub head: RefCell<HeadScanner>,
     /// When the first byte of the response arrived; preceding 1xx responses do not count.
     pub first_byte_at: Cell<Option<Instant>>,
@@ -96,10 +97,16 @@
     pub relay_count: RefCell<Option<(Arc<Metrics>, u64)>>,
 }
 
+impl std::fmt::Debug for ResponseMonitor {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(&self.describe())
+    }
+}
+
 impl ResponseMonitor {
-    /// Prepares for a request that is about to be sent.
-    pub fn begin_request(&self) {
-        self.pairing.borrow_mut().request_sent();
+    /// Prepares for a request that is about to be sent, and whose response is awaited until `due_at`.
+    pub fn begin_request(&self, due_at: Instant) {
+        self.pairing.borrow_mut().request_sent(due_at.into_std());
         self.head.take();
         self.first_byte_at.set(None);
         self.write_failed.set(false);
@@ -113,12 +120,39 @@
 
     /// Whether the last request was the first one on the connection: its response can be no copy of an earlier one.
     pub fn is_first_request(&self) -> bool {
-        !self.is_adopted && self.pairing.borrow().requests() == 1
+        self.pairing.borrow().is_first_request()
+    }
+
+    /// Whether a delivery on the connection is unproven.
+    pub fn has_unproven(&self) -> bool {
+        self.pairing.borrow().has_unproven()
+    }
+
+    /// What the socket of the connection shows.
+    pub fn socket_state(&self) -> SocketState {
+        match self.stream.unread() {
+            Unread::Nothing => SocketState::Silent,
+            Unread::Bytes => SocketState::HasUnread,
+            Unread::Closed => SocketState::Closed,
+        }
+    }
+
+    /// A text that names the connection in the log.
+    pub fn describe(&self) -> String {
+        self.endpoint.as_ref().map_or_else(
+            || "connection to discovery".into(),
+            |endpoint| format!("connection {} to {}", endpoint.number, endpoint.address),
+        )
     }
 
-    /// Whether more responses than requests have started.
-    fn has_surplus(&self) -> bool {
-        self.pairing.borrow().has_surplus()
+    /// The connection's endpoint.
+    pub fn endpoint_id(&self) -> Option<EndpointId> {
+        self.endpoint.as_ref().map(|endpoint| endpoint.endpoint)
+    }
+
+    /// The destination of the connection's endpoint.
+    pub fn destination(&self) -> u32 {
+        self.endpoint.as_ref().map_or(0, |endpoint| endpoint.destination)
     }
 
     /// Counts the messages of the request as relayed. hyper flushes once it has nothing more to write, so the whole
@@ -232,12 +266,19 @@
     pub fn is_reusable(&self) -> bool {
         let unread = self.stream.unread();
         if unread == Unread::Bytes {
-            log::info_limited(format_args!(
-                "connection to {}: bytes beyond its responses; closing it",
-                self.address
-            ));
+            let description = self.monitor.describe();
+            log::info_limited(format_args!("{description}: bytes beyond its responses; closing it"));
         }
-        !self.sender.is_closed() && !self.monitor.has_surplus() && unread == Unread::Nothing
+        !self.sender.is_closed()
+            && !self.monitor.pairing.borrow().is_desynchronised()
+            && unread == Unread::Nothing
+    }
+}
+
+impl Connection {
+    /// Whether no request may follow until the deliveries on the connection are proven.
+    pub fn is_resting(&self, now: Instant) -> bool {
+        self.monitor.pairing.borrow().is_resting(now.into_std())
     }
 }
 
@@ -249,31 +290,46 @@
 
 /// Opens a connection. `endpoint`: None for one to discovery.
 pub async fn connect(address: SocketAddr, endpoint: Option<EndpointConnection>) -> io::Result<Connection> {
-    let monitor = ResponseMonitor { endpoint, ..ResponseMonitor::default() };
-    wrap_stream(TcpStream::connect(address).await?, address, Instant::now(), monitor).await
+    let stream = TcpStream::connect(address).await?;
+    wrap_stream(stream, address, Instant::now(), endpoint, ResponsePairing::default()).await
 }
 
 /// Makes a [`Connection`] of a stream that another process opened and that has been idle since `idle_since`.
 pub async fn adopt(
     stream: TcpStream, address: SocketAddr, idle_since: Instant, endpoint: EndpointConnection,
 ) -> io::Result<Connection> {
-    let monitor =
-        ResponseMonitor { endpoint: Some(endpoint), is_adopted: true, ..ResponseMonitor::default() };
-    wrap_stream(stream, address, idle_since, monitor).await
+    wrap_stream(stream, address, idle_since, Some(endpoint), ResponsePairing::adopted()).await
+}
+
+/// Observes what still arrives once hyper reads no more: it stops at the first byte that belongs to no request, and the
+/// responses to earlier requests may follow.
+async fn observe_rest(mut stream: SharedStream, monitor: &ResponseMonitor) {
+    let mut buffer = [0; READ_BUFFER_BYTES];
+    while let Ok(length @ 1..) = stream.read(&mut buffer).await {
+        monitor.observe(&buffer[..length]);
+    }
 }
 
 async fn wrap_stream(
-    stream: TcpStream, address: SocketAddr, idle_since: Instant, monitor: ResponseMonitor,
+    stream: TcpStream, address: SocketAddr, idle_since: Instant, endpoint: Option<EndpointConnection>,
+    pairing: ResponsePairing,
 ) -> io::Result<Connection> {
     let stream = SharedStream::new(stream)?;
-    let monitor = Rc::new(monitor);
+    let monitor = Rc::new(ResponseMonitor {
+        endpoint,
+        stream: stream.downgrade(),
+        pairing: RefCell::new(pairing),
+        ..ResponseMonitor::default()
+    });
     let monitored = MonitoredStream { stream: stream.clone(), monitor: monitor.clone() };
     let mut builder = Builder::new();
     builder.max_buf_size(MAX_HEAD_BYTES).max_headers(MAX_HEADERS);
     let (sender, http) = builder.handshake(TokioIo::new(monitored)).await.map_err(io::Error::other)?;
-    let driver = spawn_local(async {
+    let (rest, rest_monitor) = (stream.clone(), monitor.clone());
+    let driver = spawn_local(async move {
         // The sender reports the end of the connection.
         let _ = http.await;
+        observe_rest(rest, &rest_monitor).await;
     });
     Ok(Connection { sender, address, stream, monitor, driver: driver.abort_handle(), idle_since })
 }
@@ -304,7 +360,7 @@
         // The write reports the error that the socket holds.
         monitored.write_all(b"second").await.unwrap_err();
         assert!(monitor.write_failed.get());
-        monitor.begin_request();
+        monitor.begin_request(Instant::now());
         assert!(!monitor.write_failed.get());
     }
 }
--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -3,7 +3,7 @@
 use crate::Node;
 use crate::connection::Connection;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -12,28 +12,66 @@
 /// Fraction of the keep-alive time after which an idle connection is dropped: well before the endpoint closes it.
 const KEEP_ALIVE_FRACTION: f64 = 0.85;
 
+/// Time after a response that belonged to no request for which the endpoint's connections carry one request each.
+const DISTRUST_TIME: Duration = Duration::from_secs(60);
+/// Retired connections that are open at a time.
+const MAX_RETIRED: usize = 64;
+
 /// The idle connections by endpoint, the most recently used last. They are not keyed by address, since an address may
 /// belong to another endpoint by now.
 #[derive(Default)]
 pub struct ConnectionPool {
     idle: RefCell<BTreeMap<EndpointId, Vec<Connection>>>,
+    /// Connections that get no more requests, and are open only until their unproven deliveries are proven.
+    retired: RefCell<VecDeque<Connection>>,
+    /// Endpoints that sent a response which belonged to no request, and until when their connections carry one request
+    /// each.
+    distrusted: RefCell<BTreeMap<EndpointId, Instant>>,
 }
 
 impl ConnectionPool {
+    /// Stops the reuse of connections to an endpoint that sent a response which belonged to no request.
+    pub fn distrust(&self, endpoint: EndpointId) {
+        self.distrusted.borrow_mut().insert(endpoint, Instant::now() + DISTRUST_TIME);
+    }
+
+    /// Whether connections to an endpoint may carry more than one request.
+    pub fn is_trusted(&self, endpoint: EndpointId) -> bool {
+        self.distrusted.borrow().get(&endpoint).is_none_or(|until| Instant::now() >= *until)
+    }
+
     /// Takes the most recently used connection that is still reusable, and drops those that are not.
     pub fn checkout(
         &self, endpoint: EndpointId, address: SocketAddr, max_idle: Duration,
     ) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&endpoint)?;
-        loop {
-            let connection = connections.pop()?;
-            if connection.address == address
+        let now = Instant::now();
+        let is_usable = |connection: &Connection| {
+            connection.address == address
                 && connection.idle_since.elapsed() < max_idle
                 && connection.is_reusable()
-            {
-                return Some(connection);
-            }
+        };
+        self.retain_or_retire(connections, is_usable);
+        let index = connections.iter().rposition(|connection| !connection.is_resting(now))?;
+        Some(connections.remove(index))
+    }
+
+    fn retain_or_retire(&self, connections: &mut Vec<Connection>, is_kept: impl Fn(&Connection) -> bool) {
+        let (kept, closed): (Vec<_>, Vec<_>) = std::mem::take(connections).into_iter().partition(is_kept);
+        *connections = kept;
+        closed.into_iter().for_each(|connection| self.retire(connection));
+    }
+
+    /// Closes a connection, at once or when its unproven deliveries are proven.
+    pub fn retire(&self, connection: Connection) {
+        if !connection.monitor.has_unproven() {
+            return;
+        }
+        let mut retired = self.retired.borrow_mut();
+        retired.push_back(connection);
+        if retired.len() > MAX_RETIRED {
+            retired.pop_front();
         }
     }
 
@@ -45,7 +83,8 @@
 
     /// Keeps a connection that has been idle; false if it is not reusable.
     pub fn add_idle(&self, endpoint: EndpointId, connection: Connection) -> bool {
-        if !connection.is_reusable() {
+        if !connection.is_reusable() || !self.is_trusted(endpoint) {
+            self.retire(connection);
             return false;
         }
         self.idle.borrow_mut().entry(endpoint).or_default().push(connection);
@@ -67,13 +106,14 @@
     pub fn close_spare(&self, endpoint: EndpointId) {
         let mut idle = self.idle.borrow_mut();
         if let Some(connections) = idle.get_mut(&endpoint).filter(|connections| connections.len() > 1) {
-            connections.remove(0);
+            self.retire(connections.remove(0));
         }
     }
 
     /// Closes the idle connections to an endpoint.
     pub fn close_idle(&self, endpoint: EndpointId) {
-        self.idle.borrow_mut().remove(&endpoint);
+        let closed = self.idle.borrow_mut().remove(&endpoint).unwrap_or_default();
+        closed.into_iter().for_each(|connection| self.retire(connection));
     }
 
     /// Drops connections that have been idle since `since` or longer, after a call has failed: they are probably dead
@@ -88,16 +128,20 @@
     pub fn sweep(&self, max_idle: Duration, max_connections: usize) {
         let mut idle = self.idle.borrow_mut();
         for connections in idle.values_mut() {
-            connections
-                .retain(|connection| connection.idle_since.elapsed() < max_idle && connection.is_reusable());
+            let is_kept = |connection: &Connection| {
+                connection.idle_since.elapsed() < max_idle && connection.is_reusable()
+            };
+            self.retain_or_retire(connections, is_kept);
         }
         let total: usize = idle.values().map(Vec::len).sum();
         for _ in max_connections..total {
             let oldest = idle.values_mut().filter(|connections| !connections.is_empty());
             if let Some(connections) = oldest.min_by_key(|connections| connections[0].idle_since) {
-                connections.remove(0);
+                self.retire(connections.remove(0));
             }
         }
+        self.distrusted.borrow_mut().retain(|_, until| Instant::now() < *until);
+        self.retired.borrow_mut().retain(|connection| connection.monitor.has_unproven());
         idle.retain(|_, connections| !connections.is_empty());
     }
 }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -170,9 +170,5 @@
         listed_endpoints += 1;
         out_of_rotation += u64::from(!ready || dispatcher.is_unavailable(now, endpoint));
     }
-    Gauges {
-        pending_messages: node.journal.borrow().open_messages() as u64,
-        listed_endpoints,
-        out_of_rotation,
-    }
+    Gauges { pending_messages: node.open_messages() as u64, listed_endpoints, out_of_rotation }
 }
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -7,7 +7,8 @@
 use crate::connection::SurplusResponse;
 use crate::handover::{self, HandoverRequest, HandoverResult};
 use crate::transfer::Transfer;
-use crate::{Node, compaction, connection_pool, control, log};
+use crate::{Node, compaction, connection_pool, control, log, unproven};
+use hyper::StatusCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::Signal;
@@ -56,7 +57,14 @@
 pub fn apply_input(node: &Node, now: Seconds, input: Input) {
     let mut dispatcher = node.dispatcher.borrow_mut();
     match input {
-        Input::SurplusResponse(surplus) => record_surplus_response(node, &surplus),
+        Input::SurplusResponse(surplus) => {
+            record_surplus_response(node, &surplus);
+            // An endpoint may close an idle connection with a 408 (RFC 9110); that is no copy.
+            if surplus.head.status != Some(StatusCode::REQUEST_TIMEOUT) {
+                node.pool.distrust(surplus.endpoint);
+            }
+            node.unproven.request_check();
+        }
         Input::Event(event) => dispatcher.handle(now, event),
         Input::Accepted { number } => {
             if let Some(message) = node.journaled_message(number) {
@@ -65,8 +73,14 @@
             }
         }
         Input::CallEnded { endpoint, sent_at, end } => {
-            let CallEnd { message_ends, retry_after, rate_limit_report, connection_reused, connection_kept } =
-                end;
+            let CallEnd {
+                message_ends,
+                retry_after,
+                rate_limit_report,
+                connection_reused,
+                connection_kept,
+                ..
+            } = end;
             let latency = now - sent_at;
             for end in message_ends {
                 let calls::MessageEnd { number, attempt, outcome, settled, unproven } = end;
@@ -184,13 +198,19 @@
         if now >= traffic_logged_at + TRAFFIC_LINE_INTERVAL_SECONDS {
             traffic_logged_at = now;
             let journal = node.journal.borrow();
-            let open_messages = journal.iter().filter(|(_, entry)| entry.notice.is_none());
+            let open_messages = journal
+                .iter()
+                .filter(|(number, entry)| entry.notice.is_none() && !node.unproven.contains(*number));
             let ages = open_messages.map(|(_, entry)| {
                 (entry.message.destination, -node.to_monotonic(entry.message.accepted_at) + now)
             });
             node.traffic.take_line(now, ages).inspect(|line| log::info_limited(line));
         }
-        if now >= sweep_at {
+        let is_sweep_due = now >= sweep_at;
+        if is_sweep_due || node.unproven.take_requested_check() {
+            unproven::check(&node);
+        }
+        if is_sweep_due {
             sweep_at = now + if stop_requested_at.is_some() { 0.05 } else { 0.5 };
             node.overrides.retry_save();
             node.pool.sweep(
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -11,7 +11,7 @@
 use crate::startup::open_journal;
 use crate::stream::SharedStream;
 use crate::transfer::{Completion, Transfer};
-use crate::{Node, clients, control, log, requests};
+use crate::{Node, clients, control, log, requests, unproven};
 use fawnspoke_control::metrics::Gauges;
 use fawnspoke_control::overrides::{OverrideKey, OverrideKind};
 use fawnspoke_handover::frames::{
@@ -220,6 +220,8 @@
                         // A process that starts from the journal assumes that these calls have ended.
                         node.abort_calls().await;
                     }
+                    // Their connections may be needed no more when it is known what became of them.
+                    unproven::end_all(node);
                     node.serving_state.set_phase(Phase::HandingOver);
                     for number in node.clients.close_unacknowledged() {
                         requests::withdraw_unacknowledged(node, number);
--- a/crates/node/src/journaling.rs
+++ b/crates/node/src/journaling.rs
@@ -6,7 +6,7 @@
 use fawnspoke_control::metrics::CountedOutcome;
 use fawnspoke_journal::{AttemptStart, QuotaLevel, UNKNOWN_ZONE};
 use std::time::Instant;
-use waydoor::{DestinationId, Effect, Event, Message, MessageId, Outcome, Seconds};
+use waydoor::{DestinationId, Effect, Event, Message, MessageId, MessageProgress, Outcome, Seconds};
 
 /// Tenant index of a message whose tenant is unknown or has no quota.
 const NO_TENANT: usize = usize::MAX;
@@ -99,6 +99,19 @@
         (if key_lost { f64::NEG_INFINITY } else { self.to_monotonic(start.at) }, start.zone)
     }
 
+    /// A journaled message with what was done for it so far, in the form of the decision core.
+    pub fn message_progress(&self, number: u64) -> Option<MessageProgress> {
+        let message = self.journaled_message(number)?;
+        let journal = self.journal.borrow();
+        let entry = journal.get(number)?;
+        Some(MessageProgress {
+            message,
+            accepted_at: self.to_monotonic(entry.message.accepted_at),
+            attempts: entry.attempts,
+            may_have_run: entry.may_have_run.map(|start| self.first_attempt(message.class, start)),
+        })
+    }
+
     /// Restores messages, outages and quota levels that an earlier process journaled.
     pub fn restore_from_journal(&self) {
         let journal = self.journal.borrow();
@@ -124,18 +137,12 @@
                 at: self.to_monotonic(at),
             });
         }
-        for (number, entry) in open_messages {
+        for (number, _) in open_messages {
             // The state of the decision core that was handed over includes this message.
             if self.dispatcher.borrow().is_active(MessageId(number)) {
                 continue;
             }
-            let Some(message) = self.journaled_message(number) else { continue };
-            self.send_event(Event::Recovered {
-                message,
-                accepted_at: self.to_monotonic(entry.message.accepted_at),
-                attempts: entry.attempts,
-                may_have_run: entry.may_have_run.map(|start| self.first_attempt(message.class, start)),
-            });
+            self.message_progress(number).inspect(|progress| self.send_event(Event::Recovered(*progress)));
         }
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,6 +32,7 @@
 mod stream;
 mod traffic;
 mod transfer;
+mod unproven;
 
 use clients::ClientConnections;
 use clock::JournalClock;
@@ -77,6 +78,8 @@
     journal: RefCell<Journal>,
     directory: RefCell<Directory>,
     pool: ConnectionPool,
+    /// Deliveries that rest on a response which may belong to an earlier request.
+    unproven: unproven::UnprovenDeliveries,
     /// Connections to endpoints that were opened so far.
     opened_connections: Cell<u64>,
     traffic: traffic::TrafficCounters,
@@ -145,6 +148,11 @@
         }
     }
 
+    /// Accepted messages that have not ended.
+    fn open_messages(&self) -> usize {
+        self.journal.borrow().open_messages().saturating_sub(self.unproven.count())
+    }
+
     /// Names a new connection to an endpoint.
     fn endpoint_connection(&self, endpoint: EndpointId, address: SocketAddr) -> EndpointConnection {
         let destination = self.directory.borrow().get(endpoint).map_or(0, |listed| listed.destination);
--- a/crates/node/src/pairing.rs
+++ b/crates/node/src/pairing.rs
@@ -3,9 +3,19 @@
 //! HTTP/1.1 pairs them by order alone: one response too many, and each later one is taken for the response to the
 //! wrong request. This module counts both from the bytes of the connection, so that surplus responses are noticed
 //! whenever they arrive while no request is outstanding.
+//!
+//! The first response on a connection is that to its first request. A later 200 may be a copy of an earlier response, so
+//! a delivery that rests on it is unproven. It is proven once the connection has been silent until the latest time at
+//! which the responses to its requests are due: then each request has had its own response, and as many responses came
+//! as requests were sent. An endpoint that answers after that time could still deceive it, so where copies were seen
+//! lately, silence proves nothing.
 
 use hyper::StatusCode;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+/// For this long after its first unproven delivery a connection may carry more requests. It then rests until the
+/// deliveries are proven.
+const MAX_UNPROVEN_TIME: Duration = Duration::from_secs(4);
 
 /// Maximum number of bytes kept of a line of a head; longer header values are of no interest here.
 const MAX_LINE_BYTES: usize = 256;
@@ -144,17 +154,57 @@
     StatusCode::from_bytes(code.get(..3)?).ok()
 }
 
-/// Counts the requests and responses of one connection.
+/// What became of unproven deliveries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Conclusion {
+    /// The responses were those to the requests.
+    Delivered,
+    /// A response belonged to no request, and not all of them were alike: any of the messages may have been rejected.
+    Mismatched,
+    /// The connection has ended before it could be told.
+    Unknown,
+}
+
+/// What the socket of a connection shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SocketState {
+    /// Nothing is unread.
+    Silent,
+    HasUnread,
+    Closed,
+}
+
+/// Pairs the requests and responses of one connection.
 #[derive(Debug, Default)]
 pub struct ResponsePairing {
     scanner: ResponseScanner,
+    /// Another process opened the connection, and may have used it.
+    is_adopted: bool,
     requests: u64,
+    /// The latest time at which the response to a request behind the first one is due.
+    responses_due_at: Option<Instant>,
+    /// Messages whose delivery is unproven, by their numbers in the journal, and since when there are any.
+    unproven: Vec<u64>,
+    unproven_since: Option<Instant>,
+    /// A response since the last proof that may be a copy had another status than 200.
+    has_other_status: bool,
+    /// A response named other messages than those of its request.
+    is_foreign: bool,
 }
 
 impl ResponsePairing {
-    /// Notes that a request is about to be written.
-    pub fn request_sent(&mut self) {
+    /// The pairing of a connection that another process has opened.
+    pub fn adopted() -> ResponsePairing {
+        ResponsePairing { is_adopted: true, ..ResponsePairing::default() }
+    }
+
+    /// Notes that a request is about to be written, whose response is awaited until `due_at`.
+    pub fn request_sent(&mut self, due_at: Instant) {
         self.requests += 1;
+        // The first response is certain, however long it is awaited.
+        if !self.is_first_request() {
+            self.responses_due_at = self.responses_due_at.max(Some(due_at));
+        }
     }
 
     /// Takes back the last request: no byte of it was written.
@@ -165,14 +215,17 @@
     /// Takes bytes that were read and returns the heads of responses that belong to no request.
     pub fn observe(&mut self, bytes: &[u8]) -> Vec<ResponseHead> {
         let mut surplus = Vec::new();
-        let requests = self.requests;
+        let (requests, first_is_proven) = (self.requests, !self.is_adopted);
         let mut complete_heads = self.scanner.started;
         // A head that was incomplete before belongs to the response that had started.
         if self.scanner.position == Position::Head {
             complete_heads -= 1;
         }
+        let has_other_status = &mut self.has_other_status;
         self.scanner.scan(bytes, |head| {
             complete_heads += 1;
+            let may_be_copy = complete_heads > 1 || !first_is_proven;
+            *has_other_status |= may_be_copy && head.status != Some(StatusCode::OK);
             if complete_heads > requests {
                 surplus.push(head);
             }
@@ -190,9 +243,79 @@
         self.scanner.started
     }
 
-    /// Whether more responses than requests have started.
-    pub fn has_surplus(&self) -> bool {
-        self.responses() > self.requests
+    /// Whether the last request was the first one on the connection: its response can be no copy of an earlier one.
+    pub fn is_first_request(&self) -> bool {
+        !self.is_adopted && self.requests == 1
+    }
+
+    /// Notes that the response to the last request named other messages than that.
+    pub fn mark_foreign(&mut self) {
+        self.is_foreign = true;
+    }
+
+    /// Whether responses can't be paired with requests any more: no request may follow.
+    pub fn is_desynchronised(&self) -> bool {
+        self.responses() > self.requests || self.is_foreign || self.scanner.position == Position::Unframed
+    }
+
+    /// Adds a message whose delivery is unproven.
+    pub fn add_unproven(&mut self, now: Instant, number: u64) {
+        self.unproven.push(number);
+        self.unproven_since.get_or_insert(now);
+    }
+
+    /// Whether a delivery is unproven.
+    pub fn has_unproven(&self) -> bool {
+        !self.unproven.is_empty()
+    }
+
+    /// Whether deliveries have been unproven for so long that no request may follow until they are proven.
+    pub fn is_resting(&self, now: Instant) -> bool {
+        self.unproven_since.is_some_and(|since| now >= since + MAX_UNPROVEN_TIME)
+    }
+
+    /// Removes the unproven deliveries that `is_overdue` selects and returns them.
+    pub fn take_overdue(&mut self, is_overdue: impl Fn(u64) -> bool) -> Vec<u64> {
+        let (overdue, unproven) = self.unproven.iter().partition(|number| is_overdue(**number));
+        self.unproven = unproven;
+        overdue
+    }
+
+    /// Ends the unproven deliveries of the connection, if what became of them is certain.
+    /// `is_trusted`: no copies of responses were seen at the endpoint lately, so silence proves that there were none.
+    pub fn conclude(
+        &mut self, now: Instant, socket: SocketState, is_trusted: bool,
+    ) -> Option<(Conclusion, Vec<u64>)> {
+        if self.unproven.is_empty() {
+            self.unproven_since = None;
+            return None;
+        }
+        let conclusion = self.conclusion(now, socket, is_trusted)?;
+        (self.unproven_since, self.has_other_status, self.responses_due_at) = (None, false, None);
+        Some((conclusion, std::mem::take(&mut self.unproven)))
+    }
+
+    fn conclusion(&self, now: Instant, socket: SocketState, is_trusted: bool) -> Option<Conclusion> {
+        let is_surplus = self.responses() > self.requests || self.is_foreign;
+        if is_surplus && (self.has_other_status || self.is_foreign || socket == SocketState::Closed) {
+            return Some(Conclusion::Mismatched);
+        }
+        if socket == SocketState::Closed {
+            return Some(Conclusion::Unknown);
+        }
+        let is_due = self.responses_due_at.is_none_or(|due_at| now >= due_at);
+        if !is_due || self.responses() < self.requests || socket == SocketState::HasUnread {
+            return None;
+        }
+        match self.scanner.position {
+            Position::Between if is_surplus || self.has_other_status || !is_trusted => {
+                Some(Conclusion::Unknown)
+            }
+            Position::Between => Some(Conclusion::Delivered),
+            _ if is_surplus => Some(Conclusion::Mismatched),
+            // The body of the last response is still to come.
+            _ => None,
+        }
     }
 }
 
@@ -202,28 +325,131 @@
 
     const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
 
+    const REJECTED: &str = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+    const DUE: Duration = Duration::from_secs(1);
+
     fn after_one_request() -> ResponsePairing {
         let mut pairing = ResponsePairing::default();
-        pairing.request_sent();
+        pairing.request_sent(Instant::now() + DUE);
+        pairing
+    }
+
+    /// A connection whose second response, a 200, was taken for the delivery of message 2.
+    fn with_unproven_delivery(now: Instant) -> ResponsePairing {
+        let mut pairing = ResponsePairing::default();
+        for timeout in [100 * DUE, DUE] {
+            pairing.request_sent(now + timeout);
+            assert!(pairing.observe(OK.as_bytes()).is_empty());
+        }
+        pairing.add_unproven(now, 2);
         pairing
     }
 
+    #[test]
+    fn a_delivery_is_proven_by_silence_until_its_response_was_due() {
+        let now = Instant::now();
+        let mut pairing = with_unproven_delivery(now);
+        assert_eq!(pairing.conclude(now + DUE / 2, SocketState::Silent, true), None);
+        assert_eq!(pairing.conclude(now + DUE, SocketState::HasUnread, true), None);
+        assert_eq!(
+            pairing.conclude(now + DUE, SocketState::Silent, true),
+            Some((Conclusion::Delivered, vec![2]))
+        );
+        assert!(!pairing.has_unproven() && !pairing.is_desynchronised());
+    }
+
+    #[test]
+    fn a_surplus_rejection_disproves_a_delivery() {
+        let now = Instant::now();
+        let mut pairing = with_unproven_delivery(now);
+        assert_eq!(pairing.observe(REJECTED.as_bytes()).len(), 1);
+        assert_eq!(pairing.conclude(now, SocketState::Silent, true), Some((Conclusion::Mismatched, vec![2])));
+        assert!(pairing.is_desynchronised());
+    }
+
+    #[test]
+    fn a_surplus_200_leaves_a_delivery_unknown() {
+        let now = Instant::now();
+        let mut pairing = with_unproven_delivery(now);
+        assert_eq!(pairing.observe(OK.as_bytes()).len(), 1);
+        assert_eq!(pairing.conclude(now, SocketState::Silent, true), None);
+        assert_eq!(
+            pairing.conclude(now + DUE, SocketState::Silent, true),
+            Some((Conclusion::Unknown, vec![2]))
+        );
+        assert!(pairing.is_desynchronised());
+    }
+
+    #[test]
+    fn silence_proves_no_delivery_where_copies_were_seen() {
+        let now = Instant::now();
+        let mut pairing = with_unproven_delivery(now);
+        assert_eq!(
+            pairing.conclude(now + DUE, SocketState::Silent, false),
+            Some((Conclusion::Unknown, vec![2]))
+        );
+    }
+
+    #[test]
+    fn a_surplus_response_that_has_begun_proves_nothing() {
+        let now = Instant::now();
+        let mut pairing = with_unproven_delivery(now);
+        pairing.observe(&REJECTED.as_bytes()[..5]);
+        assert_eq!(pairing.conclude(now, SocketState::Silent, true), None);
+        assert_eq!(
+            pairing.conclude(now + DUE, SocketState::Silent, true),
+            Some((Conclusion::Mismatched, vec![2]))
+        );
+    }
+
+    #[test]
+    fn a_delivery_is_not_proven_while_a_later_request_is_outstanding() {
+        let now = Instant::now();
+        let mut pairing = with_unproven_delivery(now);
+        pairing.request_sent(now + DUE);
+        assert_eq!(pairing.conclude(now + 2 * DUE, SocketState::Silent, true), None);
+        // A rejection that the earlier request was owed is read as the response to the later one.
+        assert!(pairing.observe(REJECTED.as_bytes()).is_empty());
+        assert_eq!(
+            pairing.conclude(now + 2 * DUE, SocketState::Silent, true),
+            Some((Conclusion::Unknown, vec![2]))
+        );
+    }
+
+    #[test]
+    fn a_delivery_is_unknown_if_the_connection_ends_before() {
+        let now = Instant::now();
+        let mut pairing = with_unproven_delivery(now);
+        assert_eq!(pairing.conclude(now, SocketState::Closed, true), Some((Conclusion::Unknown, vec![2])));
+    }
+
+    #[test]
+    fn a_connection_rests_once_its_deliveries_have_been_unproven_for_long() {
+        let now = Instant::now();
+        let mut pairing = with_unproven_delivery(now);
+        assert!(!pairing.is_resting(now));
+        let later = now + MAX_UNPROVEN_TIME;
+        assert!(pairing.is_resting(later));
+        assert!(pairing.conclude(later, SocketState::Silent, true).is_some());
+        assert!(!pairing.is_resting(later));
+    }
+
     #[test]
     fn a_response_to_each_request_leaves_no_surplus() {
         let mut pairing = after_one_request();
         assert!(pairing.observe(OK.as_bytes()).is_empty());
-        pairing.request_sent();
+        pairing.request_sent(Instant::now() + DUE);
         for byte in format!("HTTP/1.1 103 Early\r\nA: b\r\n\r\n{OK}").bytes() {
             assert!(pairing.observe(&[byte]).is_empty());
         }
-        assert_eq!((pairing.requests(), pairing.responses(), pairing.has_surplus()), (2, 2, false));
+        assert_eq!((pairing.requests(), pairing.responses(), pairing.is_desynchronised()), (2, 2, false));
     }
 
     #[test]
     fn a_copy_behind_a_response_is_surplus_from_its_first_byte() {
         let mut pairing = after_one_request();
         assert!(pairing.observe(format!("{OK}H").as_bytes()).is_empty());
-        assert!(pairing.has_surplus());
+        assert!(pairing.is_desynchronised());
         let rest = "TTP/1.1 429 Full\r\nretry-after: 0.5\r\nContent-Length: 0\r\n\r\n";
         let head = ResponseHead {
             status: Some(StatusCode::TOO_MANY_REQUESTS),
@@ -238,6 +464,6 @@
         let body = "HTTP/1.1 200 OK\r\n\r\n";
         let response = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
         assert!(pairing.observe(response.as_bytes()).is_empty());
-        assert_eq!((pairing.responses(), pairing.has_surplus()), (1, false));
+        assert_eq!((pairing.responses(), pairing.is_desynchronised()), (1, false));
     }
 }
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -183,6 +183,7 @@
         journal: RefCell::new(journal),
         directory: RefCell::new(directory),
         pool: ConnectionPool::default(),
+        unproven: Default::default(),
         opened_connections: Cell::new(0),
         traffic: traffic::TrafficCounters::default(),
         metrics,
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -8,7 +8,7 @@
 use std::net::Shutdown;
 use std::os::fd::{AsFd, BorrowedFd};
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -29,6 +29,17 @@
     Closed,
 }
 
+/// Refers to a [`SharedStream`] without keeping its socket open.
+#[derive(Default)]
+pub struct WeakStream(Weak<TcpStream>);
+
+impl WeakStream {
+    /// As [`SharedStream::unread`]; closed once the stream was dropped.
+    pub fn unread(&self) -> Unread {
+        self.0.upgrade().map_or(Unread::Closed, |stream| SharedStream(stream).unread())
+    }
+}
+
 /// Whether an I/O call is to be repeated, at once or when the socket is ready.
 fn is_transient(error: &io::Error) -> bool {
     matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
@@ -42,6 +53,11 @@
         Ok(SharedStream(Rc::new(stream)))
     }
 
+    /// A reference that does not keep the socket open.
+    pub fn downgrade(&self) -> WeakStream {
+        WeakStream(Rc::downgrade(&self.0))
+    }
+
     /// Writes as much as the socket accepts without blocking.
     pub fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
         self.0.try_write(bytes)
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -14,7 +14,7 @@
 const LIMIT_EXHAUSTED_BELOW: f64 = 0.2;
 const LIMIT_UNUSED_FROM: f64 = 0.8;
 /// The names of the counters in the line, which `fawnspoke lab fleet` reads.
-const COUNTER_NAMES: [&str; 19] = [
+const COUNTER_NAMES: [&str; 21] = [
     "taken",
     "calls",
     "messages",
@@ -34,6 +34,8 @@
     "left_pct",
     "limit",
     "surplus",
+    "unproven",
+    "disproved",
 ];
 
 /// Counters and gauges of one destination for one second.
@@ -76,10 +78,14 @@
     pub rate_limit: u64,
     /// Responses that belong to no call.
     pub surplus_responses: u64,
+    /// Deliveries that could not be proven before their messages had to end by a notice.
+    pub unproven_deliveries: u64,
+    /// Deliveries that were disproved; their messages were sent again.
+    pub disproved_deliveries: u64,
 }
 
 impl DestinationCounters {
-    fn values(&self) -> [u64; 19] {
+    fn values(&self) -> [u64; 21] {
         let DestinationCounters {
             accepted,
             calls,
@@ -102,6 +108,8 @@
             remaining_percent_sum,
             rate_limit,
             surplus_responses,
+            unproven_deliveries,
+            disproved_deliveries,
             ..
         } = *self;
         [
@@ -124,6 +132,8 @@
             remaining_percent_sum,
             rate_limit,
             surplus_responses,
+            unproven_deliveries,
+            disproved_deliveries,
         ]
     }
 
@@ -146,6 +156,8 @@
         self.reports += other.reports;
         self.remaining_percent_sum += other.remaining_percent_sum;
         self.surplus_responses += other.surplus_responses;
+        self.unproven_deliveries += other.unproven_deliveries;
+        self.disproved_deliveries += other.disproved_deliveries;
     }
 }
 
--- /dev/null
+++ b/crates/node/src/unproven.rs
@@ -0,0 +1,145 @@
+//! Deliveries that rest on a response which may belong to an earlier request: what becomes of their messages.
+//!
+//! Such a message has ended for the decision core, but stays open in the journal, so that a kill loses nothing. It is
+//! closed once its delivery is proven, and sent again if it is disproved. If neither can be told (its connection has
+//! ended, or its deadline comes first), a notice ends it, which does no harm to a message that was delivered.
+
+use crate::actions::end_undelivered;
+use crate::connection::ResponseMonitor;
+use crate::pairing::Conclusion;
+use crate::{Node, log};
+use fawnspoke_journal::Notice;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Instant;
+use waydoor::{Event, Seconds};
+
+/// Time before a message's deadline at which a notice ends it if its delivery is still unproven. It covers the interval
+/// of the checks and a stall of the process.
+const DEADLINE_MARGIN_SECONDS: Seconds = 0.75;
+
+/// The unproven deliveries of this process.
+#[derive(Default)]
+pub struct UnprovenDeliveries {
+    /// The connections that have any.
+    monitors: RefCell<Vec<Rc<ResponseMonitor>>>,
+    /// Their messages, by number in the journal.
+    numbers: RefCell<BTreeSet<u64>>,
+    /// A response belonged to no request since the last check.
+    check_due: Cell<bool>,
+}
+
+impl UnprovenDeliveries {
+    /// Number of messages whose delivery is unproven.
+    pub fn count(&self) -> usize {
+        self.numbers.borrow().len()
+    }
+
+    /// Whether the delivery of a message is unproven.
+    pub fn contains(&self, number: u64) -> bool {
+        self.numbers.borrow().contains(&number)
+    }
+
+    /// Asks for a check in this tick.
+    pub fn request_check(&self) {
+        self.check_due.set(true);
+    }
+
+    /// Whether a check was requested; resets the request.
+    pub fn take_requested_check(&self) -> bool {
+        self.check_due.take()
+    }
+}
+
+/// Adds a message whose delivery rests on an unproven response. `monitor`: its connection, if this process has it.
+pub fn add(node: &Node, number: u64, monitor: Option<&Rc<ResponseMonitor>>) {
+    if node.journal.borrow().get(number).is_none() {
+        return;
+    }
+    node.observe_journal_write(node.journal.borrow_mut().attempt_ended(number, true));
+    let Some(monitor) = monitor else {
+        return end_by_notice(node, number, "its connection was not taken over");
+    };
+    node.unproven.numbers.borrow_mut().insert(number);
+    monitor.pairing.borrow_mut().add_unproven(Instant::now(), number);
+    let mut monitors = node.unproven.monitors.borrow_mut();
+    if !monitors.iter().any(|known| Rc::ptr_eq(known, monitor)) {
+        monitors.push(monitor.clone());
+    }
+}
+
+/// Checks all unproven deliveries.
+pub fn check(node: &Node) {
+    let monitors = node.unproven.monitors.take();
+    let now = Instant::now();
+    for monitor in monitors {
+        let socket = monitor.socket_state();
+        let is_trusted = monitor.endpoint_id().is_none_or(|endpoint| node.pool.is_trusted(endpoint));
+        let concluded = monitor.pairing.borrow_mut().conclude(now, socket, is_trusted);
+        if let Some((conclusion, numbers)) = concluded {
+            numbers.into_iter().for_each(|number| conclude(node, &monitor, conclusion, number));
+        }
+        let overdue = monitor.pairing.borrow_mut().take_overdue(|number| is_overdue(node, number));
+        overdue.into_iter().for_each(|number| end_by_notice(node, number, "its deadline is near"));
+        if monitor.has_unproven() {
+            node.unproven.monitors.borrow_mut().push(monitor);
+        }
+    }
+}
+
+/// Ends all messages whose delivery is unproven, before another process takes over.
+pub fn end_all(node: &Node) {
+    for monitor in node.unproven.monitors.take() {
+        let numbers = monitor.pairing.borrow_mut().take_overdue(|_| true);
+        numbers.into_iter().for_each(|number| end_by_notice(node, number, "another process takes over"));
+    }
+}
+
+fn is_overdue(node: &Node, number: u64) -> bool {
+    let journal = node.journal.borrow();
+    let Some(entry) = journal.get(number) else { return true };
+    node.now() >= node.to_monotonic(entry.message.deadline) - DEADLINE_MARGIN_SECONDS
+}
+
+fn conclude(node: &Node, monitor: &ResponseMonitor, conclusion: Conclusion, number: u64) {
+    match conclusion {
+        Conclusion::Delivered => {
+            node.unproven.numbers.borrow_mut().remove(&number);
+            node.observe_journal_write(node.journal.borrow_mut().close(number));
+        }
+        Conclusion::Unknown => end_by_notice(node, number, "its connection does not show it"),
+        Conclusion::Mismatched => send_again(node, monitor, number),
+    }
+}
+
+/// Ends a message that may have been delivered.
+fn end_by_notice(node: &Node, number: u64, reason: &str) {
+    node.unproven.numbers.borrow_mut().remove(&number);
+    let destination = {
+        let journal = node.journal.borrow();
+        let Some(entry) = journal.get(number) else { return };
+        log::info_limited(format_args!(
+            "message {}: delivered by a response that may belong to an earlier request, and {reason}: given up",
+            entry.message.id
+        ));
+        entry.message.destination
+    };
+    node.traffic.update(destination, |counters| counters.unproven_deliveries += 1);
+    end_undelivered(node, number, Notice::GivenUp);
+}
+
+/// Returns a message to the decision core: its delivery was disproved.
+fn send_again(node: &Node, monitor: &ResponseMonitor, number: u64) {
+    node.unproven.numbers.borrow_mut().remove(&number);
+    let Some(progress) = node.message_progress(number) else { return };
+    if let Some(entry) = node.journal.borrow().get(number) {
+        log::info_limited(format_args!(
+            "message {}: {} had responses that belong to no request, so its 200 may not be its own: sending it again",
+            entry.message.id,
+            monitor.describe()
+        ));
+    }
+    node.traffic.update(monitor.destination(), |counters| counters.disproved_deliveries += 1);
+    node.send_event(Event::DeliveryDisproved(progress));
+}
--- a/crates/waydoor/src/interface.rs
+++ b/crates/waydoor/src/interface.rs
@@ -402,22 +402,28 @@
     pub connection_kept: bool,
 }
 
+/// An open message and what was done for it so far.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct MessageProgress {
+    /// The message.
+    pub message: Message,
+    /// When it was accepted, which may be before the clock started.
+    pub accepted_at: Seconds,
+    /// Attempts already made.
+    pub attempts: u32,
+    /// When the first attempt that may have run was sent, and the zone of its endpoint.
+    pub may_have_run: Option<(Seconds, u16)>,
+}
+
 /// An input of a dispatcher.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     /// A message was accepted.
     Accepted(Message),
     /// A message that a previous process accepted is continued.
-    Recovered {
-        /// The message.
-        message: Message,
-        /// When it was accepted; usually before the clock started.
-        accepted_at: Seconds,
-        /// Attempts already made.
-        attempts: u32,
-        /// When the first attempt that may have run was sent, and the zone of its endpoint.
-        may_have_run: Option<(Seconds, u16)>,
-    },
+    Recovered(MessageProgress),
+    /// The response that ended a message as delivered was not its own: the message is open again, and may have run.
+    DeliveryDisproved(MessageProgress),
     /// The destination was unavailable or recovering when the previous process ended (its last
     /// [`Action::RecordOutage`] said so).
     OutageRestored(DestinationId),
--- a/crates/waydoor/src/policy.rs
+++ b/crates/waydoor/src/policy.rs
@@ -53,15 +53,14 @@
         }
         match event {
             Event::Accepted(message) => self.accept(now, message, true),
-            Event::Recovered { message, accepted_at, attempts, may_have_run } => {
-                // Without its class, the effect of a repeat is unknown: a rejection would promise that a
-                // repeat is harmless.
-                if may_have_run.is_some() && message.class >= self.settings.classes.len() {
-                    return self.pending_actions.push(Action::Fail(message.id));
+            Event::Recovered(progress) => {
+                if self.reopen(now, progress) {
+                    self.limit_backlog_rate(now, progress.message.destination);
                 }
-                self.accept(now, message, false);
-                self.restore_message(message.id, accepted_at, attempts, may_have_run);
-                self.limit_backlog_rate(now, message.destination);
+            }
+            Event::DeliveryDisproved(progress) => {
+                self.forget_end(progress.message.id);
+                self.reopen(now, progress);
             }
             Event::OutageRestored(destination) => {
                 self.recovered_outages.insert(destination);
@@ -93,6 +92,19 @@
         }
     }
 
+    /// Continues a message; returns false if it can only be ended.
+    fn reopen(&mut self, now: Seconds, progress: MessageProgress) -> bool {
+        let MessageProgress { message, accepted_at, attempts, may_have_run } = progress;
+        // Without its class, the effect of a repeat is unknown: a rejection would promise that a repeat is harmless.
+        if may_have_run.is_some() && message.class >= self.settings.classes.len() {
+            self.pending_actions.push(Action::Fail(message.id));
+            return false;
+        }
+        self.accept(now, message, false);
+        self.restore_message(message.id, accepted_at, attempts, may_have_run);
+        true
+    }
+
     /// `is_new`: the message arrived now, so it counts as demand.
     fn accept(&mut self, now: Seconds, message: Message, is_new: bool) {
         if self.messages.contains_key(&message.id) || self.ended_messages.0.contains(&message.id) {
--- a/crates/waydoor/tests/common/cold_return.rs
+++ b/crates/waydoor/tests/common/cold_return.rs
@@ -309,12 +309,12 @@
                     if message.deadline > now {
                         fleet[index].handle(
                             now,
-                            Event::Recovered {
+                            Event::Recovered(MessageProgress {
                                 message: *message,
                                 accepted_at: *accepted_at,
                                 attempts: *attempts,
                                 may_have_run: None,
-                            },
+                            }),
                         );
                     }
                 }
--- a/crates/waydoor/tests/common/fleet.rs
+++ b/crates/waydoor/tests/common/fleet.rs
@@ -122,7 +122,7 @@
                         }
                     }
                     Action::CloseIdle(endpoint) | Action::AvoidIdle(endpoint) => {
-                        drop(idle_connections.remove(&(index, endpoint.0)))
+                        idle_connections.remove(&(index, endpoint.0));
                     }
                     Action::Reject(_) | Action::Fail(_) => totals.undelivered += usize::from(is_measured),
                     _ => {}
--- a/crates/waydoor/tests/restart.rs
+++ b/crates/waydoor/tests/restart.rs
@@ -21,7 +21,7 @@
     };
     let may_have_run = may_have_run_seconds_ago.map(|seconds_ago| (harness.now - seconds_ago, 0));
     let accepted_at = harness.now - 11.0;
-    harness.handle(Event::Recovered { message, accepted_at, attempts, may_have_run });
+    harness.handle(Event::Recovered(MessageProgress { message, accepted_at, attempts, may_have_run }));
 }
 
 #[test]
@@ -225,12 +225,12 @@
         let (id, destination, deadline) = (MessageId(id), DESTINATION_1, harness.now + 9.0);
         let (class, key, tenant, over_quota) = (0, None, 0, Some(over_quota));
         let message = Message { id, class, destination, deadline, key, tenant, over_quota };
-        harness.handle(Event::Recovered {
+        harness.handle(Event::Recovered(MessageProgress {
             message,
             accepted_at: harness.now - 1.0,
             attempts: 0,
             may_have_run: None,
-        });
+        }));
     }
     assert_eq!(harness.run_round()[0].id, 2, "the message within its quota is sent first");
 }
--- a/crates/waydoor/tests/slow_start.rs
+++ b/crates/waydoor/tests/slow_start.rs
@@ -238,7 +238,12 @@
                 tenant: 0,
                 over_quota: None,
             };
-            let recovered = Event::Recovered { message, accepted_at: -1.0, attempts: 0, may_have_run: None };
+            let recovered = Event::Recovered(MessageProgress {
+                message,
+                accepted_at: -1.0,
+                attempts: 0,
+                may_have_run: None,
+            });
             member.dispatcher.handle(0.0, recovered);
         }
         while member.now < WINDOW_SECONDS {
