A Retry-After in a response that belongs to no request is honoured

Cause: a copied 200 ended a call, and the call's own 429 with its Retry-After arrived on the idle connection, which was closed without reading it. Evidence: a_late_copy_of_a_200_does_not_hide_a_retry_after failed before (8 of 10 calls inside the wait).

--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -59,6 +59,11 @@
     match input {
         Input::SurplusResponse(surplus) => {
             record_surplus_response(node, &surplus);
+            // Whichever request it belongs to, the endpoint has asked to wait.
+            if let Some(delay) = surplus.head.retry_after {
+                let (endpoint, delay) = (surplus.endpoint, delay.as_secs_f64());
+                dispatcher.handle(now, Event::RetryAfter { endpoint, delay });
+            }
             // An endpoint may close an idle connection with a 408 (RFC 9110); that is no copy.
             if surplus.head.status != Some(StatusCode::REQUEST_TIMEOUT) {
                 node.pool.distrust(surplus.endpoint);
