--- a/crates/node/src/actions.rs
+++ b/crates/node/src/actions.rs
@@ -22,7 +22,7 @@
     }
     for message_end in &end.message_ends {
         if message_end.is_unproven_delivery() {
-            unproven::add(node, message_end.number, end.monitor.as_ref());
+            unproven::add(node, message_end.number, &end);
             continue;
         }
         let mut journal = node.journal.borrow_mut();
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -96,6 +96,9 @@
     /// The connection, if the request was sent by this process.
     #[serde(skip)]
     pub monitor: Option<Rc<ResponseMonitor>>,
+    /// When the response was due at the latest.
+    #[serde(skip)]
+    pub due_at: Option<std::time::Instant>,
 }
 
 impl CallEnd {
@@ -115,6 +118,7 @@
             connection_reused,
             connection_kept: false,
             monitor: None,
+            due_at: None,
         }
     }
 }
@@ -182,6 +186,7 @@
         return CallEnd {
             retry_after: parse_retry_after(&response.headers),
             monitor,
+            due_at: Some(deadline.into_std()),
             ..CallEnd::without_report(message_ends, pool_use.connection_reused)
         };
     };
@@ -232,6 +237,7 @@
         connection_reused: pool_use.connection_reused,
         connection_kept: response.connection_kept,
         monitor,
+        due_at: Some(deadline.into_std()),
     }
 }
 
@@ -359,7 +365,7 @@
             return Err(outcome);
         }
         let sent_at = Instant::now();
-        conn.monitor.begin_request(deadline);
+        conn.monitor.begin_request();
         pool_use.monitor = Some(conn.monitor.clone());
         conn.monitor.relay_count.replace((!ids.is_empty()).then(|| (node.metrics.clone(), ids.len() as u64)));
         let monitor = conn.monitor.clone();
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -104,9 +104,9 @@
 }
 
 impl ResponseMonitor {
-    /// Prepares for a request that is about to be sent, and whose response is awaited until `due_at`.
-    pub fn begin_request(&self, due_at: Instant) {
-        self.pairing.borrow_mut().request_sent(due_at.into_std());
+    /// Prepares for a request that is about to be sent.
+    pub fn begin_request(&self) {
+        self.pairing.borrow_mut().request_sent();
         self.head.take();
         self.first_byte_at.set(None);
         self.write_failed.set(false);
@@ -167,7 +167,7 @@
 
     /// Scans bytes that were read.
     fn observe(&self, bytes: &[u8]) {
-        let surplus = self.pairing.borrow_mut().observe(bytes);
+        let surplus = self.pairing.borrow_mut().observe(std::time::Instant::now(), bytes);
         for head in surplus {
             let requests = self.pairing.borrow().requests();
             self.endpoint.iter().for_each(|endpoint| endpoint.report(requests, head));
@@ -276,7 +276,7 @@
 }
 
 impl Connection {
-    /// Whether no request may follow until the deliveries on the connection are proven.
+    /// Whether no request may follow until the connection has been silent for a while.
     pub fn is_resting(&self, now: Instant) -> bool {
         self.monitor.pairing.borrow().is_resting(now.into_std())
     }
@@ -360,7 +360,7 @@
         // The write reports the error that the socket holds.
         monitored.write_all(b"second").await.unwrap_err();
         assert!(monitor.write_failed.get());
-        monitor.begin_request(Instant::now());
+        monitor.begin_request();
         assert!(!monitor.write_failed.get());
     }
 }
--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -14,6 +14,8 @@
 
 /// Time after a response that belonged to no request for which the endpoint's connections carry one request each.
 const DISTRUST_TIME: Duration = Duration::from_secs(60);
+/// Longest time that a retired connection is open: each takes a place in the endpoint's connection table.
+const MAX_RETIRED_TIME: Duration = Duration::from_secs(1);
 /// Retired connections that are open at a time.
 const MAX_RETIRED: usize = 64;
 
@@ -22,8 +24,9 @@
 #[derive(Default)]
 pub struct ConnectionPool {
     idle: RefCell<BTreeMap<EndpointId, Vec<Connection>>>,
-    /// Connections that get no more requests, and are open only until their unproven deliveries are proven.
-    retired: RefCell<VecDeque<Connection>>,
+    /// Connections that get no more requests, and are open for a moment until their unproven deliveries are proven, and
+    /// since when.
+    retired: RefCell<VecDeque<(Instant, Connection)>>,
     /// Endpoints that sent a response which belonged to no request, and until when their connections carry one request
     /// each.
     distrusted: RefCell<BTreeMap<EndpointId, Instant>>,
@@ -63,13 +66,13 @@
         closed.into_iter().for_each(|connection| self.retire(connection));
     }
 
-    /// Closes a connection, at once or when its unproven deliveries are proven.
+    /// Closes a connection, at once or when its unproven deliveries are proven, but soon.
     pub fn retire(&self, connection: Connection) {
         if !connection.monitor.has_unproven() {
             return;
         }
         let mut retired = self.retired.borrow_mut();
-        retired.push_back(connection);
+        retired.push_back((Instant::now(), connection));
         if retired.len() > MAX_RETIRED {
             retired.pop_front();
         }
@@ -141,7 +144,9 @@
             }
         }
         self.distrusted.borrow_mut().retain(|_, until| Instant::now() < *until);
-        self.retired.borrow_mut().retain(|connection| connection.monitor.has_unproven());
+        self.retired.borrow_mut().retain(|(since, connection)| {
+            connection.monitor.has_unproven() && since.elapsed() < MAX_RETIRED_TIME
+        });
         idle.retain(|_, connections| !connections.is_empty());
     }
 }
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -127,7 +127,7 @@
     // The requests of many dispatchers queue at the service. One that is abandoned early still costs the
     // service its work, and is sent again.
     let response_timeout = if is_list_on_request(node) { WATCH_TIMEOUT } else { RESPONSE_TIMEOUT };
-    connection.monitor.begin_request(Instant::now() + response_timeout);
+    connection.monitor.begin_request();
     let response = timeout(response_timeout, connection.sender.send_request(request)).await??;
     if response.status() != StatusCode::OK {
         return Ok(format!("answered {}", response.status()));
@@ -309,7 +309,7 @@
         .header("Host", address.to_string())
         .header("Connection", "close")
         .body(Full::new(Bytes::from(lines)))?;
-    connection.monitor.begin_request(deadline);
+    connection.monitor.begin_request();
     let response = timeout_at(deadline, connection.sender.send_request(request)).await??;
     let status = response.status();
     timeout_at(deadline, response.into_body().collect()).await??;
--- a/crates/node/src/unproven.rs
+++ b/crates/node/src/unproven.rs
@@ -5,8 +5,9 @@
 //! ended, or its deadline comes first), a notice ends it, which does no harm to a message that was delivered.
 
 use crate::actions::end_undelivered;
+use crate::calls::CallEnd;
 use crate::connection::ResponseMonitor;
-use crate::pairing::Conclusion;
+use crate::pairing::{Conclusion, UnprovenDelivery};
 use crate::{Node, log};
 use fawnspoke_journal::Notice;
 use std::cell::{Cell, RefCell};
@@ -52,17 +53,17 @@
     }
 }
 
-/// Adds a message whose delivery rests on an unproven response. `monitor`: its connection, if this process has it.
-pub fn add(node: &Node, number: u64, monitor: Option<&Rc<ResponseMonitor>>) {
+/// Adds a message whose delivery rests on an unproven response.
+pub fn add(node: &Node, number: u64, end: &CallEnd) {
     if node.journal.borrow().get(number).is_none() {
         return;
     }
     node.observe_journal_write(node.journal.borrow_mut().attempt_ended(number, true));
-    let Some(monitor) = monitor else {
+    let (Some(monitor), Some(due_at)) = (&end.monitor, end.due_at) else {
         return end_by_notice(node, number, "its connection was not taken over");
     };
     node.unproven.numbers.borrow_mut().insert(number);
-    monitor.pairing.borrow_mut().add_unproven(Instant::now(), number);
+    monitor.pairing.borrow_mut().add_unproven(Instant::now(), UnprovenDelivery { number, due_at });
     let mut monitors = node.unproven.monitors.borrow_mut();
     if !monitors.iter().any(|known| Rc::ptr_eq(known, monitor)) {
         monitors.push(monitor.clone());
@@ -80,7 +81,7 @@
         if let Some((conclusion, numbers)) = concluded {
             numbers.into_iter().for_each(|number| conclude(node, &monitor, conclusion, number));
         }
-        let overdue = monitor.pairing.borrow_mut().take_overdue(|number| is_overdue(node, number));
+        let overdue = monitor.pairing.borrow_mut().take_unproven(|number| is_overdue(node, number));
         overdue.into_iter().for_each(|number| end_by_notice(node, number, "its deadline is near"));
         if monitor.has_unproven() {
             node.unproven.monitors.borrow_mut().push(monitor);
@@ -91,7 +92,7 @@
 /// Ends all messages whose delivery is unproven, before another process takes over.
 pub fn end_all(node: &Node) {
     for monitor in node.unproven.monitors.take() {
-        let numbers = monitor.pairing.borrow_mut().take_overdue(|_| true);
+        let numbers = monitor.pairing.borrow_mut().take_unproven(|_| true);
         numbers.into_iter().for_each(|number| end_by_notice(node, number, "another process takes over"));
     }
 }
