--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -128,6 +128,12 @@
         self.pairing.borrow().has_unproven()
     }
 
+    /// Whether the connection is out of step and responses to its unproven deliveries may still follow.
+    pub fn is_awaiting_responses(&self) -> bool {
+        let pairing = self.pairing.borrow();
+        pairing.is_desynchronised() && pairing.has_unproven()
+    }
+
     /// What the socket of the connection shows.
     pub fn socket_state(&self) -> SocketState {
         match self.stream.unread() {
--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -24,8 +24,7 @@
 #[derive(Default)]
 pub struct ConnectionPool {
     idle: RefCell<BTreeMap<EndpointId, Vec<Connection>>>,
-    /// Connections that get no more requests, and are open for a moment until their unproven deliveries are proven, and
-    /// since when.
+    /// Connections that are out of step and open only for the responses that may still follow, and since when.
     retired: RefCell<VecDeque<(Instant, Connection)>>,
     /// Endpoints that sent a response which belonged to no request, and until when their connections carry one request
     /// each.
@@ -66,9 +65,10 @@
         closed.into_iter().for_each(|connection| self.retire(connection));
     }
 
-    /// Closes a connection, at once or when its unproven deliveries are proven, but soon.
+    /// Closes a connection. If it is out of step and has unproven deliveries, their responses, and waits in them, may
+    /// still follow: it is closed a moment later. No other is kept, since each takes a place in the endpoint's table.
     pub fn retire(&self, connection: Connection) {
-        if !connection.monitor.has_unproven() {
+        if !connection.monitor.is_awaiting_responses() {
             return;
         }
         let mut retired = self.retired.borrow_mut();
@@ -145,7 +145,7 @@
         }
         self.distrusted.borrow_mut().retain(|_, until| Instant::now() < *until);
         self.retired.borrow_mut().retain(|(since, connection)| {
-            connection.monitor.has_unproven() && since.elapsed() < MAX_RETIRED_TIME
+            connection.monitor.is_awaiting_responses() && since.elapsed() < MAX_RETIRED_TIME
         });
         idle.retain(|_, connections| !connections.is_empty());
     }
