Provisional deliveries: short deadlines, unread bytes and a bound on their number

Found and mended: a message with less than 0.75 s left waited for the next check, up to 0.5 s, before its notice; a connection with unread bytes was closed without reading them, and a Retry-After in them was lost; so was one in a response that was read right before hyper wrote a request and gave it back; provisional messages don't count as open, and had no bound of their own (now max_messages). Tests: a_late_copy_of_a_200_leaves_no_notice_overdue (without deadlines for provisional deliveries nothing ends that message), a_response_before_a_request_that_was_not_written_is_surplus.

--- a/crates/fawnspoke/tests/sockets/misplaced_responses.rs
+++ b/crates/fawnspoke/tests/sockets/misplaced_responses.rs
@@ -4,11 +4,12 @@
 mod endpoint;
 mod soak;
 
+use crate::soak::NOTICE_GRACE;
 use crate::support::*;
 use endpoint::{Endpoint, Extra, Request, Script, calls_inside_waits, overlapping_attempts};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 const REJECTED: &str = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
@@ -52,6 +53,22 @@
     }
 }
 
+#[test]
+fn a_late_copy_of_a_200_leaves_no_notice_overdue() {
+    let (endpoint, platform, dispatcher) = start(|request| match (request.index, &*request.id) {
+        (1, "second") => misplaced(request, OK, REJECTED).after(Duration::from_secs(2)),
+        _ => Script::respond(OK),
+    });
+    assert_eq!(dispatcher.submit("safe", "first", 7), 202);
+    eventually("the first call's response", || endpoint.answered() == 1);
+    thread::sleep(Duration::from_millis(50));
+    let (submitted_at, timeout) = (Instant::now(), Duration::from_millis(600));
+    let response = dispatcher.connect().submit("keyed", "second", 7, timeout.as_millis() as u32, b"x");
+    assert_eq!(response.status(), 202);
+    eventually("the notice", || !platform.outcomes("second").is_empty());
+    assert!(submitted_at.elapsed() < timeout + NOTICE_GRACE, "{:?}", submitted_at.elapsed());
+}
+
 #[test]
 fn a_late_copy_of_a_503_does_not_repeat_an_unsafe_message() {
     let (endpoint, _platform, dispatcher) = start(|request| match (request.index, &*request.id) {
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -115,7 +115,8 @@
 
     /// Notes that the request which had begun was not sent after all.
     pub fn cancel_request(&self) {
-        self.pairing.borrow_mut().request_not_sent();
+        let surplus = self.pairing.borrow_mut().request_not_sent();
+        surplus.into_iter().for_each(|head| self.report_surplus(head));
     }
 
     /// Whether the last request was the first one on the connection: its response can be no copy of an earlier one.
@@ -128,10 +129,11 @@
         self.pairing.borrow().has_unproven()
     }
 
-    /// Whether the connection is out of step and responses to its unproven deliveries may still follow.
+    /// Whether the connection is out of step and responses to its unproven deliveries may still follow, or are there.
     pub fn is_awaiting_responses(&self) -> bool {
         let pairing = self.pairing.borrow();
-        pairing.is_desynchronised() && pairing.has_unproven()
+        let may_follow = pairing.is_desynchronised() && pairing.has_unproven();
+        may_follow || self.socket_state() == SocketState::HasUnread
     }
 
     /// What the socket of the connection shows.
@@ -171,13 +173,15 @@
         }
     }
 
+    fn report_surplus(&self, head: ResponseHead) {
+        let requests = self.pairing.borrow().requests();
+        self.endpoint.iter().for_each(|endpoint| endpoint.report(requests, head));
+    }
+
     /// Scans bytes that were read.
     fn observe(&self, bytes: &[u8]) {
         let surplus = self.pairing.borrow_mut().observe(std::time::Instant::now(), bytes);
-        for head in surplus {
-            let requests = self.pairing.borrow().requests();
-            self.endpoint.iter().for_each(|endpoint| endpoint.report(requests, head));
-        }
+        surplus.into_iter().for_each(|head| self.report_surplus(head));
         let mut head = self.head.borrow_mut();
         head.scan(bytes);
         let first_byte_at = head.has_started().then(|| self.first_byte_at.get().unwrap_or_else(Instant::now));
--- a/crates/node/src/pairing.rs
+++ b/crates/node/src/pairing.rs
@@ -237,6 +237,8 @@
     /// Another process opened the connection, and may have used it.
     is_adopted: bool,
     requests: u64,
+    /// The head of the last response, once it is complete.
+    last_head: Option<ResponseHead>,
     /// When the last byte was read.
     last_read_at: Option<Instant>,
     unproven: Vec<UnprovenDelivery>,
@@ -259,9 +261,11 @@
         self.requests += 1;
     }
 
-    /// Takes back the last request: no byte of it was written.
-    pub fn request_not_sent(&mut self) {
+    /// Takes back the last request: no byte of it was written. Returns the head of the response that was taken for its
+    /// own, if any.
+    pub fn request_not_sent(&mut self) -> Option<ResponseHead> {
         self.requests = self.requests.saturating_sub(1);
+        self.last_head.filter(|_| self.has_surplus())
     }
 
     /// Takes bytes that were read and returns the heads of responses that belong to no request.
@@ -274,9 +278,10 @@
         if self.scanner.position == Position::Head {
             complete_heads -= 1;
         }
-        let has_other_status = &mut self.has_other_status;
+        let (has_other_status, last_head) = (&mut self.has_other_status, &mut self.last_head);
         self.scanner.scan(bytes, |head| {
             complete_heads += 1;
+            *last_head = Some(head);
             let may_be_copy = complete_heads > 1 || !first_is_proven;
             *has_other_status |= may_be_copy && head.status != Some(StatusCode::OK);
             if complete_heads > requests {
@@ -544,6 +549,17 @@
         assert_eq!(pairing.observe(Instant::now(), REJECTED.as_bytes()).len(), 1);
     }
 
+    #[test]
+    fn a_response_before_a_request_that_was_not_written_is_surplus() {
+        let mut pairing = after_one_request();
+        assert!(pairing.observe(Instant::now(), OK.as_bytes()).is_empty());
+        pairing.request_sent();
+        assert!(pairing.observe(Instant::now(), REJECTED.as_bytes()).is_empty());
+        let head = ResponseHead { status: Some(StatusCode::SERVICE_UNAVAILABLE), retry_after: None };
+        assert_eq!(pairing.request_not_sent(), Some(head));
+        assert!(pairing.is_desynchronised());
+    }
+
     #[test]
     fn bytes_of_a_body_are_no_response() {
         let mut pairing = after_one_request();
--- a/crates/node/src/unproven.rs
+++ b/crates/node/src/unproven.rs
@@ -62,6 +62,13 @@
     let (Some(monitor), Some(due_at)) = (&end.monitor, end.due_at) else {
         return end_by_notice(node, number, "its connection was not taken over");
     };
+    if is_overdue(node, number) {
+        return end_by_notice(node, number, "its deadline is near");
+    }
+    // They don't count as open messages, but the journal has to hold them.
+    if node.unproven.count() >= node.config.settings.max_messages {
+        return end_by_notice(node, number, "too many others wait to be proven");
+    }
     node.unproven.numbers.borrow_mut().insert(number);
     monitor.pairing.borrow_mut().add_unproven(Instant::now(), UnprovenDelivery { number, due_at });
     let mut monitors = node.unproven.monitors.borrow_mut();
