An older line of a watch does not undo the newer ones

What callers would see: a late copy of a line in which an endpoint is up, behind one in which it drains, and calls to an endpoint that drains. Cause: each line was applied whatever its version. Evidence: a_late_copy_of_a_list_line_does_not_undo_a_drain failed before (the endpoint got the call). Why this works: versions of one watch only rise, so a line with a lower one than the line before is old; another watch, or another discovery, may begin lower, and a copy of the last line changes nothing.

--- a/crates/fawnspoke/tests/sockets/watch.rs
+++ b/crates/fawnspoke/tests/sockets/watch.rs
@@ -4,6 +4,7 @@
 use crate::manual_endpoint::{ManualEndpoint, Peer};
 use crate::support::*;
 use serde_json::{Value, json};
+use std::thread;
 use std::time::{Duration, Instant};
 
 const RESPONSE_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -102,3 +103,23 @@
         eventually("its call", || endpoint.message_ids().contains(&format!("m{number}")));
     }
 }
+
+#[test]
+fn a_late_copy_of_a_list_line_does_not_undo_a_drain() {
+    let (endpoint, platform) = (Endpoint::start(|_, _| Reply::status(200)), Platform::start());
+    let dispatcher = Dispatcher::started(&platform, &[endpoint.list_entry("e", 7, "up")]);
+    let marker = |name: &str, destination| {
+        let marker = Endpoint::start(|_, _| Reply::status(200));
+        (marker.list_entry(name, destination, "up"), marker)
+    };
+    let ((up, _first), (last, second)) = (marker("f", 8), marker("g", 9));
+    platform.push_changes(2, &[endpoint.list_entry("e", 7, "up"), up]);
+    platform.push_changes(3, &[endpoint.list_entry("e", 7, "draining")]);
+    platform.push_changes(2, &[endpoint.list_entry("e", 7, "up")]);
+    platform.push_changes(4, &[last]);
+    dispatcher.submit_once_listed("safe", "m9", 9);
+    eventually("the call after the last line", || second.requests().len() == 1);
+    assert_eq!(dispatcher.submit("safe", "m7", 7), 202);
+    thread::sleep(Duration::from_millis(300));
+    assert!(endpoint.requests().is_empty(), "an endpoint that drains got a call");
+}
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -75,7 +75,8 @@
 /// A list in discovery's format.
 #[derive(Deserialize)]
 pub struct List {
-    seq: u64,
+    /// Its version.
+    pub seq: u64,
     /// Whether endpoints that are not in `hosts` are gone.
     whole: bool,
     hosts: Vec<Value>,
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -2,6 +2,7 @@
 //! notices to it.
 
 use crate::connection;
+use crate::directory::List;
 use crate::{Node, control, log};
 use fawnspoke_journal::Notice;
 use http_body_util::{BodyExt, Full};
@@ -39,22 +40,38 @@
 /// # Errors
 /// If it cannot be parsed; the current list then stays.
 pub fn apply_list(node: &Node, value: &[u8]) -> Result<(), BoxError> {
-    match serde_json::from_slice(value) {
-        Ok(list) => {
-            let (kinds, zones) = (&node.config.kinds, &node.config.zones);
-            let is_suspended = |host: &str| node.overrides.is_suspended(host);
-            let (event, unusable) = node.directory.borrow_mut().apply(list, kinds, zones, &is_suspended);
-            // Nothing is sent there any more, and another endpoint may appear at the address.
-            unusable.into_iter().for_each(|endpoint| node.pool.close_idle(endpoint));
-            node.send_event(event);
-            node.fleet.list_received(node.directory.borrow().seq());
-            control::report_restored(node);
-        }
-        Err(error) => return Err(format!("invalid list: {error}").into()),
-    }
+    apply(node, parse_list(value)?);
     Ok(())
 }
 
+/// Applies a line of a watch, unless it is older than the one before: a late copy would undo what came since. Returns
+/// the version of the watch.
+fn apply_watch_line(node: &Node, value: &[u8], seq: u64) -> Result<u64, BoxError> {
+    let list = parse_list(value)?;
+    if list.seq < seq {
+        log::info_limited(format_args!("discovery: ignored version {} after version {seq}", list.seq));
+        return Ok(seq);
+    }
+    let seq = list.seq;
+    apply(node, list);
+    Ok(seq)
+}
+
+fn parse_list(value: &[u8]) -> Result<List, BoxError> {
+    serde_json::from_slice(value).map_err(|error| format!("invalid list: {error}").into())
+}
+
+fn apply(node: &Node, list: List) {
+    let (kinds, zones) = (&node.config.kinds, &node.config.zones);
+    let is_suspended = |host: &str| node.overrides.is_suspended(host);
+    let (event, unusable) = node.directory.borrow_mut().apply(list, kinds, zones, &is_suspended);
+    // Nothing is sent there any more, and another endpoint may appear at the address.
+    unusable.into_iter().for_each(|endpoint| node.pool.close_idle(endpoint));
+    node.send_event(event);
+    node.fleet.list_received(node.directory.borrow().seq());
+    control::report_restored(node);
+}
+
 /// Watches the list for as long as the process runs. If all dispatchers share one discovery
 /// service, a watch is only started when the decision core requests it.
 pub async fn watch_list(node: Rc<Node>) {
@@ -134,13 +151,19 @@
     }
     let mut body = response.into_body();
     let mut stream = JsonValueStream::default();
+    // Another watch may begin with a lower version.
+    let mut watch_seq = 0;
     loop {
         // A value that has begun must be completed soon; between two values the heartbeat interval applies.
         let deadline = stream.complete_by.unwrap_or_else(|| Instant::now() + WATCH_TIMEOUT);
         let Ok(frame) = timeout_at(deadline, body.frame()).await else { return Ok("silent".into()) };
         let Some(frame) = frame else { return Ok("closed".into()) };
         let Ok(data) = frame?.into_data() else { continue };
-        if !stream.push(&data, |value| apply_list(node, value))? {
+        let has_content = stream.push(&data, |value| {
+            watch_seq = apply_watch_line(node, value, watch_seq)?;
+            Ok(())
+        })?;
+        if !has_content {
             node.send_event(Event::ListKeepAlive);
             node.fleet.watch_alive(node.directory.borrow().seq());
         }
