A delivered message that was ended by a notice is answered as delivered if it comes again

The ids of the last 1,024 such messages are remembered. Its test failed before (409). In any case its notice was sent, so it is owed nothing.

--- a/crates/fawnspoke/tests/sockets/misplaced_responses.rs
+++ b/crates/fawnspoke/tests/sockets/misplaced_responses.rs
@@ -69,6 +69,22 @@
     assert!(submitted_at.elapsed() < timeout + NOTICE_GRACE, "{:?}", submitted_at.elapsed());
 }
 
+#[test]
+fn a_delivered_message_with_a_notice_is_answered_as_delivered_when_it_comes_again() {
+    let (endpoint, platform, dispatcher) = start(|_| Script::respond(OK));
+    assert_eq!(dispatcher.submit("safe", "first", 7), 202);
+    eventually("the first call's response", || endpoint.answered() == 1);
+    thread::sleep(Duration::from_millis(50));
+    let submit = || dispatcher.connect().submit("safe", "second", 7, 600, b"x").status();
+    assert_eq!(submit(), 202);
+    // Its deadline is too near for a proof that its response on the reused connection is its own.
+    eventually("the notice", || !platform.outcomes("second").is_empty());
+    thread::sleep(Duration::from_millis(50));
+    assert_eq!(submit(), 202);
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!(endpoint.calls("second").len(), 1);
+}
+
 #[test]
 fn a_late_copy_of_a_503_does_not_repeat_an_unsafe_message() {
     let (endpoint, _platform, dispatcher) = start(|request| match (request.index, &*request.id) {
--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -112,6 +112,10 @@
     match journal.final_outcome_of(&submission) {
         // Nothing more is due, and it must not run again.
         Some(FinalOutcome::Delivered) => return respond(StatusCode::ACCEPTED, "taken\n"),
+        // Delivered, as far as its response can be trusted, and its notice was sent in any case.
+        Some(FinalOutcome::GivenUp) if node.unproven.has_ended(&submission.id) => {
+            return respond(StatusCode::ACCEPTED, "taken\n");
+        }
         Some(FinalOutcome::GivenUp) => return respond(StatusCode::CONFLICT, "it failed, and may have run\n"),
         Some(FinalOutcome::HandedBack) | None => {}
     }
--- a/crates/node/src/unproven.rs
+++ b/crates/node/src/unproven.rs
@@ -11,7 +11,7 @@
 use crate::{Node, log};
 use fawnspoke_journal::Notice;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
 use std::time::Instant;
 use waydoor::{Event, Seconds};
@@ -20,6 +20,9 @@
 /// of the checks and a stall of the process.
 const DEADLINE_MARGIN_SECONDS: Seconds = 0.75;
 
+/// Messages ended by a notice that are remembered, some 60 KB.
+const MAX_ENDED_IDS: usize = 1024;
+
 /// The unproven deliveries of this process.
 #[derive(Default)]
 pub struct UnprovenDeliveries {
@@ -27,6 +30,8 @@
     monitors: RefCell<Vec<Rc<ResponseMonitor>>>,
     /// Their messages, by number in the journal.
     numbers: RefCell<BTreeSet<u64>>,
+    /// Ids of messages that were ended by a notice although they may have been delivered, the oldest first.
+    ended_ids: RefCell<VecDeque<String>>,
     /// A response belonged to no request since the last check.
     check_due: Cell<bool>,
 }
@@ -42,6 +47,19 @@
         self.numbers.borrow().contains(&number)
     }
 
+    /// Whether a message was ended by a notice although it may have been delivered: if it comes again, it is owed nothing.
+    pub fn has_ended(&self, id: &str) -> bool {
+        self.ended_ids.borrow().iter().any(|ended| ended == id)
+    }
+
+    fn remember_end(&self, id: &str) {
+        let mut ended_ids = self.ended_ids.borrow_mut();
+        ended_ids.push_back(id.to_string());
+        if ended_ids.len() > MAX_ENDED_IDS {
+            ended_ids.pop_front();
+        }
+    }
+
     /// Asks for a check in this tick.
     pub fn request_check(&self) {
         self.check_due.set(true);
@@ -131,6 +149,7 @@
             "message {}: delivered by a response that may belong to an earlier request, and {reason}: given up",
             entry.message.id
         ));
+        node.unproven.remember_end(&entry.message.id);
         entry.message.destination
     };
     node.traffic.update(destination, |counters| counters.unproven_deliveries += 1);
