A connection whose deliveries were disproved is closed before their messages go again

It is closed at once now. By reading: a test with two endpoints did not get the retry to the other one in four tries (it goes to the same one, where the connection was closed before), so none is added.

--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -129,6 +129,11 @@
         self.pairing.borrow().has_unproven()
     }
 
+    /// Whether responses can't be paired with requests any more.
+    pub fn is_out_of_step(&self) -> bool {
+        self.pairing.borrow().is_desynchronised()
+    }
+
     /// Whether the connection is out of step and responses to its unproven deliveries may still follow, or are there.
     pub fn is_awaiting_responses(&self) -> bool {
         let pairing = self.pairing.borrow();
@@ -279,9 +284,7 @@
             let description = self.monitor.describe();
             log::info_limited(format_args!("{description}: bytes beyond its responses; closing it"));
         }
-        !self.sender.is_closed()
-            && !self.monitor.pairing.borrow().is_desynchronised()
-            && unread == Unread::Nothing
+        !self.sender.is_closed() && !self.monitor.is_out_of_step() && unread == Unread::Nothing
     }
 }
 
--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -105,6 +105,16 @@
         idle.collect()
     }
 
+    /// Closes the connections that are out of step and have no unproven deliveries: calls on them may still be open, and
+    /// their messages are sent again.
+    pub fn close_out_of_step(&self) {
+        let is_kept = |connection: &Connection| {
+            !connection.monitor.is_out_of_step() || connection.monitor.is_awaiting_responses()
+        };
+        self.idle.borrow_mut().values_mut().for_each(|connections| connections.retain(is_kept));
+        self.retired.borrow_mut().retain(|(_, connection)| is_kept(connection));
+    }
+
     /// Closes the connection to an endpoint that has been idle for the longest time, unless it is the only one.
     pub fn close_spare(&self, endpoint: EndpointId) {
         let mut idle = self.idle.borrow_mut();
--- a/crates/node/src/unproven.rs
+++ b/crates/node/src/unproven.rs
@@ -104,6 +104,9 @@
         let is_trusted = monitor.endpoint_id().is_none_or(|endpoint| node.pool.is_trusted(endpoint));
         let concluded = monitor.pairing.borrow_mut().conclude(now, socket, is_trusted);
         if let Some((conclusion, numbers)) = concluded {
+            if conclusion == Conclusion::Mismatched {
+                node.pool.close_out_of_step();
+            }
             numbers.into_iter().for_each(|number| conclude(node, &monitor, conclusion, number));
         }
         let overdue = monitor.pairing.borrow_mut().take_unproven(|number| is_overdue(node, number));
