A spare connection is closed only if that leaves no delivery unproven

Cause: each unsafe message closed the longest idle connection of its endpoint, and with it the proof of the deliveries on it. Fix: one with unproven deliveries stays.

--- a/crates/fawnspoke/tests/sockets/machine_faults.rs
+++ b/crates/fawnspoke/tests/sockets/machine_faults.rs
@@ -235,9 +235,15 @@
     assert!(status.unwrap().success());
 }
 
-/// Longest time for which a call here awaits its response, so that a late copy may be one: eight times the default
-/// latency, and the interval of the checks.
-const LONGEST_PROOF: Duration = Duration::from_millis(2600);
+/// The number of messages that the journal on disk holds open.
+fn open_journal_messages(dispatcher: &Dispatcher) -> usize {
+    let program = env!("CARGO_BIN_EXE_fawnspoke");
+    let output =
+        std::process::Command::new(program).args(["journal", "show"]).arg(dispatcher.state_dir()).output();
+    let text = String::from_utf8(output.unwrap().stdout).unwrap();
+    let (_, owed) = text.split_once("owed: ").expect("a summary");
+    owed.split(' ').next().and_then(|count| count.parse().ok()).expect("a count")
+}
 
 /// The state directory rejects writes while messages are queued; their endpoint becomes available before the fault ends.
 fn deliver_queued_messages_while_writes_fail(error: i32) {
@@ -260,8 +266,8 @@
     assert!(platform.notices().is_empty());
     assert_eq!(dispatcher.submit("safe", "after", 7), 202);
     eventually("the last call", || endpoint.message_ids().contains(&"after".to_string()));
-    // The next process doesn't send the ended messages again, once the deliveries on reused connections are proven.
-    thread::sleep(LONGEST_PROOF);
+    // The next process doesn't send the ended messages again. The ends on reused connections are on record once proven.
+    eventually("the ends of all messages on record", || open_journal_messages(&dispatcher) == 0);
     eventually("a write to the journal", || dispatcher.submit("unsafe", "m2", 7) == 202);
     dispatcher.kill();
     dispatcher.config["known"]["hosts"] = serde_json::json!([endpoint.list_entry("e", 7, "up")]);
--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -115,11 +115,16 @@
         self.retired.borrow_mut().retain(|(_, connection)| is_kept(connection));
     }
 
-    /// Closes the connection to an endpoint that has been idle for the longest time, unless it is the only one.
+    /// Closes the connection to an endpoint that has been idle for the longest time, unless it is the only one. One with
+    /// unproven deliveries stays: closing it would leave them unproven.
     pub fn close_spare(&self, endpoint: EndpointId) {
         let mut idle = self.idle.borrow_mut();
-        if let Some(connections) = idle.get_mut(&endpoint).filter(|connections| connections.len() > 1) {
-            self.retire(connections.remove(0));
+        let Some(connections) = idle.get_mut(&endpoint).filter(|connections| connections.len() > 1) else {
+            return;
+        };
+        let spare = connections.iter().position(|connection| !connection.monitor.has_unproven());
+        if let Some(spare) = spare {
+            connections.remove(spare);
         }
     }
 
