--- a/crates/fawnspoke/tests/sockets/machine_faults.rs
+++ b/crates/fawnspoke/tests/sockets/machine_faults.rs
@@ -235,16 +235,6 @@
     assert!(status.unwrap().success());
 }
 
-/// The number of messages that the journal on disk holds open.
-fn open_journal_messages(dispatcher: &Dispatcher) -> usize {
-    let program = env!("CARGO_BIN_EXE_fawnspoke");
-    let output =
-        std::process::Command::new(program).args(["journal", "show"]).arg(dispatcher.state_dir()).output();
-    let text = String::from_utf8(output.unwrap().stdout).unwrap();
-    let (_, owed) = text.split_once("owed: ").expect("a summary");
-    owed.split(' ').next().and_then(|count| count.parse().ok()).expect("a count")
-}
-
 /// The state directory rejects writes while messages are queued; their endpoint becomes available before the fault ends.
 fn deliver_queued_messages_while_writes_fail(error: i32) {
     let platform = Platform::start();
@@ -267,7 +257,7 @@
     assert_eq!(dispatcher.submit("safe", "after", 7), 202);
     eventually("the last call", || endpoint.message_ids().contains(&"after".to_string()));
     // The next process doesn't send the ended messages again. The ends on reused connections are on record once proven.
-    eventually("the ends of all messages on record", || open_journal_messages(&dispatcher) == 0);
+    eventually("the ends of all messages on record", || dispatcher.open_journal_messages() == 0);
     eventually("a write to the journal", || dispatcher.submit("unsafe", "m2", 7) == 202);
     dispatcher.kill();
     dispatcher.config["known"]["hosts"] = serde_json::json!([endpoint.list_entry("e", 7, "up")]);
--- a/crates/fawnspoke/tests/sockets/main.rs
+++ b/crates/fawnspoke/tests/sockets/main.rs
@@ -133,9 +133,10 @@
     let mut ids = endpoint.message_ids();
     ids.sort();
     assert_eq!(ids, ["m1", "m2"]);
-    // The third process doesn't send messages again whose ends the second one has recorded. It logs its counts in a
-    // later round than that of the record.
+    // The third process doesn't send messages again whose ends the second one has recorded. An end on a reused
+    // connection is on record once it is proven.
     eventually("the ends of both calls", || dispatcher.logged_total("served") == 2);
+    eventually("both ends on record", || dispatcher.open_journal_messages() == 0);
     dispatcher.kill();
     dispatcher.start();
     assert_eq!(dispatcher.submit("safe", "m3", 7), 202);
--- a/crates/fawnspoke/tests/sockets/support.rs
+++ b/crates/fawnspoke/tests/sockets/support.rs
@@ -6,6 +6,7 @@
 use serde_json::Value;
 use std::ops::{Deref, DerefMut};
 use std::path::Path;
+use std::process::Command;
 
 /// The program under test, as a process.
 pub struct Dispatcher(fawnspoke_lab::blocking::Dispatcher);
@@ -24,6 +25,15 @@
         dispatcher.start();
         dispatcher
     }
+
+    /// The number of messages that the journal on disk holds open.
+    pub fn open_journal_messages(&self) -> usize {
+        let program = env!("CARGO_BIN_EXE_fawnspoke");
+        let output = Command::new(program).args(["journal", "show"]).arg(self.state_dir()).output();
+        let text = String::from_utf8(output.unwrap().stdout).unwrap();
+        let (_, owed) = text.split_once("owed: ").expect("a summary");
+        owed.split(' ').next().and_then(|count| count.parse().ok()).expect("a count")
+    }
 }
 
 impl Deref for Dispatcher {
