--- a/crates/waydoor/src/policy.rs
+++ b/crates/waydoor/src/policy.rs
@@ -95,7 +95,8 @@
     /// Continues a message; returns false if it can only be ended.
     fn reopen(&mut self, now: Seconds, progress: MessageProgress) -> bool {
         let MessageProgress { message, accepted_at, attempts, may_have_run } = progress;
-        // Without its class, the effect of a repeat is unknown: a rejection would promise that a repeat is harmless.
+        // Without its class, the effect of a repeat is unknown: a rejection would promise that a
+        // repeat is harmless.
         if may_have_run.is_some() && message.class >= self.settings.classes.len() {
             self.pending_actions.push(Action::Fail(message.id));
             return false;
