--- a/crates/waydoor/src/policy/attempts.rs
+++ b/crates/waydoor/src/policy/attempts.rs
@@ -31,17 +31,6 @@
 const KEY_EXPIRY_MARGIN_SECONDS: f64 = 0.25;
 
 impl Dispatcher {
-    /// Remembers that a message may have run in its current attempt.
-    pub(super) fn attempt_may_have_run(&mut self, now: Seconds, id: MessageId, attempt: u32) {
-        let Some(state) = self.messages.get_mut(&id).filter(|state| state.attempts == attempt + 1) else {
-            return;
-        };
-        let Some(call) = state.call else { return };
-        let sent_at = self.calls.get(&call.call).map_or(now, |call| call.sent_at);
-        let zone = self.endpoints.get(&call.endpoint).map_or(0, |endpoint| endpoint.zone);
-        state.may_have_run.get_or_insert((sent_at, zone));
-    }
-
     pub(super) fn attempt_ended(&mut self, now: Seconds, end: AttemptEnd) {
         let Some(state) = self.messages.get_mut(&end.id) else { return };
         let Some(attempt) = state.call.filter(|_| state.attempts == end.attempt + 1) else { return };
--- a/crates/waydoor/src/policy/connections.rs
+++ b/crates/waydoor/src/policy/connections.rs
@@ -1,4 +1,4 @@
-//! Idle connections: how long one is kept.
+//! Idle connections: how long one is kept, and what a response on a reused one leaves open.
 //!
 //! Keeps the connections of a large fleet from filling small connection tables, and calls from using
 //! connections that were dropped unnoticed. The cost is the time for new connections.
@@ -24,6 +24,17 @@
 pub(super) const CONNECT_COST_SECONDS: f64 = 0.1;
 
 impl Dispatcher {
+    /// Remembers that a message may have run in its current attempt.
+    pub(super) fn attempt_may_have_run(&mut self, now: Seconds, id: MessageId, attempt: u32) {
+        let Some(state) = self.messages.get_mut(&id).filter(|state| state.attempts == attempt + 1) else {
+            return;
+        };
+        let Some(call) = state.call else { return };
+        let sent_at = self.calls.get(&call.call).map_or(now, |call| call.sent_at);
+        let zone = self.endpoints.get(&call.endpoint).map_or(0, |endpoint| endpoint.zone);
+        state.may_have_run.get_or_insert((sent_at, zone));
+    }
+
     /// Decides how long the connection of an ended call is kept: as long as idle ones prove usable and a use
     /// is likely. Returns false if the failure was caused by the idle connection.
     pub(super) fn track_idle_connection(
