The judge of misplaced responses ignores the watches of other tests' dispatchers

They are GET /registry of a dispatcher whose own platform had ended and whose port the endpoint got. Such a request is no call; all others, probes too, are checked as before.

--- a/crates/fawnspoke/tests/sockets/misplaced_responses/endpoint.rs
+++ b/crates/fawnspoke/tests/sockets/misplaced_responses/endpoint.rs
@@ -84,6 +84,7 @@
 #[derive(Clone, Debug)]
 pub struct Call {
     pub id: String,
+    pub path: String,
     /// The endpoint's address, and the port of the connection's other end.
     pub address: SocketAddr,
     pub connection: u16,
@@ -99,6 +100,12 @@
 }
 
 impl Call {
+    /// Whether it was sent to this endpoint. A watch comes from the dispatcher of another test, whose platform has ended and
+    /// had this port.
+    fn is_own(&self) -> bool {
+        !self.path.starts_with("/registry/")
+    }
+
     /// Whether it takes effect, also if the dispatcher does not wait for the response.
     pub fn may_have_run(&self) -> bool {
         matches!(self.status, 0 | 200 | 500)
@@ -202,11 +209,11 @@
 /// Each call that began inside a Retry-After that was written on an open connection.
 pub fn calls_inside_waits(calls: &[Call]) -> Vec<String> {
     let mut inside = Vec::new();
-    for told in calls {
+    for told in calls.iter().filter(|told| told.is_own()) {
         let (Some(retry_after), Some(at)) = (told.retry_after, told.answered_at) else { continue };
         let is_inside = |call: &&Call| {
             let elapsed = call.received_at.saturating_duration_since(at);
-            elapsed > RETRY_AFTER_GRACE + TOLERANCE && elapsed + TOLERANCE < retry_after
+            call.is_own() && elapsed > RETRY_AFTER_GRACE + TOLERANCE && elapsed + TOLERANCE < retry_after
         };
         let early = calls.iter().filter(is_inside);
         inside.extend(early.map(|call| format!("{}: called inside the Retry-After of {}", call.id, told.id)));
@@ -301,6 +308,7 @@
         let path = head.split(' ').nth(1).unwrap_or_default().to_string();
         let call = Call {
             id: id.clone(),
+            path: path.clone(),
             address,
             connection: peer.port(),
             body,
