A wait told to the process that hands over reaches its successor

Cause: after a hand-over the old process still reads the connections of its last calls, but nobody reads its inputs any more. A Retry-After in a response beyond a call's own (behind a copied 200), in a probe's response, or of a call whose message is no longer in flight at the new process was dropped, and with it the endpoint's distrust.

Change: waits and surplus responses that arrive after the hand-over are transferred like the ends of calls; the old process stays until its inputs are empty. A connection that is no longer reusable when its turn comes is not transferred, and one with unread bytes is read on before it closes.

--- a/crates/fawnspoke/tests/sockets/misplaced_responses.rs
+++ b/crates/fawnspoke/tests/sockets/misplaced_responses.rs
@@ -13,6 +13,7 @@
 
 const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 const REJECTED: &str = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+const RETRY_LATER: &str = "HTTP/1.1 429 Full\r\nRetry-After: 1.5\r\nContent-Length: 0\r\n\r\n";
 const NO_CONTENT: &str = "HTTP/1.1 204 No Content\r\n\r\n";
 /// How long after a request its own response comes, behind the misplaced one.
 const OWN_RESPONSE_DELAY: Duration = Duration::from_millis(120);
@@ -113,9 +114,7 @@
 #[test]
 fn a_late_copy_of_a_200_does_not_hide_a_retry_after() {
     let (endpoint, _platform, dispatcher) = start(|request| match (request.index, &*request.id) {
-        (1, "second") => {
-            misplaced(request, OK, "HTTP/1.1 429 Full\r\nRetry-After: 1.5\r\nContent-Length: 0\r\n\r\n")
-        }
+        (1, "second") => misplaced(request, OK, RETRY_LATER),
         _ => Script::respond(OK),
     });
     respond_then_submit(&dispatcher, &endpoint, "keyed");
@@ -128,6 +127,43 @@
     assert_eq!(calls_inside_waits(&endpoint.all_calls()), Vec::<String>::new());
 }
 
+/// Each call after a hand-over that a Retry-After, written to the previous process meanwhile, forbids.
+fn calls_inside_a_wait_told_to_the_previous_process(
+    second: impl Fn() -> Script + Send + Sync + 'static,
+) -> Vec<String> {
+    let (endpoint, _platform, mut dispatcher) = start(move |request| match &*request.id {
+        // It keeps the previous process until after the wait was told.
+        "long" => Script::respond(OK).after(Duration::from_millis(1900)),
+        "second" => second(),
+        _ => Script::respond(OK),
+    });
+    assert_eq!(dispatcher.submit("safe", "first", 7), 202);
+    eventually("the first call's response", || endpoint.answered() == 1);
+    assert_eq!(dispatcher.submit("unsafe", "long", 7), 202);
+    thread::sleep(Duration::from_millis(50));
+    assert_eq!(dispatcher.submit("safe", "second", 7), 202);
+    eventually("the second call", || endpoint.calls("second").len() == 1);
+    let mut previous = dispatcher.upgrade();
+    eventually("the response to the second message", || endpoint.calls("second")[0].answered_at.is_some());
+    assert_eq!(endpoint.deliveries("long"), 0);
+    for i in 0..10 {
+        thread::sleep(Duration::from_millis(50));
+        assert_eq!(dispatcher.submit("safe", &format!("m{i}"), 7), 202);
+    }
+    eventually("all deliveries", || (0..10).all(|i| endpoint.deliveries(&format!("m{i}")) == 1));
+    previous.wait().expect("the previous process ends");
+    calls_inside_waits(&endpoint.all_calls())
+}
+
+#[test]
+fn a_retry_after_behind_a_copied_200_is_not_lost_in_a_handover() {
+    let inside = calls_inside_a_wait_told_to_the_previous_process(|| {
+        let copy = Extra::new(Duration::from_millis(700), OK);
+        Script::respond(RETRY_LATER).after(Duration::from_millis(900)).with_extra(copy)
+    });
+    assert_eq!(inside, Vec::<String>::new());
+}
+
 #[test]
 fn a_late_copy_of_a_204_does_not_end_an_owed_notice() {
     let endpoint = Endpoint::start(|_| Script::disconnect());
--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -96,13 +96,12 @@
 
     /// Empties the pool and returns the connections that are reusable.
     pub fn take_reusable(&self) -> Vec<(EndpointId, Connection)> {
-        let idle = self.idle.take().into_iter().flat_map(|(endpoint, connections)| {
-            connections
-                .into_iter()
-                .filter(Connection::is_reusable)
-                .map(move |connection| (endpoint, connection))
-        });
-        idle.collect()
+        let mut reusable = Vec::new();
+        for (endpoint, mut connections) in self.idle.take() {
+            self.retain_or_retire(&mut connections, Connection::is_reusable);
+            reusable.extend(connections.into_iter().map(|connection| (endpoint, connection)));
+        }
+        reusable
     }
 
     /// Closes the connections that are out of step and have no unproven deliveries: calls on them may still be open, and
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -171,6 +171,7 @@
                 &mut takeover_requests,
                 signals,
                 &mut transfers,
+                &mut inputs,
             )
             .await
             {
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -7,6 +7,7 @@
 use crate::config::Config;
 use crate::connection;
 use crate::directory::Directory;
+use crate::event_loop::Input;
 use crate::serving::Phase;
 use crate::startup::open_journal;
 use crate::stream::SharedStream;
@@ -186,7 +187,7 @@
 pub async fn hand_over(
     node: &Rc<Node>, stopping: bool, first_request: HandoverRequest,
     requests: &mut UnboundedReceiver<HandoverRequest>, (terminate, interrupt): (&mut Signal, &mut Signal),
-    transfers: &mut UnboundedReceiver<Transfer>,
+    transfers: &mut UnboundedReceiver<Transfer>, inputs: &mut UnboundedReceiver<Input>,
 ) -> HandoverResult {
     if first_request.hello.version != PROTOCOL_VERSION {
         reject_request(
@@ -304,6 +305,7 @@
             && node.calls_in_flight.get() == 0
             && node.clients.count() == 0
             && transfers.is_empty()
+            && inputs.is_empty()
         {
             finished = true;
             node.calls_lock.replace(None);
@@ -340,6 +342,13 @@
                 }
                 continue;
             }
+            // Of a connection that was not transferred.
+            Some(input) = inputs.recv(), if handed_over => {
+                Completion::of_late_input(input)
+                    .into_iter()
+                    .for_each(|completion| node.transfer(Transfer::Completion(completion)));
+                continue;
+            }
             _ = terminate.recv() => Event::Terminate,
             _ = interrupt.recv() => Event::Terminate,
             () = sleep(POLL_INTERVAL) => Event::Tick,
@@ -396,6 +405,8 @@
         Transfer::Client { stream, partial_request, waited_ms } => {
             (SenderFrame::Client { partial_request, waited_ms }, Some(stream))
         }
+        // A response that belongs to no request may have arrived meanwhile.
+        Transfer::IdleConnection { connection, .. } if !connection.is_reusable() => return Ok(()),
         Transfer::IdleConnection { endpoint, connection } => {
             let idle_ms = connection.idle_since.elapsed().as_millis() as u32;
             let frame =
@@ -697,7 +708,11 @@
         (SenderFrame::CallCompleted(bytes), _) => match frames::decode(&bytes) {
             Ok(Completion::Call { endpoint, destination, sent_at, mut end }) => {
                 end.message_ends.retain(|end| in_flight.remove(&(end.number, end.attempt)).is_some());
-                if !end.message_ends.is_empty() {
+                if end.message_ends.is_empty() {
+                    let endpoint = EndpointId(endpoint);
+                    let wait = end.retry_after.map(|delay| DispatcherEvent::RetryAfter { endpoint, delay });
+                    wait.into_iter().for_each(|event| node.send_event(event));
+                } else {
                     complete_call(node, EndpointId(endpoint), destination, sent_at, end);
                 }
             }
@@ -709,6 +724,12 @@
                     rate_limit_report,
                 });
             }
+            Ok(Completion::RetryAfter { endpoint, delay }) => {
+                node.send_event(DispatcherEvent::RetryAfter { endpoint: EndpointId(endpoint), delay });
+            }
+            Ok(Completion::SurplusResponse(surplus)) => {
+                node.send_input(Input::SurplusResponse(surplus.into()))
+            }
             Err(error) => log::info_limited(format_args!("handover: {error}")),
         },
         (SenderFrame::OverrideCommand { number, activate, endpoint_id }, _) => {
