A response that has arrived when its connection is closed is read for its wait

What callers saw: calls inside a Retry-After, where a call is given up (a copied rejection on a reused connection, a time-out, a withdrawal) just as its own response with the wait arrives.

Cause: the bytes that had arrived but were not read yet went with the socket, and the socket closed only when the runtime came to the task that drives it, so that the endpoint could go on writing to a connection which nobody read.

Change: closing ends the writing direction first, so the endpoint sees the end, then reads what has arrived (64 KB at most) and reports the waits and the surplus responses in it. A connection that another process was given is left alone.

Evidence: a unit test over a socket; it fails without the read. On loopback nothing is left of the window; on a network a response that was under way when the connection was closed is still not read.

--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -4,7 +4,7 @@
 
 use crate::event_loop::Input;
 use crate::log;
-use crate::pairing::{ResponseHead, ResponsePairing, SocketState};
+use crate::pairing::{ObservedHead, ResponseHead, ResponsePairing, SocketState};
 use crate::stream::{HeadScanner, SharedStream, Unread, WeakStream};
 use fawnspoke_control::metrics::Metrics;
 use http_body_util::Full;
@@ -26,12 +26,14 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::Instant;
-use waydoor::EndpointId;
+use waydoor::{EndpointId, Event};
 
 /// Most bytes of the head of a response.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Bytes that are read at a time once hyper reads no more.
 const READ_BUFFER_BYTES: usize = 4096;
+/// Reads of what has arrived on a connection that is being closed.
+const MAX_CLOSING_READS: usize = 16;
 /// Most header lines of a response.
 const MAX_HEADERS: usize = 64;
 /// Time from the first byte of a response to its last. Without this limit a response that stalls midway would occupy
@@ -71,6 +73,13 @@
         // The receiver, in the event loop, lives as long as the process.
         let _ = self.inputs.send(Input::SurplusResponse(surplus));
     }
+
+    /// Reports only the wait that a response asks for.
+    fn report_wait(&self, head: ResponseHead) {
+        let Some(delay) = head.retry_after else { return };
+        let (endpoint, delay) = (self.endpoint, delay.as_secs_f64());
+        let _ = self.inputs.send(Input::Event(Event::RetryAfter { endpoint, delay }));
+    }
 }
 
 /// Observes the bytes of a connection since the last request was put on it.
@@ -185,8 +194,10 @@
 
     /// Scans bytes that were read.
     fn observe(&self, bytes: &[u8]) {
-        let surplus = self.pairing.borrow_mut().observe(std::time::Instant::now(), bytes);
-        surplus.into_iter().for_each(|head| self.report_surplus(head));
+        let observed = self.pairing.borrow_mut().observe(std::time::Instant::now(), bytes);
+        for observed in observed.into_iter().filter(|observed| observed.is_surplus) {
+            self.report_surplus(observed.head);
+        }
         let mut head = self.head.borrow_mut();
         head.scan(bytes);
         let first_byte_at = head.has_started().then(|| self.first_byte_at.get().unwrap_or_else(Instant::now));
@@ -196,6 +207,22 @@
         }
     }
 
+    /// Reads the responses that have arrived on a connection that is being closed, for the waits in them: nobody else
+    /// reads them any more.
+    fn observe_unread(&self, stream: &SharedStream) {
+        let mut buffer = [0; READ_BUFFER_BYTES];
+        for _ in 0..MAX_CLOSING_READS {
+            let Ok(length @ 1..) = stream.read_arrived(&mut buffer) else { return };
+            let observed = self.pairing.borrow_mut().observe(std::time::Instant::now(), &buffer[..length]);
+            for ObservedHead { head, is_surplus } in observed {
+                match is_surplus {
+                    true => self.report_surplus(head),
+                    false => self.endpoint.iter().for_each(|endpoint| endpoint.report_wait(head)),
+                }
+            }
+        }
+    }
+
     /// When to stop waiting for the response, given the deadline of the call. `is_single`: the call carries one
     /// message.
     pub fn response_deadline(&self, call_deadline: Instant, is_single: bool) -> Instant {
@@ -273,6 +300,8 @@
     driver: AbortHandle,
     /// When it was last put into the pool or opened.
     pub idle_since: Instant,
+    /// Another process has the socket now.
+    is_transferred: bool,
 }
 
 impl Connection {
@@ -295,8 +324,21 @@
     }
 }
 
+impl Connection {
+    /// Drops it without closing it: another process has the socket now.
+    pub fn release(mut self) {
+        self.is_transferred = true;
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
+        if !self.is_transferred {
+            // Once the endpoint sees the end of the connection, nothing that it writes is expected to be read. What it wrote
+            // before has arrived.
+            let _ = self.stream.shutdown_write();
+            self.monitor.observe_unread(&self.stream);
+        }
         self.driver.abort();
     }
 }
@@ -344,15 +386,52 @@
         let _ = http.await;
         observe_rest(rest, &rest_monitor).await;
     });
-    Ok(Connection { sender, address, stream, monitor, driver: driver.abort_handle(), idle_since })
+    Ok(Connection {
+        sender,
+        address,
+        stream,
+        monitor,
+        driver: driver.abort_handle(),
+        idle_since,
+        is_transferred: false,
+    })
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
     use socket2::SockRef;
+    use std::io::{Read, Write};
     use tokio::io::AsyncWriteExt;
     use tokio::net::TcpListener;
+    use tokio::sync::mpsc::unbounded_channel;
+
+    #[tokio::test]
+    async fn a_wait_that_arrives_before_its_connection_is_closed_is_reported() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (inputs, mut received) = unbounded_channel();
+        let endpoint =
+            EndpointConnection { endpoint: EndpointId(1), destination: 7, address, number: 1, inputs };
+        let connect_then_close = async {
+            let connection = connect(address, Some(endpoint)).await.unwrap();
+            let (mut peer, _) = listener.accept().unwrap();
+            connection.monitor.begin_request();
+            let own = b"HTTP/1.1 429 Full\r\nRetry-After: 0.5\r\nContent-Length: 0\r\n\r\n";
+            let surplus = b"HTTP/1.1 503 Full\r\nRetry-After: 0.7\r\nContent-Length: 0\r\n\r\n";
+            peer.write_all(own).unwrap();
+            peer.write_all(surplus).unwrap();
+            drop(connection);
+            assert_eq!(peer.read(&mut [0]).unwrap(), 0);
+        };
+        tokio::task::LocalSet::new().run_until(connect_then_close).await;
+        let own = received.try_recv().unwrap();
+        assert!(matches!(own, Input::Event(Event::RetryAfter { delay: 0.5, .. })));
+        let Input::SurplusResponse(surplus) = received.try_recv().unwrap() else {
+            panic!("not a surplus response")
+        };
+        assert_eq!(surplus.head.retry_after, Some(Duration::from_millis(700)));
+    }
 
     #[tokio::test]
     async fn a_failed_write_is_recorded_until_the_next_request() {
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -5,7 +5,7 @@
 use crate::actions::complete_call;
 use crate::calls::{CallEnd, MessageEnd};
 use crate::config::Config;
-use crate::connection;
+use crate::connection::{self, Connection};
 use crate::directory::Directory;
 use crate::event_loop::Input;
 use crate::serving::Phase;
@@ -431,7 +431,7 @@
     };
     let packet = frames::encode(&frame)?;
     timeout(PACKET_TIMEOUT, link.send(&packet, stream.as_ref().map(SharedStream::descriptor))).await??;
-    drop(sent_connection);
+    sent_connection.into_iter().for_each(Connection::release);
     Ok(())
 }
 
--- a/crates/node/src/pairing.rs
+++ b/crates/node/src/pairing.rs
@@ -29,6 +29,14 @@
     pub retry_after: Option<Duration>,
 }
 
+/// The head of a final response, and how it relates to the requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ObservedHead {
+    pub head: ResponseHead,
+    /// The response belongs to no request.
+    pub is_surplus: bool,
+}
+
 /// How the body of a response ends.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Framing {
@@ -268,10 +276,10 @@
         self.last_head.filter(|_| self.has_surplus())
     }
 
-    /// Takes bytes that were read and returns the heads of responses that belong to no request.
-    pub fn observe(&mut self, now: Instant, bytes: &[u8]) -> Vec<ResponseHead> {
+    /// Takes bytes that were read and returns the heads that they complete.
+    pub fn observe(&mut self, now: Instant, bytes: &[u8]) -> Vec<ObservedHead> {
         self.last_read_at = Some(now);
-        let mut surplus = Vec::new();
+        let mut observed = Vec::new();
         let (requests, first_is_proven) = (self.requests, !self.is_adopted);
         let mut complete_heads = self.scanner.started;
         // A head that was incomplete before belongs to the response that had started.
@@ -284,11 +292,9 @@
             *last_head = Some(head);
             let may_be_copy = complete_heads > 1 || !first_is_proven;
             *has_other_status |= may_be_copy && head.status != Some(StatusCode::OK);
-            if complete_heads > requests {
-                surplus.push(head);
-            }
+            observed.push(ObservedHead { head, is_surplus: complete_heads > requests });
         });
-        surplus
+        observed
     }
 
     /// Requests sent so far.
@@ -392,6 +398,12 @@
     const REJECTED: &str = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
     const DUE: Duration = Duration::from_secs(1);
 
+    /// Takes bytes and returns the heads of responses that belong to no request.
+    fn surplus(pairing: &mut ResponsePairing, now: Instant, bytes: &[u8]) -> Vec<ResponseHead> {
+        let observed = pairing.observe(now, bytes).into_iter();
+        observed.filter(|observed| observed.is_surplus).map(|observed| observed.head).collect()
+    }
+
     fn after_one_request() -> ResponsePairing {
         let mut pairing = ResponsePairing::default();
         pairing.request_sent();
@@ -403,7 +415,7 @@
         let mut pairing = ResponsePairing::default();
         for _ in 0..2 {
             pairing.request_sent();
-            assert!(pairing.observe(now, OK.as_bytes()).is_empty());
+            assert!(surplus(&mut pairing, now, OK.as_bytes()).is_empty());
         }
         pairing.add_unproven(now, UnprovenDelivery { number: 2, due_at: now + DUE });
         pairing
@@ -430,7 +442,7 @@
         let now = Instant::now();
         let mut pairing = with_unproven_delivery(now);
         pairing.request_sent();
-        assert!(pairing.observe(now + DUE, OK.as_bytes()).is_empty());
+        assert!(surplus(&mut pairing, now + DUE, OK.as_bytes()).is_empty());
         assert_eq!(pairing.conclude(now + DUE, SocketState::Silent, true), None);
         let quiet_at = now + DUE + QUIET_TIME;
         assert_eq!(
@@ -443,7 +455,7 @@
     fn a_surplus_rejection_disproves_a_delivery() {
         let now = Instant::now();
         let mut pairing = with_unproven_delivery(now);
-        assert_eq!(pairing.observe(now, REJECTED.as_bytes()).len(), 1);
+        assert_eq!(surplus(&mut pairing, now, REJECTED.as_bytes()).len(), 1);
         assert_eq!(pairing.conclude(now, SocketState::Silent, true), Some((Conclusion::Mismatched, vec![2])));
         assert!(pairing.is_desynchronised());
     }
@@ -452,7 +464,7 @@
     fn a_surplus_200_leaves_a_delivery_unknown() {
         let now = Instant::now();
         let mut pairing = with_unproven_delivery(now);
-        assert_eq!(pairing.observe(now, OK.as_bytes()).len(), 1);
+        assert_eq!(surplus(&mut pairing, now, OK.as_bytes()).len(), 1);
         assert_eq!(pairing.conclude(now, SocketState::Silent, true), None);
         assert_eq!(
             pairing.conclude(now + DUE, SocketState::Silent, true),
@@ -488,7 +500,7 @@
         pairing.request_sent();
         assert_eq!(pairing.conclude(now + 2 * DUE, SocketState::Silent, true), None);
         // A rejection that the earlier request was owed is read as the response to the later one.
-        assert!(pairing.observe(now, REJECTED.as_bytes()).is_empty());
+        assert!(surplus(&mut pairing, now, REJECTED.as_bytes()).is_empty());
         assert_eq!(
             pairing.conclude(now + 2 * DUE, SocketState::Silent, true),
             Some((Conclusion::Unknown, vec![2]))
@@ -516,10 +528,10 @@
     #[test]
     fn a_response_to_each_request_leaves_no_surplus() {
         let mut pairing = after_one_request();
-        assert!(pairing.observe(Instant::now(), OK.as_bytes()).is_empty());
+        assert!(surplus(&mut pairing, Instant::now(), OK.as_bytes()).is_empty());
         pairing.request_sent();
         for byte in format!("HTTP/1.1 103 Early\r\nA: b\r\n\r\n{OK}").bytes() {
-            assert!(pairing.observe(Instant::now(), &[byte]).is_empty());
+            assert!(surplus(&mut pairing, Instant::now(), &[byte]).is_empty());
         }
         assert_eq!((pairing.requests(), pairing.responses(), pairing.is_desynchronised()), (2, 2, false));
     }
@@ -527,14 +539,14 @@
     #[test]
     fn a_copy_behind_a_response_is_surplus_from_its_first_byte() {
         let mut pairing = after_one_request();
-        assert!(pairing.observe(Instant::now(), format!("{OK}H").as_bytes()).is_empty());
+        assert!(surplus(&mut pairing, Instant::now(), format!("{OK}H").as_bytes()).is_empty());
         assert!(pairing.is_desynchronised());
         let rest = "TTP/1.1 429 Full\r\nretry-after: 0.5\r\nContent-Length: 0\r\n\r\n";
         let head = ResponseHead {
             status: Some(StatusCode::TOO_MANY_REQUESTS),
             retry_after: Some(Duration::from_millis(500)),
         };
-        assert_eq!(pairing.observe(Instant::now(), rest.as_bytes()), [head]);
+        assert_eq!(surplus(&mut pairing, Instant::now(), rest.as_bytes()), [head]);
     }
 
     #[test]
@@ -543,18 +555,18 @@
         let response = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n\
                         4;a=b\r\nHT\nP\r\n10\r\n0123456789abcdef\r\n0\r\nA: b\r\n\r\n";
         for byte in response.bytes() {
-            assert!(pairing.observe(Instant::now(), &[byte]).is_empty());
+            assert!(surplus(&mut pairing, Instant::now(), &[byte]).is_empty());
             assert!(!pairing.is_desynchronised());
         }
-        assert_eq!(pairing.observe(Instant::now(), REJECTED.as_bytes()).len(), 1);
+        assert_eq!(surplus(&mut pairing, Instant::now(), REJECTED.as_bytes()).len(), 1);
     }
 
     #[test]
     fn a_response_before_a_request_that_was_not_written_is_surplus() {
         let mut pairing = after_one_request();
-        assert!(pairing.observe(Instant::now(), OK.as_bytes()).is_empty());
+        assert!(surplus(&mut pairing, Instant::now(), OK.as_bytes()).is_empty());
         pairing.request_sent();
-        assert!(pairing.observe(Instant::now(), REJECTED.as_bytes()).is_empty());
+        assert!(surplus(&mut pairing, Instant::now(), REJECTED.as_bytes()).is_empty());
         let head = ResponseHead { status: Some(StatusCode::SERVICE_UNAVAILABLE), retry_after: None };
         assert_eq!(pairing.request_not_sent(), Some(head));
         assert!(pairing.is_desynchronised());
@@ -565,7 +577,7 @@
         let mut pairing = after_one_request();
         let body = "HTTP/1.1 200 OK\r\n\r\n";
         let response = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-        assert!(pairing.observe(Instant::now(), response.as_bytes()).is_empty());
+        assert!(surplus(&mut pairing, Instant::now(), response.as_bytes()).is_empty());
         assert_eq!((pairing.responses(), pairing.is_desynchronised()), (1, false));
     }
 }
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -3,7 +3,7 @@
 
 use hyper::StatusCode;
 use socket2::SockRef;
-use std::io;
+use std::io::{self, Read};
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::os::fd::{AsFd, BorrowedFd};
@@ -68,6 +68,21 @@
         self.0.as_fd()
     }
 
+    /// Ends the writing direction: the peer sees the end of the connection.
+    pub fn shutdown_write(&self) -> io::Result<()> {
+        SockRef::from(&*self.0).shutdown(Shutdown::Write)
+    }
+
+    /// Reads bytes that have arrived, from the socket itself: the runtime may not have polled it yet.
+    pub fn read_arrived(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        loop {
+            match (&*SockRef::from(&*self.0)).read(buffer) {
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                read => return read,
+            }
+        }
+    }
+
     /// Peeks at the socket itself, since the runtime may not have polled it yet.
     pub fn unread(&self) -> Unread {
         loop {
@@ -129,7 +144,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Write))
+        Poll::Ready(self.shutdown_write())
     }
 }
 
