The judge of misplaced responses sees a closed connection before it writes

Need: the stand-in learns from its reading thread that the dispatcher has closed a connection. Beside load that thread runs a few ms late; the first write to a closed connection succeeds, so a Retry-After counted as told (and a 200 as delivered) that nobody could read any more.

Change: the stand-in asks the socket itself right before it writes. A 200 that comes after the close counts as no delivery now, which is stricter.

--- a/crates/fawnspoke/tests/sockets/misplaced_responses/endpoint.rs
+++ b/crates/fawnspoke/tests/sockets/misplaced_responses/endpoint.rs
@@ -1,6 +1,8 @@
 //! A stand-in for an endpoint or the platform that writes responses at any time, also such that no request asked for.
 
+use socket2::SockRef;
 use std::io::{ErrorKind, Read, Write};
+use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc};
 use std::thread;
@@ -329,6 +331,16 @@
     *connection.closed_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
 }
 
+/// Whether the dispatcher has closed the connection, which the reading thread may not have seen yet.
+fn is_closed_by_peer(stream: &TcpStream) -> bool {
+    let flags = libc::MSG_PEEK | libc::MSG_DONTWAIT;
+    let peeked = SockRef::from(stream).recv_with_flags(&mut [MaybeUninit::uninit()], flags);
+    match peeked {
+        Ok(length) => length == 0,
+        Err(error) => !matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+    }
+}
+
 /// Carries out a script; returns whether the connection goes on.
 fn respond(
     shared: &Shared, connection: &Connection, writer: &Arc<Mutex<TcpStream>>, index: usize, script: Script,
@@ -342,11 +354,14 @@
         shared.calls()[index].abandoned_at = Some(closed_at);
         return true;
     }
-    let written = writer.lock().unwrap_or_else(PoisonError::into_inner).write_all(&response);
+    let mut stream = writer.lock().unwrap_or_else(PoisonError::into_inner);
+    // The first write to a connection that the other end has closed succeeds.
+    let is_written = !is_closed_by_peer(&stream) && stream.write_all(&response).is_ok();
+    drop(stream);
     let now = Instant::now();
-    match written {
-        Ok(()) => shared.calls()[index].answered_at = Some(now),
-        Err(_) => shared.calls()[index].abandoned_at = Some(connection.closed_at().unwrap_or(now)),
+    match is_written {
+        true => shared.calls()[index].answered_at = Some(now),
+        false => shared.calls()[index].abandoned_at = Some(connection.closed_at().unwrap_or(now)),
     }
     script.behind.into_iter().for_each(|extra| write_later(writer, extra));
     true
