Soaks keep their port between two starts, and a failure prints its trace

Need: of four soaks at once one ended with "the process listens": the port that a test had reserved lies in the range of outgoing connections, and one of those can take it while no process listens (probable; the process's own line was not kept).

Change: reserved ports lie below that range, and the soak of misplaced responses prints what its trace says of the messages concerned and of hand-overs.

--- a/crates/fawnspoke/tests/sockets/closing.rs
+++ b/crates/fawnspoke/tests/sockets/closing.rs
@@ -64,10 +64,6 @@
     (endpoint, peer, platform, dispatcher, address)
 }
 
-fn free_address() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 /// A dispatcher may close a connection between requests; a client whose request crosses that close sends it once
 /// more. A request that arrives after the close must therefore not be read.
 #[test]
--- a/crates/fawnspoke/tests/sockets/misplaced_responses/soak.rs
+++ b/crates/fawnspoke/tests/sockets/misplaced_responses/soak.rs
@@ -7,7 +7,7 @@
 use super::endpoint::{Call, Endpoint, Extra, Request, Script, calls_inside_waits, overlapping_attempts};
 use crate::soak::{NOTICE_GRACE, READY_GRACE, RequestResult, START_AFTER_KILL, end_process, send_request};
 use crate::support::*;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::ops::Range;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -191,7 +191,12 @@
     violations
 }
 
-/// Writes what a failed run observed, for its analysis.
+/// Whether a line of a trace names a message.
+fn names_message(line: &str, id: &str) -> bool {
+    line.split(|c: char| !c.is_alphanumeric() && c != '-').any(|word| word == id)
+}
+
+/// Writes what a failed run observed, for its analysis, and prints what concerns the violations.
 fn write_trace(
     seed: u64, violations: &[String], dispatcher: &Dispatcher, endpoints: &[Endpoint], platform: &Endpoint,
 ) {
@@ -228,7 +233,15 @@
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("misplaced-{seed}.log"));
     // The trace is only an aid: the violations are reported in any case.
     let _ = std::fs::write(&path, lines.join("\n"));
-    println!("seed {seed}: trace in {}", path.display());
+    println!("seed {seed}: trace in {}; of it:", path.display());
+    // CI keeps only the output.
+    let ids: Vec<&str> = violations
+        .iter()
+        .flat_map(|violation| violation.split([' ', ':']).filter(|word| word.matches('-').count() == 2))
+        .collect();
+    let is_relevant =
+        |line: &&String| line.contains("handover: ") || ids.iter().any(|id| names_message(line, id));
+    lines.iter().filter(is_relevant).for_each(|line| println!("{line}"));
 }
 
 /// What a seed found.
@@ -250,7 +263,7 @@
         })
         .collect();
     let mut dispatcher = Dispatcher::new(&Platform::start(), &known);
-    let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let address = free_address();
     dispatcher.config["listen"] = address.to_string().into();
     dispatcher.config["discovery"] = platform.address.to_string().into();
     dispatcher.config["settings"]["grades"][1]["repeat_window"] = KEY_WINDOW.as_secs_f64().into();
--- a/crates/fawnspoke/tests/sockets/operations.rs
+++ b/crates/fawnspoke/tests/sockets/operations.rs
@@ -231,7 +231,7 @@
     let (endpoint, platform) = (Endpoint::start(|_, _| Reply::status(200)), Platform::start());
     let mut dispatcher = Dispatcher::new(&platform, &[endpoint.list_entry("e", 7, "up")]);
     // A fixed address, which stays the same if the old process restarts.
-    let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let address = free_address();
     dispatcher.config["listen"] = address.to_string().into();
     dispatcher.start();
     for i in 0..20 {
@@ -255,7 +255,7 @@
     // Another process owns the state directory and answers no handover request.
     let lock = fawnspoke_handover::lock::try_lock(&dispatcher.state_dir()).unwrap();
     assert!(lock.is_some());
-    let control_address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let control_address = free_address();
     let mut child = dispatcher.command().env("GW_CONTROL", control_address.to_string()).spawn().unwrap();
     // Its control port answers while it waits.
     let ask_status =
--- a/crates/fawnspoke/tests/sockets/soak.rs
+++ b/crates/fawnspoke/tests/sockets/soak.rs
@@ -272,7 +272,7 @@
         })
         .collect();
     let mut dispatcher = Dispatcher::new(&platform, &known);
-    let address = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let address = free_address();
     dispatcher.config["listen"] = address.to_string().into();
     dispatcher.config["limits"]["sockets"] = 200.into();
     dispatcher.config["settings"]["grades"][1]["repeat_window"] = KEY_WINDOW_SECONDS.into();
--- a/crates/fawnspoke/tests/sockets/support.rs
+++ b/crates/fawnspoke/tests/sockets/support.rs
@@ -4,10 +4,22 @@
     Client, Endpoint, HttpMessage, Platform, Reply, draining_endpoint, eventually, list_entry,
 };
 use serde_json::Value;
-use std::ops::{Deref, DerefMut};
+use std::iter;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::ops::{Deref, DerefMut, Range};
 use std::path::Path;
 use std::process::Command;
 
+/// Ports outside the range from which outgoing connections get theirs.
+const FIXED_PORTS: Range<u16> = 20_000..32_000;
+
+/// An unused address for a process that is started several times: no outgoing connection takes it between two starts.
+pub fn free_address() -> SocketAddr {
+    iter::repeat_with(|| SocketAddr::from((Ipv4Addr::LOCALHOST, fastrand::u16(FIXED_PORTS))))
+        .find(|address| TcpListener::bind(address).is_ok())
+        .expect("an endless iterator")
+}
+
 /// The program under test, as a process.
 pub struct Dispatcher(fawnspoke_lab::blocking::Dispatcher);
 
