A test's client disconnects also while another test forks a process

Cause, proven now: the test drops its client's socket, but a child process that another test has forked holds a copy until its exec, so the stopped dispatcher is continued before the connection has ended, and reads an intact request.

Change: the client ends the connection itself before its socket is dropped. On the wire it is the same FIN, now at that moment. The check stays.

--- a/crates/fawnspoke/tests/sockets/main.rs
+++ b/crates/fawnspoke/tests/sockets/main.rs
@@ -621,7 +621,7 @@
     let mut client = dispatcher.connect();
     dispatcher.signal("STOP");
     client.send("safe", "m1", 7, 15_000, b"x");
-    drop(client);
+    client.disconnect();
     dispatcher.signal("CONT");
     assert_eq!(dispatcher.submit("safe", "m2", 7), 202);
     eventually("the call", || endpoint.message_ids().contains(&"m2".to_string()));
--- a/crates/lab/src/blocking.rs
+++ b/crates/lab/src/blocking.rs
@@ -604,6 +604,14 @@
         runtime_handle().block_on(self.0.shutdown_write()).expect("an open connection");
     }
 
+    /// Closes the connection, also for a child process that has just been forked and still holds the socket.
+    ///
+    /// # Panics
+    /// Where the connection is closed.
+    pub fn disconnect(mut self) {
+        self.shutdown_write();
+    }
+
     /// Sends a message and doesn't wait for the response.
     pub fn send(&mut self, class: &str, id: &str, destination: u32, timeout_ms: u32, body: &[u8]) {
         let head = format!(
