The stand-in for discovery tells a later watch what an earlier one was told

Cause, traced: the stand-in wrote a changed entry to the watches open at that moment and forgot it. Beside load the only one open right after an upgrade is the old process's, which nobody reads any more, so the new process never learned of the endpoint: its log shows nine messages held for 15 s, which are then handed back as they should be. A real discovery service gives each watch the changes after the version that it asks for.

Change: the stand-in remembers such changes and gives them to each watch that asks for an earlier version. The check stays; its failure now prints the log of both processes.

--- a/crates/fawnspoke/tests/sockets/machine_faults.rs
+++ b/crates/fawnspoke/tests/sockets/machine_faults.rs
@@ -455,9 +455,10 @@
         eventually("all calls", || endpoint.requests().len() + platform.notices().len() >= ids.len());
         assert!(
             all_called_once(&endpoint, &ids),
-            "{fault_ms} ms: {:?} {:?}",
+            "{fault_ms} ms: {:?} {:?} {:#?}",
             endpoint.message_ids(),
-            platform.notices()
+            platform.notices(),
+            dispatcher.log()
         );
         assert_eq!(dispatcher.submit("safe", "after", 7), 202);
         eventually("the new call", || endpoint.message_ids().contains(&"after".to_string()));
--- a/crates/lab/src/platform.rs
+++ b/crates/lab/src/platform.rs
@@ -108,6 +108,8 @@
     seq: u64,
     entries: BTreeMap<String, EndpointEntry>,
     changes: Vec<Change>,
+    /// Versions of the list that were written to watches unchanged.
+    pushed_changes: Vec<(u64, String)>,
     notices: Vec<(usize, Notice)>,
     /// Request lines of the watches, by dispatcher.
     watch_requests: Vec<(usize, String)>,
@@ -115,6 +117,13 @@
     known: BTreeMap<usize, (u64, BTreeMap<String, EndpointEntry>)>,
 }
 
+impl Discovery {
+    fn pushed_changes_after(&self, written_seq: u64) -> Vec<String> {
+        let later = self.pushed_changes.iter().filter(|(seq, _)| *seq > written_seq);
+        later.map(|(_, line)| line.clone()).collect()
+    }
+}
+
 struct Shared {
     discovery: Mutex<Discovery>,
     behavior: watch::Sender<PlatformBehavior>,
@@ -231,13 +240,16 @@
         self.shared.latest_seq.send_replace(seq);
     }
 
-    /// Writes a line unchanged to each open watch, as version `seq` of the list. Waits until there is a watch.
+    /// Writes a line unchanged to each open watch. Waits until there is a watch. `seq`: the line is this version of the
+    /// list, which each later watch of an earlier version gets too.
     pub async fn push_line(&self, seq: Option<u64>, line: &str) {
         // Can't fail: the sender lives as long as `self`.
         let _ = self.shared.open_watches.subscribe().wait_for(|open| *open > 0).await;
+        // Locked until the line is sent: a watch that begins meanwhile gets it once.
+        let mut discovery = self.shared.discovery();
         if let Some(seq) = seq {
-            let mut discovery = self.shared.discovery();
             discovery.seq = discovery.seq.max(seq);
+            discovery.pushed_changes.push((seq, line.into()));
         }
         // Fails only where the last watch ends at this moment.
         let _ = self.shared.pushed_lines.send(line.into());
@@ -389,14 +401,22 @@
     }
 }
 
+/// Writes a line to a watch, as a chunk of its response.
+async fn write_line(connection: &mut HttpConnection, line: &str) -> io::Result<()> {
+    connection.write(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes()).await
+}
+
 /// Serves a watch: the changes after the version that it asks for, then each later change.
 async fn serve_watch(
     shared: &Shared, dispatcher: usize, connection: &mut HttpConnection, path: &str,
 ) -> io::Result<()> {
     let index = path.split(['?', '&']).find_map(|pair| pair.strip_prefix("index=")).unwrap_or("0");
     let mut written_seq: u64 = index.parse().unwrap_or(0);
-    let (mut latest_seq, mut behavior, mut pushed_lines) =
-        (shared.latest_seq.subscribe(), shared.behavior.subscribe(), shared.pushed_lines.subscribe());
+    let (mut latest_seq, mut behavior) = (shared.latest_seq.subscribe(), shared.behavior.subscribe());
+    let (mut pushed_lines, mut missed_changes) = {
+        let discovery = shared.discovery();
+        (shared.pushed_lines.subscribe(), discovery.pushed_changes_after(written_seq))
+    };
     let _open_watch = OpenWatch::new(&shared.open_watches);
     connection.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
     let mut is_first = true;
@@ -442,6 +462,12 @@
             is_first = false;
             continue;
         }
+        if !silent && !missed_changes.is_empty() {
+            for line in missed_changes.drain(..) {
+                write_line(connection, &line).await?;
+            }
+            written_seq = written_seq.max(shared.discovery().seq);
+        }
         is_first &= silent;
         let next_due = next_due
             .unwrap_or_else(|| Instant::now() + HEARTBEAT_INTERVAL)
@@ -457,7 +483,7 @@
             }
             update = pushed_lines.recv() => {
                 if let Ok(update) = update {
-                    connection.write(format!("{:x}\r\n{update}\n\r\n", update.len() + 1).as_bytes()).await?;
+                    write_line(connection, &update).await?;
                     written_seq = written_seq.max(shared.discovery().seq);
                 }
             }
