An upgrade keeps the distrust of an endpoint that copied a response

What callers could see: within 60 s of a copied response, silence proves no delivery and connections carry one request each; after an upgrade the new process knew nothing of it and used them again.

Change: the hand-over's state names such endpoints and for how long; an earlier version sends none, and a later one is ignored by it.

--- a/crates/fawnspoke/tests/sockets/misplaced_responses.rs
+++ b/crates/fawnspoke/tests/sockets/misplaced_responses.rs
@@ -164,6 +164,28 @@
     assert_eq!(inside, Vec::<String>::new());
 }
 
+#[test]
+fn an_endpoint_that_copied_a_response_is_still_distrusted_after_an_upgrade() {
+    let (endpoint, _platform, mut dispatcher) = start(|request| match &*request.id {
+        "first" => Script::respond(OK).followed_by(Extra::new(Duration::from_millis(20), OK)),
+        _ => Script::respond(OK),
+    });
+    let deliver = |dispatcher: &Dispatcher, id: &str| {
+        assert_eq!(dispatcher.submit("safe", id, 7), 202);
+        eventually("a delivery", || endpoint.deliveries(id) == 1);
+        thread::sleep(Duration::from_millis(50));
+    };
+    deliver(&dispatcher, "first");
+    let mut previous = dispatcher.upgrade();
+    previous.wait().expect("the previous process ends");
+    let ids = ["second", "third", "fourth"];
+    ids.iter().for_each(|id| deliver(&dispatcher, id));
+    let mut connections: Vec<u16> = ids.iter().map(|id| endpoint.calls(id)[0].connection).collect();
+    connections.sort_unstable();
+    connections.dedup();
+    assert_eq!(connections.len(), ids.len(), "each call has a connection of its own");
+}
+
 #[test]
 fn a_late_copy_of_a_204_does_not_end_an_owed_notice() {
     let endpoint = Endpoint::start(|_| Script::disconnect());
--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -2,6 +2,7 @@
 
 use crate::Node;
 use crate::connection::Connection;
+use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -19,6 +20,14 @@
 /// Retired connections that are open at a time.
 const MAX_RETIRED: usize = 64;
 
+/// An endpoint whose connections carry one request each, for a process that takes over.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct DistrustedEndpoint {
+    endpoint: u64,
+    /// For how long they still do.
+    remaining: Duration,
+}
+
 /// The idle connections by endpoint, the most recently used last. They are not keyed by address, since an address may
 /// belong to another endpoint by now.
 #[derive(Default)]
@@ -37,6 +46,26 @@
         self.distrusted.borrow_mut().insert(endpoint, Instant::now() + DISTRUST_TIME);
     }
 
+    /// The endpoints whose connections carry one request each.
+    pub fn distrusted(&self) -> Vec<DistrustedEndpoint> {
+        let now = Instant::now();
+        let distrusted = self.distrusted.borrow();
+        let remaining = |(endpoint, until): (&EndpointId, &Instant)| DistrustedEndpoint {
+            endpoint: endpoint.0,
+            remaining: until.saturating_duration_since(now),
+        };
+        distrusted.iter().map(remaining).collect()
+    }
+
+    /// Continues the distrust of the previous process.
+    pub fn restore_distrusted(&self, endpoints: Vec<DistrustedEndpoint>) {
+        let now = Instant::now();
+        let restored = endpoints.into_iter().map(|distrusted| {
+            (EndpointId(distrusted.endpoint), now + distrusted.remaining.min(DISTRUST_TIME))
+        });
+        self.distrusted.borrow_mut().extend(restored);
+    }
+
     /// Whether connections to an endpoint may carry more than one request.
     pub fn is_trusted(&self, endpoint: EndpointId) -> bool {
         self.distrusted.borrow().get(&endpoint).is_none_or(|until| Instant::now() >= *until)
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -6,6 +6,7 @@
 use crate::calls::{CallEnd, MessageEnd};
 use crate::config::Config;
 use crate::connection::{self, Connection};
+use crate::connection_pool::DistrustedEndpoint;
 use crate::directory::Directory;
 use crate::event_loop::Input;
 use crate::serving::Phase;
@@ -65,6 +66,9 @@
     /// Messages that have ended.
     #[serde(rename = "ended")]
     pub ended_messages: RecentOutcomes,
+    /// Endpoints whose connections carry one request each; an earlier version sends none.
+    #[serde(default)]
+    pub distrusted: Vec<DistrustedEndpoint>,
 }
 
 /// A [`HandoverState`] to write, by reference.
@@ -77,6 +81,7 @@
     directory: &'a Directory,
     #[serde(rename = "ended")]
     ended_messages: &'a RecentOutcomes,
+    distrusted: Vec<DistrustedEndpoint>,
 }
 
 /// The system's monotonic clock, which both processes read, in seconds.
@@ -382,7 +387,13 @@
         let clock_start_seconds = monotonic_seconds() - node.now();
         let (dispatcher, directory, ended_messages) = (&*dispatcher, &*directory, journal.recent_outcomes());
         ciborium::into_writer(
-            &HandoverStateRef { clock_start_seconds, dispatcher, directory, ended_messages },
+            &HandoverStateRef {
+                clock_start_seconds,
+                dispatcher,
+                directory,
+                ended_messages,
+                distrusted: node.pool.distrusted(),
+            },
             &mut state,
         )?;
     }
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -152,11 +152,13 @@
     let (state, handover) =
         handover.map_or((None, None), |mut handover| (handover.state.take(), Some(handover)));
     let adopted_state = state.is_some();
+    let pool = ConnectionPool::default();
     let (started_at, dispatcher, directory) = match state {
         Some(mut state) => {
             let started_at = state.clock_start();
             journal.restore_recent_outcomes(state.ended_messages);
             state.dispatcher.resume_in_new_process();
+            pool.restore_distrusted(state.distrusted);
             (started_at, state.dispatcher, state.directory)
         }
         None => {
@@ -182,7 +184,7 @@
         dispatcher: RefCell::new(dispatcher),
         journal: RefCell::new(journal),
         directory: RefCell::new(directory),
-        pool: ConnectionPool::default(),
+        pool,
         unproven: Default::default(),
         opened_connections: Cell::new(0),
         traffic: traffic::TrafficCounters::default(),
