Dispatchers with much traffic leave a large cold destination more room

Cause: a dispatcher of a large fleet divides its budget between trials and the new messages that pass by chance, and counts its own traffic as 1.5 times the mean at most. With uneven traffic most messages are at dispatchers with more than that.

--- a/crates/waydoor/src/policy/recovery_budget.rs
+++ b/crates/waydoor/src/policy/recovery_budget.rs
@@ -23,6 +23,10 @@
 const FULL_USE_WARMTH: f64 = 0.5;
 /// Upper limit of the demand for a target, relative to its limit, as estimated from the own share.
 const MAX_LARGE_FLEET_LOAD: f64 = 1.5;
+/// The same for a target with a large budget, to which random variation may add little.
+const MAX_LARGE_TARGET_LOAD: f64 = 3.0;
+/// From this many calls in one window on, the protocol's acceptance test counts a budget as large.
+const LARGE_BUDGET_CALLS: f64 = 30.0;
 
 /// Whether a dispatcher with this part of the budget, in calls a second, sends so seldom that some new
 /// messages are sent at once.
@@ -53,27 +57,38 @@
     /// messages that are admitted by chance. Protects destinations of low capacity; the cost is that their
     /// recovery is noticed later.
     fn small_fleet_interval(&self, slow_start: &SlowStart) -> Seconds {
-        let budget = slow_start.overload_multiple
-            * slow_start.cold_capacity_share
-            * self.rate_limiter.total_capacity()
-            * slow_start.overload_window;
-        let tolerance = if budget < 30.0 { 3.0 * budget.sqrt() + 3.0 } else { 2.0 * budget.sqrt() + 2.0 };
+        let budget = self.cold_budget(slow_start);
+        let tolerance =
+            if budget < LARGE_BUDGET_CALLS { 3.0 * budget.sqrt() + 3.0 } else { 2.0 * budget.sqrt() + 2.0 };
         let new_messages =
             TRIAL_BUDGET_USE * budget * self.rate_limiter.own_share / self.rate_limiter.even_share;
         let trials = (TRIAL_BUDGET_USE * (budget + tolerance) - new_messages).max(TRIAL_BUDGET_USE * budget);
         slow_start.overload_window / (self.rate_limiter.even_share * trials)
     }
 
+    /// Calls that a target accepts in one window while it is cold.
+    fn cold_budget(&self, slow_start: &SlowStart) -> f64 {
+        slow_start.overload_multiple
+            * slow_start.cold_capacity_share
+            * self.rate_limiter.total_capacity()
+            * slow_start.overload_window
+    }
+
     /// Share of the budget that each dispatcher of a large fleet may use for trials; the new messages that
     /// are admitted by chance come on top, in proportion to its load.
-    fn large_fleet_trial_share(&self) -> f64 {
-        // Some dispatchers get several times the mean load, which says nothing about the load of all.
-        LARGE_FLEET_TRIAL_USE.min(LARGE_FLEET_TOTAL_USE / (1.0 + self.estimated_load()))
+    fn large_fleet_trial_share(&self, slow_start: &SlowStart) -> f64 {
+        LARGE_FLEET_TRIAL_USE.min(LARGE_FLEET_TOTAL_USE / (1.0 + self.estimated_load(slow_start)))
     }
 
-    /// The demand for the target relative to its capacity, as this dispatcher sees it.
-    fn estimated_load(&self) -> f64 {
-        (self.rate_limiter.own_share / self.rate_limiter.even_share).min(MAX_LARGE_FLEET_LOAD)
+    /// The demand for the target relative to its capacity, as this dispatcher sees it. Some dispatchers get
+    /// several times the mean load, which says little about the load of all.
+    fn estimated_load(&self, slow_start: &SlowStart) -> f64 {
+        let max_load = if self.cold_budget(slow_start) < LARGE_BUDGET_CALLS {
+            MAX_LARGE_FLEET_LOAD
+        } else {
+            MAX_LARGE_TARGET_LOAD
+        };
+        (self.rate_limiter.own_share / self.rate_limiter.even_share).min(max_load)
     }
 
     /// Whether a recovering target may still be cold: only the first served call proves its recovery.
@@ -91,7 +106,7 @@
             _ => (
                 0.0,
                 if self.rate_limiter.is_large_fleet() {
-                    self.large_fleet_trial_share()
+                    self.large_fleet_trial_share(slow_start)
                 } else {
                     TRIAL_BUDGET_USE
                 },
@@ -105,7 +120,7 @@
         if is_recovering && self.rate_limiter.is_large_fleet() && admits_by_chance(own_rate) {
             // New messages that are admitted by chance use the budget as well. The warmer the target is, the
             // less they matter.
-            let cold_use = (LARGE_FLEET_TOTAL_USE / (1.0 + self.estimated_load())).min(1.0);
+            let cold_use = (LARGE_FLEET_TOTAL_USE / (1.0 + self.estimated_load(slow_start))).min(1.0);
             let use_factor = cold_use + (1.0 - cold_use) * (warmth / FULL_USE_WARMTH).min(1.0);
             (share * use_factor, own_rate * use_factor)
         } else {
--- a/crates/waydoor/tests/common/cold_return.rs
+++ b/crates/waydoor/tests/common/cold_return.rs
@@ -186,13 +186,12 @@
         }
     }
 
-    fn report(&mut self, now: Seconds) -> Option<RateLimitReport> {
+    fn report(&self) -> Option<RateLimitReport> {
         match self.scenario.reports {
             Reports::Nothing => None,
             Reports::NoLimit => Some(RateLimitReport { rate: 0.0, remaining_share: Some(0.0) }),
             Reports::Limit => {
                 let remaining = (1.0 - self.limit_window.1 / self.scenario.capacity).clamp(0.0, 1.0);
-                let _ = now;
                 Some(RateLimitReport { rate: self.scenario.capacity, remaining_share: Some(remaining) })
             }
         }
@@ -358,7 +357,7 @@
                     let (outcome, latency) =
                         simulation.serve(now, call.dispatcher).unwrap_or((Outcome::TimedOut, 1.0));
                     call.ends_at = now + latency;
-                    let report = simulation.report(now);
+                    let report = simulation.report();
                     set_outcome(&mut call.end, outcome, latency, report);
                 }
             }
@@ -392,7 +391,7 @@
                             state.2 = attempt + 1;
                         }
                         let (ends_at, outcome, connects_at) = simulation.start_call(now, index, timeout);
-                        let report = simulation.report(now);
+                        let report = simulation.report();
                         let mut end = Event::AttemptEnded(AttemptEnd {
                             id,
                             endpoint,
@@ -417,7 +416,7 @@
                     Action::Probe(endpoint) => {
                         let (ends_at, outcome, connects_at) =
                             simulation.start_call(now, index, CONNECT_TIMEOUT_SECONDS);
-                        let report = simulation.report(now);
+                        let report = simulation.report();
                         let mut end = Event::ProbeEnded {
                             endpoint,
                             outcome,
