The lab's partners write responses that belong to no request

Change: `misplaced` of a partner is the share of its responses that are followed, 0.1 ms to 2 s later, by a copy of it or of the one before, whole or in halves, an empty 200 or a 408. An endpoint asks its socket whether the dispatcher has closed it before it records a response as written.

--- a/crates/fawnspoke/tests/lab.rs
+++ b/crates/fawnspoke/tests/lab.rs
@@ -141,6 +141,18 @@
     assert_eq!(output.status.code(), Some(0), "{report}");
 }
 
+#[test]
+fn responses_that_belong_to_no_request_lose_and_duplicate_nothing_in_a_fleet() {
+    let text = std::fs::read_to_string(scenario_path("misplaced-responses")).unwrap();
+    // This scenario runs in parallel with others on small machines.
+    let tolerant = text.replace("slack_ms = 150", "slack_ms = 500");
+    assert_ne!(text, tolerant);
+    let output = run_program(&["lab", "run", &write_file("misplaced-responses.toml", &tolerant)]);
+    let report = output_text(&output);
+    assert_eq!(output.status.code(), Some(0), "{report}");
+    assert!(report.contains("verdict: clean"), "{report}");
+}
+
 #[test]
 fn upgrades_lose_nothing_if_either_process_is_killed() {
     // The scenario, shortened from 170 s to 8 s.
--- a/crates/lab/src/endpoint.rs
+++ b/crates/lab/src/endpoint.rs
@@ -4,6 +4,7 @@
 //! that its handler has chosen even if the dispatcher no longer waits: an abandoned call still runs.
 
 use crate::http::{self, HttpConnection, HttpMessage};
+use crate::misplaced::MisplacedBytes;
 use crate::record::{CallEnd, Event, Item, MessageResult, Recorder, digest};
 use std::collections::BTreeMap;
 use std::io;
@@ -67,6 +68,8 @@
     pub retry_after: Option<Duration>,
     /// Which of the messages are processed.
     pub processed: Vec<bool>,
+    /// What follows the response and belongs to no request.
+    pub misplaced: Vec<MisplacedBytes>,
 }
 
 impl Reply {
@@ -78,6 +81,7 @@
             results: Vec::new(),
             retry_after: None,
             processed: Vec::new(),
+            misplaced: Vec::new(),
         }
     }
 
@@ -435,9 +439,18 @@
         }
     }
     pending_work.complete();
+    // The first write to a connection that the other side has closed succeeds.
+    if http_connection.is_closed_by_peer() {
+        end_recorder.record(CallEnd::Closed);
+        return NextStep::Close;
+    }
     end_recorder.writing_since = Some(shared.recorder.now());
     let (end, next_step) = write_response(shared, http_connection, &reply.response).await;
     end_recorder.record(end);
+    for MisplacedBytes { delay, bytes } in &reply.misplaced {
+        // Without a shared socket this fault is left out.
+        let _ = http_connection.write_later(*delay, bytes.clone());
+    }
     next_step
 }
 
--- a/crates/lab/src/http.rs
+++ b/crates/lab/src/http.rs
@@ -1,10 +1,14 @@
 //! HTTP/1.1 (RFC 9112) as the stand-ins need it: with access to the raw bytes and to the times at which they arrived.
 
+use socket2::SockRef;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 
 /// Maximum size of a message head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -55,6 +59,8 @@
 pub struct HttpConnection {
     stream: TcpStream,
     buffer: Vec<u8>,
+    /// Writes that are due later; they end with the connection.
+    later_writes: JoinSet<()>,
 }
 
 fn invalid_data(text: &str) -> io::Error {
@@ -66,7 +72,7 @@
     pub fn new(stream: TcpStream) -> HttpConnection {
         // Without TCP_NODELAY the connection is slower, but works.
         let _ = stream.set_nodelay(true);
-        HttpConnection { stream, buffer: Vec::new() }
+        HttpConnection { stream, buffer: Vec::new(), later_writes: JoinSet::new() }
     }
 
     /// Opens a connection.
@@ -87,6 +93,27 @@
             }
     }
 
+    /// Writes bytes after a delay, whatever else is written meanwhile.
+    ///
+    /// # Errors
+    /// The socket can't be shared.
+    pub fn write_later(&mut self, delay: Duration, bytes: Vec<u8>) -> io::Result<()> {
+        let socket = self.stream.as_fd().try_clone_to_owned()?;
+        let mut writer = TcpStream::from_std(socket.into())?;
+        self.later_writes.spawn(async move {
+            tokio::time::sleep(delay).await;
+            // The other side may have closed the connection.
+            let _ = writer.write_all(&bytes).await;
+        });
+        Ok(())
+    }
+
+    /// Whether the other side has closed the connection, also if that was not read yet.
+    pub fn is_closed_by_peer(&self) -> bool {
+        let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+        peeked.map_or_else(|error| error.kind() != io::ErrorKind::WouldBlock, |length| length == 0)
+    }
+
     async fn fill_buffer(&mut self) -> io::Result<usize> {
         let mut chunk = [0; 16 * 1024];
         let length = self.stream.read(&mut chunk).await?;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod killer;
 pub mod loss;
 pub mod message_registry;
+pub mod misplaced;
 pub mod naive;
 pub mod partner;
 pub mod platform;
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -342,6 +342,11 @@
     #[serde(default)]
     #[serde(rename = "extras")]
     pub extra_data_probability: f64,
+    /// Probability that a response of any status is followed, after 0.1 ms to 2 s, by one that belongs to no request: a
+    /// copy of it or of an earlier one, whole or in halves, or another response.
+    #[serde(default)]
+    #[serde(rename = "misplaced")]
+    pub misplaced_probability: f64,
     /// Probability that the connection is reset on the first bytes of a request, which is then not executed.
     #[serde(default)]
     #[serde(rename = "request_resets")]
@@ -786,6 +791,7 @@
                 ("cuts", spec.truncation_probability),
                 ("spoilt", spec.malformed_probability),
                 ("extras", spec.extra_data_probability),
+                ("misplaced", spec.misplaced_probability),
                 ("request_resets", spec.request_reset_probability),
             ] {
                 require(is_fraction(value), "partner", i, key, FRACTION)?;
