--- a/crates/fawnspoke/tests/sockets/misplaced_responses/soak.rs
+++ b/crates/fawnspoke/tests/sockets/misplaced_responses/soak.rs
@@ -5,7 +5,10 @@
 //! runs more seeds and prints the result of each.
 
 use super::endpoint::{Call, Endpoint, Extra, Request, Script, calls_inside_waits, overlapping_attempts};
-use crate::soak::{NOTICE_GRACE, READY_GRACE, RequestResult, START_AFTER_KILL, end_process, send_request};
+use crate::soak::{
+    NOTICE_GRACE, READY_GRACE, RandomRequest, RequestResult, START_AFTER_KILL, end_process, send_request,
+    take_or_connect,
+};
 use crate::support::*;
 use std::net::{SocketAddr, TcpStream};
 use std::ops::Range;
@@ -113,21 +116,11 @@
     let (mut stream, mut count): (Option<TcpStream>, u32) = (None, 0);
     while !stop.load(Ordering::SeqCst) {
         thread::sleep(Duration::from_millis(rng.u64(40..160)));
-        let Some(mut socket) = stream.take().or_else(|| TcpStream::connect(address).ok()) else { continue };
-        let _ = socket.set_nodelay(true);
-        let _ = socket.set_read_timeout(Some(Duration::from_secs(2)));
+        let Some(mut socket) = take_or_connect(&mut stream, address) else { continue };
         count += 1;
-        let class = ["safe", "keyed", "unsafe"][rng.usize(..3)];
-        let id = format!("{}-{number}-{count}", &class[..1]);
-        let timeout = Duration::from_millis(rng.u64(1500..5000));
-        let request = format!(
-            "POST /{class} HTTP/1.1\r\nHost: x\r\nRequest-Id: {id}\r\nRequest-Class: {class}\r\nX-Consignee: dest={}\r\n\
-             Request-Timeout-Ms: {}\r\nIdempotency-Key: key-{id}\r\nContent-Length: 3\r\n\r\nabc",
-            DESTINATIONS[rng.usize(..2)],
-            timeout.as_millis()
-        );
+        let RandomRequest { id, timeout, bytes } = RandomRequest::new(&mut rng, number, count, 1500..5000);
         let expires = Instant::now() + timeout;
-        if let RequestResult::Status(status, stays_open) = send_request(&mut socket, request.as_bytes()) {
+        if let RequestResult::Status(status, stays_open) = send_request(&mut socket, &bytes) {
             if matches!(status, 200 | 202) {
                 accepted.lock().unwrap().push(AcceptedMessage { id, expires });
             }
--- a/crates/fawnspoke/tests/sockets/soak.rs
+++ b/crates/fawnspoke/tests/sockets/soak.rs
@@ -167,6 +167,38 @@
     }
 }
 
+/// A random message of a client, as a request.
+pub struct RandomRequest {
+    pub id: String,
+    /// Time until its message's deadline.
+    pub timeout: Duration,
+    pub bytes: Vec<u8>,
+}
+
+impl RandomRequest {
+    /// The client's request of this number, for one of the destinations 7 and 8; the timeout is in milliseconds.
+    pub fn new(rng: &mut fastrand::Rng, client: u64, number: u32, timeout_ms: Range<u64>) -> RandomRequest {
+        let class = ["safe", "keyed", "unsafe"][rng.usize(..3)];
+        let id = format!("{}-{client}-{number}", &class[..1]);
+        let timeout = Duration::from_millis(rng.u64(timeout_ms));
+        let text = format!(
+            "POST /{class} HTTP/1.1\r\nHost: x\r\nRequest-Id: {id}\r\nRequest-Class: {class}\r\nX-Consignee: dest={}\r\n\
+             Request-Timeout-Ms: {}\r\nIdempotency-Key: key-{id}\r\nContent-Length: 3\r\n\r\nabc",
+            rng.u32(7..9),
+            timeout.as_millis()
+        );
+        RandomRequest { id, timeout, bytes: text.into_bytes() }
+    }
+}
+
+/// Takes a client's open connection or opens another; none if the dispatcher accepts none.
+pub fn take_or_connect(stream: &mut Option<TcpStream>, address: SocketAddr) -> Option<TcpStream> {
+    let socket = stream.take().or_else(|| TcpStream::connect(address).ok())?;
+    let _ = socket.set_nodelay(true);
+    let _ = socket.set_read_timeout(Some(Duration::from_secs(2)));
+    Some(socket)
+}
+
 /// Runs a client until `stop` is set: it sends requests on each connection for as long as the connection stays open.
 fn run_client(
     number: u64, seed: u64, address: SocketAddr, observations: &Observations, alive: &AtomicBool,
@@ -178,21 +210,11 @@
     while !stop.load(Ordering::SeqCst) {
         thread::sleep(Duration::from_millis(rng.u64(5..40)));
         earlier_requests = if stream.is_some() { earlier_requests + 1 } else { 0 };
-        let Some(mut socket) = stream.take().or_else(|| TcpStream::connect(address).ok()) else { continue };
-        let _ = socket.set_nodelay(true);
-        let _ = socket.set_read_timeout(Some(Duration::from_secs(2)));
+        let Some(mut socket) = take_or_connect(&mut stream, address) else { continue };
         count += 1;
-        let class = ["safe", "keyed", "unsafe"][rng.usize(..3)];
-        let id = format!("{}-{number}-{count}", &class[..1]);
-        let timeout = Duration::from_millis(rng.u64(1500..7000));
-        let request = format!(
-            "POST /{class} HTTP/1.1\r\nHost: x\r\nRequest-Id: {id}\r\nRequest-Class: {class}\r\nX-Consignee: dest={}\r\n\
-             Request-Timeout-Ms: {}\r\nIdempotency-Key: key-{id}\r\nContent-Length: 3\r\n\r\nabc",
-            rng.u32(7..9),
-            timeout.as_millis()
-        );
+        let RandomRequest { id, timeout, bytes } = RandomRequest::new(&mut rng, number, count, 1500..7000);
         let (sent_at, was_alive) = (Instant::now(), alive.load(Ordering::SeqCst));
-        let result = send_request(&mut socket, request.as_bytes());
+        let result = send_request(&mut socket, &bytes);
         let killed = !was_alive || !alive.load(Ordering::SeqCst);
         match result {
             RequestResult::Status(status, stays_open) => {
