Control port: one log line a second tells which callers it disconnected

Nothing told why a caller of the control port was answered FAILURE, how long it had been connected and what it had sent, so the hypotheses could not be told apart: a limit that is too small for the callers that are there, a limit that disconnects more callers than it needs, a line that had arrived and was not read, a time limit that comes too early.

Change: callers that are disconnected before their line is whole are counted by cause, with the shortest time that one was connected, and told in one line a second at most.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,11 +5,13 @@
 //! - [`overrides`]: operator overrides, which stay in force until they are removed;
 //! - [`override_file`]: the file that persists the overrides;
 //! - [`server`]: the control server, on a thread of its own;
+//! - [`disconnections`]: counts of callers that were disconnected before their request was complete;
 //! - [`client`]: the client side.
 //!
-//! The protocol, the metrics and the overrides are free of I/O.
+//! The protocol, the metrics, the overrides and the counts are free of I/O.
 
 pub mod client;
+pub mod disconnections;
 pub mod metrics;
 pub mod override_file;
 pub mod overrides;
--- a/crates/control/src/protocol.rs
+++ b/crates/control/src/protocol.rs
@@ -117,6 +117,11 @@
         Some(if line.len() > MAX_LINE_BYTES { Err(RequestError::LineTooLong) } else { Request::parse(line) })
     }
 
+    /// How many bytes of an incomplete line were received.
+    pub fn received_bytes(&self) -> usize {
+        self.line.len()
+    }
+
     /// The error for a client that sends nothing more before its line is complete.
     pub fn finish(&self) -> RequestError {
         if self.line.is_empty() { RequestError::Empty } else { RequestError::Truncated }
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -1,6 +1,7 @@
 //! The control server. It runs on a thread of its own, so that a response does not wait for the dispatcher's event
 //! loop, for the journal or for the start of the process.
 
+use crate::disconnections::{DisconnectionCause, DisconnectionCounts};
 use crate::metrics::Metrics;
 use crate::overrides::{OverrideKey, OverrideKind};
 use crate::protocol::{Decoder, END_OF_METRICS, Request, failure, success};
@@ -10,7 +11,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedSender;
@@ -36,6 +37,8 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
 /// The thread's stack size.
 const STACK_BYTES: usize = 256 << 10;
+/// Disconnected callers are counted for this long before one line of the log tells of them.
+const DISCONNECTION_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -76,6 +79,7 @@
             commands,
             idle_clients: RefCell::default(),
             client_count: Cell::new(0),
+            disconnections: RefCell::default(),
         });
         LocalSet::new().block_on(&runtime, async {
             match tokio::net::TcpListener::from_std(listener) {
@@ -98,6 +102,7 @@
     /// Clients without a complete request, the oldest first; notifying one disconnects it.
     idle_clients: RefCell<VecDeque<Rc<Notify>>>,
     client_count: Cell<usize>,
+    disconnections: RefCell<DisconnectionCounts>,
 }
 
 impl Server {
@@ -138,13 +143,22 @@
         }
     }
 
-    async fn handle_client(&self, mut stream: TcpStream, disconnect: Rc<Notify>) -> io::Result<()> {
+    async fn handle_client(self: &Rc<Self>, mut stream: TcpStream, disconnect: Rc<Notify>) -> io::Result<()> {
+        let (connected_at, mut decoder) = (Instant::now(), Decoder::default());
         let received = tokio::select! {
             // A complete request is answered even if the client was to be disconnected.
             biased;
-            request = timeout(REQUEST_TIMEOUT, read_request(&mut stream)) => Some(request),
+            request = timeout(REQUEST_TIMEOUT, read_request(&mut stream, &mut decoder)) => Some(request),
             () = disconnect.notified() => None,
         };
+        let cause = match &received {
+            None => Some(DisconnectionCause::Evicted),
+            Some(Err(_)) => Some(DisconnectionCause::TimedOut),
+            Some(Ok(_)) => None,
+        };
+        if let Some(cause) = cause {
+            self.count_disconnection(cause, connected_at.elapsed(), decoder.received_bytes());
+        }
         self.idle_clients.borrow_mut().retain(|other| !Rc::ptr_eq(other, &disconnect));
         let response = match received {
             None => failure("too many callers that say nothing"),
@@ -161,6 +175,20 @@
         .await?
     }
 
+    /// Counts a caller that is disconnected before its request was complete.
+    fn count_disconnection(
+        self: &Rc<Self>, cause: DisconnectionCause, connected_for: Duration, bytes: usize,
+    ) {
+        if !self.disconnections.borrow_mut().add(cause, connected_for, bytes) {
+            return;
+        }
+        let server = self.clone();
+        spawn_local(async move {
+            sleep(DISCONNECTION_LOG_INTERVAL).await;
+            log_line(format_args!("control port: {}", server.disconnections.take()));
+        });
+    }
+
     async fn respond(&self, request: Request) -> String {
         let (reply, result) = oneshot::channel();
         let command = match request {
@@ -193,8 +221,8 @@
 
 type ParseResult = Result<Request, crate::protocol::RequestError>;
 
-async fn read_request(stream: &mut TcpStream) -> io::Result<ParseResult> {
-    let (mut decoder, mut buffer) = (Decoder::default(), [0; 1024]);
+async fn read_request(stream: &mut TcpStream, decoder: &mut Decoder) -> io::Result<ParseResult> {
+    let mut buffer = [0; 1024];
     loop {
         let length = stream.read(&mut buffer).await?;
         if length == 0 {
