A caller whose line is under way keeps its connection of the control port for 0.1 s

Callers saw: beside callers that hold a connection with no whole line, an operator whose STATUS, METRICS or RESTORE came in two pieces 50 ms apart was answered "FAILURE too many callers that say nothing", by a process that served all the time.

Cause: as soon as 16 callers were connected, each new one disconnected the oldest that had no whole line, and up to four when the first was slow to leave, however young it was. Where callers connect anew at once, the time until a caller was the oldest went down to some milliseconds. Beyond 32 callers a new one was closed without an answer.

Change: `crates/admission` decides, without I/O, who is admitted, who waits and who is disconnected. One caller for each eight descriptors, 16 to 128. While all connections are in use, a caller without a whole line keeps its own for 0.1 s; new ones wait in the listener's queue (1,024), where their lines arrive. One goes for one that comes: of the address with the most callers, the oldest. It is told for how long it was connected. Commands that wait for the dispatcher's thread are 16 at most, so that what waits there stays bounded while that thread stands still; a later one waits for its turn inside its 0.8 s.

Why it works: 128 connections for 0.1 s each are 1,280 callers a second, so that one behind 1,000 others is let in after 0.7 s, within the second in which an answer is owed; and its line is whole by then, or has 0.1 s left.

The limit takes 97 descriptors more of 1,024 than before, half of them from clients.

--- a/crates/control/src/disconnections.rs
+++ b/crates/control/src/disconnections.rs
@@ -12,6 +12,27 @@
     TimedOut,
 }
 
+/// What a disconnected caller is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DisconnectionReason {
+    /// Why it is disconnected.
+    pub cause: DisconnectionCause,
+    /// For how long it was connected.
+    pub connected_for: Duration,
+}
+
+impl fmt::Display for DisconnectionReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let seconds = self.connected_for.as_secs_f64();
+        match self.cause {
+            DisconnectionCause::TimedOut => write!(f, "no whole line within {seconds:.3} s"),
+            DisconnectionCause::Evicted => {
+                write!(f, "too many callers: disconnected after {seconds:.3} s without a whole line")
+            }
+        }
+    }
+}
+
 /// Disconnected callers since the last line of the log about them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct DisconnectionCounts {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -66,11 +66,21 @@
     const OWN_DESCRIPTORS: usize = 20;
     /// Share of the client connections that may be idle.
     const IDLE_CLIENT_SHARE: f64 = 1.0 / 3.0;
+    /// Callers of the control port get one of this many descriptors, within the limits below.
+    const DESCRIPTORS_PER_CONTROL_CALLER: usize = 8;
+    const MIN_CONTROL_CALLERS: usize = 16;
+    const MAX_CONTROL_CALLERS: usize = 128;
     /// Share of the disk space that the fleet's record may use.
     const FLEET_DISK_SHARE: f64 = 0.5;
     /// Share of the memory that client requests may use while they are read.
     const READING_MEMORY_SHARE: f64 = 0.5;
 
+    /// Maximum number of callers of the control port at a time.
+    pub fn max_control_callers(&self) -> usize {
+        (self.sockets / Limits::DESCRIPTORS_PER_CONTROL_CALLER)
+            .clamp(Limits::MIN_CONTROL_CALLERS, Limits::MAX_CONTROL_CALLERS)
+    }
+
     /// Maximum number of client connections: half of the descriptors, and no more than can be read at once.
     pub fn max_clients(&self) -> usize {
         let bytes_per_request = (MAX_HEAD_BYTES + MAX_BODY_BYTES) as f64;
@@ -263,8 +273,10 @@
             .map_err(|error| format!("{}: {}", error.path(), error.inner()))?;
         let control_address = control_address.or(raw.control);
         if control_address.is_some() {
-            raw.limits.reserved =
-                Reserved { descriptors: server::MAX_DESCRIPTORS, disk_bytes: override_file::MAX_DISK_BYTES };
+            raw.limits.reserved = Reserved {
+                descriptors: server::max_descriptors(raw.limits.max_control_callers()),
+                disk_bytes: override_file::MAX_DISK_BYTES,
+            };
         }
         let fleet = fleet.map(|path| FleetConfig::load(path, &raw.name)).transpose()?;
         if let Some(fleet_config) = &fleet {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -87,9 +87,7 @@
             node.transfer(Transfer::OverrideCommand(command));
             continue;
         }
-        let answer = apply_command(&node, &command.key, command.activate);
-        // A client that has timed out was told that the command may still be carried out.
-        let _ = command.reply.send(answer);
+        command.reply.send(apply_command(&node, &command.key, command.activate));
     }
 }
 
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -16,6 +16,7 @@
 use crate::{Node, clients, control, log, requests, unproven};
 use fawnspoke_control::metrics::Gauges;
 use fawnspoke_control::overrides::{OverrideKey, OverrideKind};
+use fawnspoke_control::server::CommandReply;
 use fawnspoke_handover::frames::{
     self, Hello, MAX_STATE_BYTES, PROTOCOL_VERSION, ReceiverFrame, STATE_CHUNK_BYTES, SenderFrame,
 };
@@ -36,8 +37,8 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::signal::unix::Signal;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::sync::{Semaphore, oneshot};
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 use waydoor::{Dispatcher, EndpointId, Event as DispatcherEvent, InFlightAttempt, Outcome};
@@ -103,7 +104,7 @@
 // ---- the old process ----------------------------------------------------------------------------------------------
 
 /// Operator commands that were forwarded to the new process, by number, and where their results go.
-type ForwardedCommands = BTreeMap<u32, oneshot::Sender<Result<String, String>>>;
+type ForwardedCommands = BTreeMap<u32, CommandReply>;
 
 /// A new process's request to take over.
 pub struct HandoverRequest {
@@ -327,7 +328,7 @@
                 }
                 Some(ReceiverFrame::OverrideResult { number, success, message }) => {
                     if let Some(answer) = commands.remove(&number) {
-                        let _ = answer.send(if success { Ok(message) } else { Err(message) });
+                        answer.send(if success { Ok(message) } else { Err(message) });
                     }
                     continue;
                 }
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -133,8 +133,9 @@
     let (control_sender, control_requests) = unbounded_channel();
     if let Some(control_address) = config.control_address {
         // The control port answers from now on, also while the journal is read.
-        let address =
-            retry::blocking(|| server::start(control_address, metrics.clone(), control_sender.clone()));
+        let max_callers = config.limits.max_control_callers();
+        let start = || server::start(control_address, max_callers, metrics.clone(), control_sender.clone());
+        let address = retry::blocking(start);
         let address = address.map_err(|error| format!("control: {control_address}: {error}"))?;
         log::info(format_args!("{} answers operators at {address}", config.name));
     }
