A member's connection that another one replaced no longer counts as pending for ever

Callers saw: a member of a fleet that could not join, or come back after a restart: the others closed its connections before its hello was read, for as long as they ran.

Cause: an accepted connection counted as pending until its hello was answered. Where another connection of the same member replaced it before, its task was aborted and the count never went down. 32 of them, and every new connection was closed.

Evidence: the new test `callers::a_replaced_connection_does_not_count_as_pending` sends 20 hellos at once, five times.

Change: the count goes down when the connection's task ends in any way.

--- a/crates/cluster/src/connections.rs
+++ b/crates/cluster/src/connections.rs
@@ -198,7 +198,7 @@
             if self.pending_hellos.get() >= MAX_PENDING_HELLOS {
                 continue;
             }
-            self.pending_hellos.set(self.pending_hellos.get() + 1);
+            let pending_hello = PendingHello::new(&self.pending_hellos);
             let connections = self.clone();
             let (connection, packets) = self.new_connection();
             let abort = connection.abort.clone();
@@ -210,7 +210,7 @@
                         .await
                         .ok()
                         .flatten();
-                connections.pending_hellos.set(connections.pending_hellos.get() - 1);
+                drop(pending_hello);
                 if let Some((id, own_id)) = accepted {
                     connections.exchange_frames(id, own_id, framed, &connection, packets).await;
                 }
@@ -338,6 +338,22 @@
     }
 }
 
+/// An accepted connection that has not completed its hello. It counts until this is dropped, also if its task is aborted.
+struct PendingHello(Rc<Cell<usize>>);
+
+impl PendingHello {
+    fn new(count: &Rc<Cell<usize>>) -> PendingHello {
+        count.set(count.get() + 1);
+        PendingHello(count.clone())
+    }
+}
+
+impl Drop for PendingHello {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// Reports the end of a connection when dropped, also if its task is aborted.
 struct ClosedGuard {
     connections: Connections,
--- a/crates/fawnspoke/tests/fleet/main.rs
+++ b/crates/fawnspoke/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Several processes of the program as one fleet, with faults between them, on loopback sockets. The lab's history
 //! checker verifies the events that each process has logged. The tests wait for conditions and rely on no tight timing.
 
+mod callers;
 mod duties;
 mod faults;
 mod member_identity;
