Callers that say nothing no longer keep a member of a fleet out

Callers saw: a member that started, or came back, did not join its fleet while 32 callers held connections at the address of the others without sending a hello. Its own connections were closed unanswered, each time.

At 32 pending connections each new one was closed; a caller that came back as soon as its 2 s were over was there again before a member that waits 50 to 500 ms.

Their descriptors (32) were not in the reserve that clients and calls leave (16) either.

Change: members' links use the admission control of the control port: 64 pending connections, 0.05 s at the least for each, new ones wait in the listener's queue; the reserve counts them.

Why it works: 64 connections for 0.05 s each are 1,280 a second; a hello behind 1,000 silent callers is read after 0.8 s, and its sender waits for 2 s.

--- a/crates/cluster/src/connections.rs
+++ b/crates/cluster/src/connections.rs
@@ -5,6 +5,8 @@
 use crate::config::FleetConfig;
 use crate::wire::{Frame, HELLO_TIMEOUT_SECONDS, Hello, MAX_PACKET_BYTES};
 use bytes::Bytes;
+use fawnspoke_admission::gate::{AdmissionGate, AdmissionSlot};
+use fawnspoke_admission::table::AdmissionLimits;
 use futures_util::{SinkExt, StreamExt};
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -29,8 +31,13 @@
 const RECONNECT_DELAY: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
 /// Delay before the next attempt to connect after a rejection.
 const REJECTED_DELAY: Duration = Duration::from_secs(1);
-/// Maximum number of accepted connections that have not completed their hello.
-const MAX_PENDING_HELLOS: usize = 32;
+/// Limits of accepted connections that have not completed their hello. A member sends its hello as soon as it is
+/// connected, so the minimum time is short: 1,000 callers that send nothing delay a hello by 0.8 s, less than half of
+/// [`HELLO_TIMEOUT_SECONDS`].
+const PENDING_LIMITS: AdmissionLimits =
+    AdmissionLimits { max_callers: 64, min_time: Duration::from_millis(50) };
+/// Maximum number of accepted connections that have not completed their hello, with the one that is being accepted.
+pub const MAX_PENDING_CONNECTIONS: usize = PENDING_LIMITS.max_callers + 1;
 /// A connection on which nothing arrives for this many lease terms is closed.
 const READ_TIMEOUT_TERMS: f64 = 4.0;
 
@@ -126,7 +133,8 @@
     name: Rc<str>,
     events: UnboundedSender<Event>,
     count: Rc<Cell<u64>>,
-    pending_hellos: Rc<Cell<usize>>,
+    /// The accepted connections that have not completed their hello.
+    pending: Rc<AdmissionGate>,
     /// Bytes that all send queues together may still take.
     send_budget: Rc<Cell<usize>>,
     /// Bytes that may still be received before the thread handles earlier frames, as permits.
@@ -150,7 +158,7 @@
             name: name.into(),
             events,
             count: Rc::default(),
-            pending_hellos: Rc::default(),
+            pending: AdmissionGate::new(PENDING_LIMITS),
             send_budget: Rc::new(Cell::new(max_bytes)),
             receive_budget: Arc::new(Semaphore::new(max_bytes.min(Semaphore::MAX_PERMITS))),
             hello: Rc::default(),
@@ -191,41 +199,52 @@
 
     async fn accept(self, listener: TcpListener) {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
+            let Ok((stream, address)) = listener.accept().await else {
                 sleep(RECONNECT_DELAY.0).await;
                 continue;
             };
-            if self.pending_hellos.get() >= MAX_PENDING_HELLOS {
-                continue;
-            }
-            let pending_hello = PendingHello::new(&self.pending_hellos);
-            let connections = self.clone();
+            let slot = self.pending.admit(address.ip()).await;
             let (connection, packets) = self.new_connection();
             let abort = connection.abort.clone();
-            let task = spawn_local(async move {
-                let mut framed = frame_packets(stream);
-                let hello_timeout = Duration::from_secs_f64(HELLO_TIMEOUT_SECONDS);
-                let accepted =
-                    timeout(hello_timeout, connections.answer_hello(&mut framed, connection.clone()))
-                        .await
-                        .ok()
-                        .flatten();
-                drop(pending_hello);
-                if let Some((id, own_id)) = accepted {
-                    connections.exchange_frames(id, own_id, framed, &connection, packets).await;
-                }
-            });
+            let connections = self.clone();
+            let task =
+                spawn_local(
+                    async move { connections.serve_accepted(stream, slot, connection, packets).await },
+                );
             abort.replace(Some(task.abort_handle()));
         }
     }
 
+    /// Serves an accepted connection. While its hello is not complete, it is closed if another one needs its slot.
+    async fn serve_accepted(
+        &self, stream: TcpStream, slot: AdmissionSlot, connection: Connection,
+        packets: Receiver<QueuedPacket>,
+    ) {
+        let mut framed = frame_packets(stream);
+        let accepted = tokio::select! {
+            biased;
+            accepted = self.answer_hello(&mut framed, &slot, connection.clone()) => accepted,
+            () = sleep(Duration::from_secs_f64(HELLO_TIMEOUT_SECONDS)) => None,
+            () = slot.evicted() => None,
+        };
+        let Some((id, own_id)) = accepted else {
+            // The slot is free once the connection is closed.
+            drop(framed);
+            return drop(slot);
+        };
+        drop(slot);
+        self.exchange_frames(id, own_id, framed, &connection, packets).await;
+    }
+
     /// Waits for the dialing member's hello and replies to it. Returns that member's id and the own id in the reply, if it
     /// is accepted.
     async fn answer_hello(
-        &self, framed: &mut Framed<TcpStream, LengthDelimitedCodec>, connection: Connection,
+        &self, framed: &mut Framed<TcpStream, LengthDelimitedCodec>, slot: &AdmissionSlot,
+        connection: Connection,
     ) -> Option<(MemberId, MemberId)> {
         let packet = framed.next().await?.ok()?;
         let hello: Hello = fawnspoke_frames::decode_hello(&packet).ok()?;
+        slot.mark_handled();
         let id = hello.id;
         let (reply, received_reply) = oneshot::channel();
         let hello = Box::new(hello);
@@ -338,22 +357,6 @@
     }
 }
 
-/// An accepted connection that has not completed its hello. It counts until this is dropped, also if its task is aborted.
-struct PendingHello(Rc<Cell<usize>>);
-
-impl PendingHello {
-    fn new(count: &Rc<Cell<usize>>) -> PendingHello {
-        count.set(count.get() + 1);
-        PendingHello(count.clone())
-    }
-}
-
-impl Drop for PendingHello {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// Reports the end of a connection when dropped, also if its task is aborted.
 struct ClosedGuard {
     connections: Connections,
--- a/crates/cluster/src/runtime.rs
+++ b/crates/cluster/src/runtime.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::now;
 use crate::config::FleetConfig;
-use crate::connections::{Connection, Connections, Event};
+use crate::connections::{Connection, Connections, Event, MAX_PENDING_CONNECTIONS};
 use crate::core::{Core, CoreError, bootstrap_records};
 use crate::identity::Identity;
 use crate::logging::{self, RateLimitedLog};
@@ -31,8 +31,8 @@
 const ERROR_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// How long a stopping member may take to hand over its duties and the leadership.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(300);
-/// File descriptors of the thread besides its long-lived connections: listener, log, runtime, and connections that are
-/// just opening or closing.
+/// File descriptors of the thread besides its connections with members and callers: listener, log, runtime, and
+/// connections that are just opening or closing.
 pub const DESCRIPTORS: usize = 16;
 
 /// How a member is run.
@@ -138,7 +138,7 @@
 /// Maximum number of file descriptors that the member of this name uses.
 pub fn max_descriptors(config: &FleetConfig, name: &str) -> usize {
     let peers = config.member.keys().filter(|other| config.dials(name, other) || config.dials(other, name));
-    DESCRIPTORS + peers.count()
+    DESCRIPTORS + MAX_PENDING_CONNECTIONS + peers.count()
 }
 
 /// Maximum size of the member's log on disk.
--- a/crates/fawnspoke/tests/fleet/callers.rs
+++ b/crates/fawnspoke/tests/fleet/callers.rs
@@ -81,6 +81,18 @@
     assert_valid_history(&fleet.members);
 }
 
+/// Guards against a member that is turned away for callers that say nothing: it was, while 32 of them held a connection.
+#[test]
+fn a_member_joins_beside_40_callers_without_a_hello() {
+    join_beside_callers(start_voter(), 40);
+}
+
+/// The same where most callers wait for a connection.
+#[test]
+fn a_member_joins_beside_1000_callers_without_a_hello() {
+    join_beside_callers(start_voter(), 1000);
+}
+
 /// Guards against connections that count as pending for ever: those that another one of the same member replaced while their
 /// hello was being answered.
 #[test]
