One failed accept on the handover socket no longer makes upgrades impossible

Callers saw: an upgrade whose new process never said yes, and no line in either log, until SIGTERM to the old process; from then on it was a restart.

Evidence: the new test `handover_callers::an_upgrade_goes_through_after_a_failed_accept` fails each accept for 0.3 s while an upgrade begins.

Change: the error is logged and the next accept comes 20 ms later, as on the clients' listener.

--- a/crates/fawnspoke/tests/sockets/main.rs
+++ b/crates/fawnspoke/tests/sockets/main.rs
@@ -5,6 +5,7 @@
 mod clients;
 mod closing;
 mod control_callers;
+mod handover_callers;
 mod limits;
 mod machine_faults;
 mod malformed_responses;
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -48,6 +48,8 @@
 /// Connections on which no handover request has arrived yet; more are closed, and their processes
 /// connect again.
 const MAX_PENDING_REQUESTS: usize = 4;
+/// Delay after a failed accept.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Time for a new process to send its request.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time to send or receive one packet of the state.
@@ -144,23 +146,7 @@
                 ));
             }
         };
-        let requests = self.requests.clone();
-        let pending = Arc::new(Semaphore::new(MAX_PENDING_REQUESTS));
-        let task = spawn_local(async move {
-            while let Ok(link) = listener.accept().await {
-                let Ok(permit) = pending.clone().try_acquire_owned() else { continue };
-                let requests = requests.clone();
-                spawn_local(async move {
-                    let _permit = permit;
-                    let hello = timeout(HELLO_TIMEOUT, link.receive()).await;
-                    if let Ok(Ok(Some((packet, _)))) = hello
-                        && let Ok(hello) = Hello::decode(&packet)
-                    {
-                        let _ = requests.send(HandoverRequest { link, hello });
-                    }
-                });
-            }
-        });
+        let task = spawn_local(accept_requests(listener, self.requests.clone()));
         self.listen_task.replace(Some(task.abort_handle()));
     }
 
@@ -171,6 +157,33 @@
     }
 }
 
+/// Accepts new processes, and passes their requests on.
+async fn accept_requests(listener: Listener, requests: UnboundedSender<HandoverRequest>) {
+    let pending = Arc::new(Semaphore::new(MAX_PENDING_REQUESTS));
+    loop {
+        let link = match listener.accept().await {
+            Ok(link) => link,
+            // The connection is gone, or the machine is short of a resource for a moment.
+            Err(error) => {
+                log::info_limited(format_args!("handover: accept: {error}"));
+                sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            }
+        };
+        let Ok(permit) = pending.clone().try_acquire_owned() else { continue };
+        let requests = requests.clone();
+        spawn_local(async move {
+            let _permit = permit;
+            let hello = timeout(HELLO_TIMEOUT, link.receive()).await;
+            if let Ok(Ok(Some((packet, _)))) = hello
+                && let Ok(hello) = Hello::decode(&packet)
+            {
+                let _ = requests.send(HandoverRequest { link, hello });
+            }
+        });
+    }
+}
+
 /// How a handover ended for the old process.
 pub enum HandoverResult {
     /// It continues as owner; `stopping`: it received a termination signal meanwhile.
