Callers that say nothing no longer keep an upgrade from the old process

Callers saw: beside processes that connect to the handover socket of the state directory and send nothing, a new process was closed before its request was read, again and again, and took over late or not at all.

A full queue (8) turned the others away.

Change: the admission control of the control port: 4 connections, each for 10 ms at least, while others wait in a queue of 64.

Why it works: 400 connections a second pass, and the queue is at most 64 long; a new process that finds it full asks again after 20 ms, as before.

--- a/crates/handover/src/link.rs
+++ b/crates/handover/src/link.rs
@@ -21,7 +21,7 @@
 /// The kernel's limit for the path of a Unix socket.
 const MAX_PATH_BYTES: usize = 107;
 /// Receivers that may wait to be accepted.
-const LISTEN_BACKLOG: i32 = 8;
+const LISTEN_BACKLOG: i32 = 64;
 
 fn new_socket() -> io::Result<OwnedFd> {
     let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -14,6 +14,8 @@
 use crate::stream::SharedStream;
 use crate::transfer::{Completion, Transfer};
 use crate::{Node, clients, control, log, requests, unproven};
+use fawnspoke_admission::gate::{AdmissionGate, AdmissionSlot};
+use fawnspoke_admission::table::AdmissionLimits;
 use fawnspoke_control::metrics::Gauges;
 use fawnspoke_control::overrides::{OverrideKey, OverrideKind};
 use fawnspoke_control::server::CommandReply;
@@ -30,14 +32,13 @@
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
+use std::net::Ipv4Addr;
 use std::os::fd::{AsFd, OwnedFd};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::signal::unix::Signal;
-use tokio::sync::Semaphore;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{sleep, timeout};
@@ -45,9 +46,10 @@
 
 /// Polling interval during a handover.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
-/// Connections on which no handover request has arrived yet; more are closed, and their processes
-/// connect again.
-const MAX_PENDING_REQUESTS: usize = 4;
+/// Limits of connections on which no handover request has arrived yet. A new process sends its request as soon as it is
+/// connected.
+const PENDING_LIMITS: AdmissionLimits =
+    AdmissionLimits { max_callers: 4, min_time: Duration::from_millis(10) };
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Time for a new process to send its request.
@@ -159,7 +161,7 @@
 
 /// Accepts new processes, and passes their requests on.
 async fn accept_requests(listener: Listener, requests: UnboundedSender<HandoverRequest>) {
-    let pending = Arc::new(Semaphore::new(MAX_PENDING_REQUESTS));
+    let pending = AdmissionGate::new(PENDING_LIMITS);
     loop {
         let link = match listener.accept().await {
             Ok(link) => link,
@@ -170,20 +172,32 @@
                 continue;
             }
         };
-        let Ok(permit) = pending.clone().try_acquire_owned() else { continue };
+        // The processes that connect have no addresses.
+        let slot = pending.admit(Ipv4Addr::LOCALHOST.into()).await;
         let requests = requests.clone();
         spawn_local(async move {
-            let _permit = permit;
-            let hello = timeout(HELLO_TIMEOUT, link.receive()).await;
-            if let Ok(Ok(Some((packet, _)))) = hello
-                && let Ok(hello) = Hello::decode(&packet)
-            {
-                let _ = requests.send(HandoverRequest { link, hello });
+            match receive_hello(&link, &slot).await {
+                Some(hello) => drop(requests.send(HandoverRequest { link, hello })),
+                None => drop(link),
             }
+            // The slot is free once the connection is closed, or waits for the handover.
+            drop(slot);
         });
     }
 }
 
+/// The hello of a new process; none if it doesn't come in time, or its connection is needed for another process.
+async fn receive_hello(link: &Link, slot: &AdmissionSlot) -> Option<Hello> {
+    let received = tokio::select! {
+        biased;
+        received = link.receive() => received,
+        () = sleep(HELLO_TIMEOUT) => return None,
+        () = slot.evicted() => return None,
+    };
+    let (packet, _) = received.ok()??;
+    Hello::decode(&packet).ok()
+}
+
 /// How a handover ended for the old process.
 pub enum HandoverResult {
     /// It continues as owner; `stopping`: it received a termination signal meanwhile.
