A client whose request is under way keeps its connection for 0.1 s while others connect

Callers saw: with all client connections in use, a client that had connected and not written yet was closed in favour of the next one, within a millisecond, while callers with three bytes of a request kept theirs for 2 s; and beside some 1,000 callers clients had no answer in the 400 ms that they wait.

A connection that was closed with a response stayed open for up to 0.3 s more, beyond the limit: with 4,000 callers that never close, as many as come in that time.

Meanwhile no further connection is accepted: those that wait have their requests in the queue. A connection that is closed for another one is not read for another 0.3 s.

Why it works: 434 connections for 0.1 s each let 4,000 callers pass in a second, so that a client behind 1,000 waits for 0.25 s; and the thread sorts its connections once for each change instead of once for each socket.

--- a/crates/fawnspoke/tests/sockets/main.rs
+++ b/crates/fawnspoke/tests/sockets/main.rs
@@ -2,6 +2,7 @@
 //! Tests wait for conditions with a long timeout, so that they pass on a busy machine.
 
 mod churn;
+mod client_callers;
 mod clients;
 mod closing;
 mod control_callers;
--- a/crates/lab/src/blocking.rs
+++ b/crates/lab/src/blocking.rs
@@ -546,12 +546,20 @@
     /// # Panics
     /// Where it can't connect.
     pub fn connect(&self) -> Client {
-        let address = self.listen_address.expect("the process listens");
+        let address = self.client_address();
         let connection =
             runtime_handle().block_on(async { HttpConnection::connect(address, WAIT_TIMEOUT).await });
         Client(connection.expect("a connection"))
     }
 
+    /// The address at which it accepts clients.
+    ///
+    /// # Panics
+    /// Where it was not started.
+    pub fn client_address(&self) -> SocketAddr {
+        self.listen_address.expect("the process listens")
+    }
+
     /// Submits a small message as soon as the dispatcher knows an endpoint of its destination.
     pub fn submit_once_listed(&self, class: &str, id: &str, destination: u32) {
         eventually("the endpoint list", || self.submit(class, id, destination) == 202);
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -25,8 +25,8 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::task::{spawn_local, yield_now};
-use tokio::time::{Instant, Sleep, sleep, timeout};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, Sleep, sleep, sleep_until, timeout};
 
 /// A request, head and body, must have arrived this long after its connection was opened or its
 /// first byte came; later it is abandoned. Its client waits only 400 ms for the response.
@@ -35,6 +35,10 @@
 /// socket with unread bytes resets the connection, and the client might never see the response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
 const MAX_LINGER_BYTES: usize = 1 << 20;
+/// While all connections are in use, a client whose request is expected or arrives keeps its own for this long.
+const MIN_REQUEST_TIME: Duration = Duration::from_millis(100);
+/// Delay before another attempt to close a connection where all have unread input.
+const READ_DELAY: Duration = Duration::from_millis(1);
 /// A connection found open this recently is assumed to be open still: any stall of this process
 /// that matters is longer.
 const OPEN_CHECK_VALIDITY: Duration = Duration::from_millis(5);
@@ -52,6 +56,8 @@
 pub struct ClientConnections {
     open: RefCell<BTreeMap<u64, Rc<ClientConnection>>>,
     next_number: Cell<u64>,
+    /// Notified when a connection has ended or become idle.
+    changed: Notify,
 }
 
 impl ClientConnections {
@@ -62,6 +68,11 @@
         (number, client)
     }
 
+    fn remove(&self, number: u64) {
+        self.open.borrow_mut().remove(&number);
+        self.changed.notify_one();
+    }
+
     /// Number of open connections.
     pub fn count(&self) -> usize {
         self.open.borrow().len()
@@ -73,8 +84,7 @@
         let open = self.open.borrow();
         let unacknowledged = open.values().filter_map(|client| Some((client, client.unacknowledged.take()?)));
         let abandoned = unacknowledged.map(|(client, number)| {
-            client.closing.set(true);
-            client.close_requested.notify_one();
+            client.close();
             number
         });
         abandoned.collect()
@@ -93,26 +103,46 @@
         self.open.borrow().values().filter(|client| client.is_idle()).count()
     }
 
-    /// Closes the connection that has been silent for the longest, among all or among the idle ones
-    /// only. A connection on which a request has begun is closed last.
-    fn close_longest_silent(&self, idle_only: bool) {
+    /// Closes the idle connection that has been silent for the longest, and returns it.
+    fn close_idle(&self) -> Option<Rc<ClientConnection>> {
+        let open = self.open.borrow();
+        let mut idle: Vec<&Rc<ClientConnection>> = open.values().filter(|client| client.is_idle()).collect();
+        idle.sort_by_key(|client| client.last_active_at.get());
+        // Closing it would lose a request that has not been read yet.
+        let oldest = idle.into_iter().find(|client| client.stream.unread() != Unread::Bytes);
+        oldest.inspect(|client| client.close()).cloned()
+    }
+
+    /// Closes a connection for another client: an idle one, or else the one whose request has been expected or arriving
+    /// for the longest, once that is [`MIN_REQUEST_TIME`]. Returns when to try again; never before a connection has
+    /// changed if nothing.
+    fn evict(&self, now: Instant) -> Option<Instant> {
+        let is_evicted = |client: &Rc<ClientConnection>| client.evicted.get();
+        if self.open.borrow().values().any(is_evicted) {
+            return None;
+        }
+        if let Some(client) = self.close_idle() {
+            client.evicted.set(true);
+            return None;
+        }
         let open = self.open.borrow();
-        for _ in 0..open.len() {
-            let candidates =
-                open.values().filter(|client| !client.closing.get() && (!idle_only || client.is_idle()));
-            let priority = |client: &&Rc<ClientConnection>| {
-                (client.has_unanswered_request(), client.last_active_at.get())
-            };
-            let Some(oldest) = candidates.min_by_key(priority) else { return };
-            // Closing it would lose a request that has not been read yet.
-            if oldest.stream.unread() == Unread::Bytes {
-                oldest.last_active_at.set(Instant::now());
-                continue;
+        let expecting = open.values().filter(|client| !client.closing.get());
+        let mut expecting: Vec<(Instant, &Rc<ClientConnection>)> =
+            expecting.filter_map(|client| Some((client.request_since.get()?, client))).collect();
+        expecting.sort_by_key(|(since, _)| *since);
+        let evictable = |since: Instant| since + MIN_REQUEST_TIME;
+        for (since, client) in expecting {
+            if evictable(since) > now {
+                return Some(evictable(since));
+            }
+            if client.stream.unread() != Unread::Bytes {
+                client.evicted.set(true);
+                client.close();
+                return None;
             }
-            oldest.closing.set(true);
-            oldest.close_requested.notify_one();
-            return;
         }
+        // What has arrived on all of them is read in the next turn.
+        Some(now + READ_DELAY)
     }
 }
 
@@ -139,6 +169,8 @@
     pub unacknowledged: Cell<Option<u64>>,
     /// Whether this side has decided to close it.
     closing: Cell<bool>,
+    /// Whether that is for another client, which waits for its descriptor.
+    evicted: Cell<bool>,
     close_requested: Notify,
 }
 
@@ -157,6 +189,7 @@
             closed_between_requests: Cell::new(false),
             unacknowledged: Cell::new(None),
             closing: Cell::new(false),
+            evicted: Cell::new(false),
             close_requested: Notify::new(),
         }
     }
@@ -182,6 +215,12 @@
         !known_open && self.stream.unread() == Unread::Closed
     }
 
+    /// Decides to close it.
+    fn close(&self) {
+        self.closing.set(true);
+        self.close_requested.notify_one();
+    }
+
     fn is_idle(&self) -> bool {
         !self.closing.get() && self.is_between_requests()
     }
@@ -274,18 +313,18 @@
         (node.config.limits.max_clients(), node.config.limits.max_idle_clients());
     loop {
         let accepted = listener.accept().await.and_then(|(stream, _)| SharedStream::new(stream));
-        let out_of_descriptors = accepted.as_ref().is_err_and(is_out_of_descriptors);
-        let full = out_of_descriptors || node.clients.open.borrow().len() >= max_connections;
-        if full || node.clients.idle_count() > max_idle {
-            node.clients.close_longest_silent(!full);
-            // The connection is closed before the next one is accepted.
-            yield_now().await;
+        if accepted.as_ref().is_err_and(is_out_of_descriptors) {
+            node.clients.evict(Instant::now());
+        }
+        if node.clients.idle_count() > max_idle {
+            node.clients.close_idle();
         }
         match accepted {
             Ok(stream) => {
                 // It counts from here on: more connections may be accepted before its task has run.
                 let (number, client) = node.clients.add(stream);
                 spawn_local(serve_connection(node.clone(), number, client, Vec::new()));
+                make_room(&node, max_connections).await;
             }
             // Only one connection, which is gone, is affected, or the call was interrupted.
             Err(error) if affects_one_connection(&error) => {
@@ -299,6 +338,21 @@
     }
 }
 
+/// Waits until no more connections are open than are allowed, and closes some for that. New clients wait in the listener's
+/// queue meanwhile, where their requests arrive.
+async fn make_room(node: &Node, max_connections: usize) {
+    while node.clients.count() > max_connections {
+        let changed = node.clients.changed.notified();
+        match node.clients.evict(Instant::now()) {
+            None => changed.await,
+            Some(at) => tokio::select! {
+                () = changed => {}
+                () = sleep_until(at) => {}
+            },
+        }
+    }
+}
+
 /// Takes over a client's connection from the previous process, which has read `partial_request` and has
 /// waited `waited_ms` for the rest of that request.
 pub fn adopt(
@@ -322,6 +376,7 @@
             let is_last = response.as_ref().is_ok_and(|response| response.headers().contains_key(CONNECTION));
             client.last_response.set(is_last);
             client.request_answered();
+            node.clients.changed.notify_one();
             response
         }
     });
@@ -361,7 +416,7 @@
             }
         }
     }
-    node.clients.open.borrow_mut().remove(&number);
+    node.clients.remove(number);
     if let Some(number) = client.unacknowledged.take() {
         requests::withdraw_unacknowledged(&node, number);
     }
@@ -369,9 +424,13 @@
 
 /// Ends a connection that is no longer served. What arrives after its last response is read, since
 /// a reset would discard that response. If no response was written, nothing more is read: the reset
-/// tells the client that it may send the request again.
+/// tells the client that it may send the request again. Nor is more read of one that is closed for another client: all
+/// that had arrived was read.
 async fn finish(client: &ClientConnection) {
     client.abandon_request();
+    if client.evicted.get() {
+        return;
+    }
     if client.last_response.get() || client.response_started.get() && !client.closed_between_requests.get() {
         // A client that breaks the connection affects only itself.
         let _ = timeout(LINGER_TIMEOUT, linger(client.stream.clone())).await;
