A thousand callers wait in the queues of the listeners instead of being dropped by the kernel

Callers saw: where some hundred connect while the process accepts none for a moment, connects that take one to several seconds.

Cause: the queues of the clients' and the members' listeners held 128 (the runtime's figure); the kernel drops what comes beyond, without a word, and the caller's machine tries again after 1 s, 3 s and so on. The admission control lets callers wait in these queues, so they have to be long enough.

Change: these listeners have the queue of the control port, 1,024, where the program binds them. One that the platform hands in stays as it is.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -11,3 +11,7 @@
 
 pub mod gate;
 pub mod table;
+
+/// Length of the listener's queue in which the callers of a server wait: those beyond it are dropped by the kernel and connect
+/// again a second later.
+pub const LISTEN_BACKLOG: i32 = 1024;
--- a/crates/cluster/src/connections.rs
+++ b/crates/cluster/src/connections.rs
@@ -5,6 +5,7 @@
 use crate::config::FleetConfig;
 use crate::wire::{Frame, HELLO_TIMEOUT_SECONDS, Hello, MAX_PACKET_BYTES};
 use bytes::Bytes;
+use fawnspoke_admission::LISTEN_BACKLOG;
 use fawnspoke_admission::gate::{AdmissionGate, AdmissionSlot};
 use fawnspoke_admission::table::AdmissionLimits;
 use futures_util::{SinkExt, StreamExt};
@@ -175,6 +176,8 @@
         let listens = self.config.member.keys().any(|other| self.config.dials(other, &self.name));
         if let Some(own) = self.config.member.get(&*self.name).filter(|_| listens) {
             let listener = TcpListener::bind(own.listen.unwrap_or(own.at)).await?;
+            // The runtime's queue is shorter.
+            rustix::net::listen(&listener, LISTEN_BACKLOG)?;
             address = Some(listener.local_addr()?);
             spawn_local(self.clone().accept(listener));
         }
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -5,6 +5,7 @@
 use crate::metrics::Metrics;
 use crate::overrides::{OverrideKey, OverrideKind};
 use crate::protocol::{Decoder, END_OF_METRICS, Request, failure, success};
+use fawnspoke_admission::LISTEN_BACKLOG;
 use fawnspoke_admission::gate::{AdmissionGate, AdmissionSlot};
 use fawnspoke_admission::table::AdmissionLimits;
 use rustix::net::{RecvFlags, recv};
@@ -24,8 +25,6 @@
 /// File descriptors of the control server besides its callers': a caller that waits to be admitted, the listener and the
 /// runtime.
 const OWN_DESCRIPTORS: usize = 7;
-/// Most callers in the listener's queue.
-const LISTEN_BACKLOG: i32 = 1024;
 /// While all connections are in use, a caller without a whole line keeps its connection for this long.
 const MIN_PENDING_TIME: Duration = Duration::from_millis(100);
 /// Most commands that the dispatcher's thread has been given and has not answered. Further ones wait.
--- a/crates/fawnspoke/tests/sockets/client_callers.rs
+++ b/crates/fawnspoke/tests/sockets/client_callers.rs
@@ -176,3 +176,21 @@
 fn descriptors_stay_bounded_beside_callers_that_never_close() {
     play(1000, 4000, Duration::from_secs(6));
 }
+
+/// Guards against callers that the kernel drops, and that connect a second later, while a process accepts none for a moment.
+#[test]
+fn callers_wait_in_the_queue_of_a_stopped_process() {
+    let (endpoint, platform) = (Endpoint::start(|_, _| Reply::status(200)), Platform::start());
+    let mut dispatcher = Dispatcher::new(&platform, &[endpoint.list_entry("e", 7, "up")]);
+    dispatcher.control_enabled = true;
+    dispatcher.start();
+    let addresses = [dispatcher.client_address(), dispatcher.control_address().expect("a control port")];
+    dispatcher.signal("STOP");
+    for address in addresses {
+        let connect = |_| TcpStream::connect_timeout(&address, Duration::from_millis(500));
+        let connected: Vec<TcpStream> = (0..1000).map_while(|number| connect(number).ok()).collect();
+        assert_eq!(connected.len(), 1000, "{address}");
+    }
+    dispatcher.signal("CONT");
+    assert_eq!(dispatcher.submit("safe", "m1", 7), 202);
+}
--- a/crates/node/src/client_listener.rs
+++ b/crates/node/src/client_listener.rs
@@ -2,6 +2,7 @@
 //! here.
 
 use crate::retry::{Retry, is_transient};
+use fawnspoke_admission::LISTEN_BACKLOG;
 use rustix::process::{PidfdFlags, PidfdGetfdFlags, getpid, pidfd_getfd, pidfd_open};
 use std::io;
 use std::net::SocketAddr;
@@ -33,7 +34,7 @@
 async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     let mut retry = Retry::new();
     loop {
-        match TcpListener::bind(address).await {
+        match bind_once(address).await {
             Err(error) if is_transient(&error) => match retry.next_delay() {
                 Some((delay, _)) => tokio::time::sleep(delay).await,
                 None => return Err(error),
@@ -43,6 +44,13 @@
     }
 }
 
+async fn bind_once(address: SocketAddr) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(address).await?;
+    // The runtime's queue is shorter.
+    rustix::net::listen(&listener, LISTEN_BACKLOG)?;
+    Ok(listener)
+}
+
 /// Opens a descriptor by its number. Taking ownership of the number itself would be unsafe, since another part of the
 /// process may own it, so the kernel duplicates the descriptor. The original stays open and counts towards the limit.
 fn open_inherited(number: &str) -> Result<std::net::TcpListener, String> {
