Many clients in the middle of a request displace none that has just connected, and the reverse

`closing::silent_connections_are_closed_before_one_in_the_middle_of_a_request` failed in the whole run of the sockets tests.

Change: the oldest of the larger group goes, in both cases after 0.1 s at the earliest, as the control port takes the address with the most callers.

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -113,9 +113,10 @@
         oldest.inspect(|client| client.close()).cloned()
     }
 
-    /// Closes a connection for another client: an idle one, or else the one whose request has been expected or arriving
-    /// for the longest, once that is [`MIN_REQUEST_TIME`]. Returns when to try again; never before a connection has
-    /// changed if nothing.
+    /// Closes a connection for another client: an idle one, or else one of the larger group, those whose request is expected
+    /// or those whose request arrives; of these the one that has waited for the longest, once that is
+    /// [`MIN_REQUEST_TIME`]. So many clients that send nothing displace none in the middle of a request, and the reverse.
+    /// Returns when to try again; never before a connection has changed if nothing.
     fn evict(&self, now: Instant) -> Option<Instant> {
         let is_evicted = |client: &Rc<ClientConnection>| client.evicted.get();
         if self.open.borrow().values().any(is_evicted) {
@@ -126,14 +127,16 @@
             return None;
         }
         let open = self.open.borrow();
-        let expecting = open.values().filter(|client| !client.closing.get());
-        let mut expecting: Vec<(Instant, &Rc<ClientConnection>)> =
-            expecting.filter_map(|client| Some((client.request_since.get()?, client))).collect();
-        expecting.sort_by_key(|(since, _)| *since);
-        let evictable = |since: Instant| since + MIN_REQUEST_TIME;
-        for (since, client) in expecting {
-            if evictable(since) > now {
-                return Some(evictable(since));
+        let waiting = open.values().filter(|client| !client.closing.get());
+        let waiting = waiting.filter_map(|client| Some((client.request_since.get()?, client)));
+        let (arriving, expected): (Vec<_>, Vec<_>) =
+            waiting.partition(|(_, client)| client.has_unanswered_request());
+        let mut larger_group = if arriving.len() > expected.len() { arriving } else { expected };
+        larger_group.sort_by_key(|(since, _)| *since);
+        for (since, client) in larger_group {
+            let evictable_at = since + MIN_REQUEST_TIME;
+            if evictable_at > now {
+                return Some(evictable_at);
             }
             if client.stream.unread() != Unread::Bytes {
                 client.evicted.set(true);
