Tests of held connections share how they look at a connection and count descriptors

Need: three new test files read non-blocking connections until they would block, and two counted a process's descriptors, each for itself. Change: `support::is_open` and `Dispatcher::open_descriptors`. No check is another.

--- a/crates/fawnspoke/tests/sockets/client_callers.rs
+++ b/crates/fawnspoke/tests/sockets/client_callers.rs
@@ -34,17 +34,6 @@
     stream
 }
 
-fn is_open(stream: &mut TcpStream) -> bool {
-    let mut buffer = [0; 512];
-    loop {
-        match stream.read(&mut buffer) {
-            Err(error) if error.kind() == ErrorKind::WouldBlock => return true,
-            Ok(length) if length > 0 => {}
-            _ => return false,
-        }
-    }
-}
-
 /// Holds `count` connections and opens a new one at once for each that the dispatcher ends. It closes its own side of an
 /// ended connection only when `keep_ended` newer ones have ended.
 fn hold_connections(address: SocketAddr, count: usize, keep_ended: usize, stop: &AtomicBool) -> usize {
@@ -54,7 +43,7 @@
     let (mut ended, mut ended_count) = (std::collections::VecDeque::new(), 0);
     while !stop.load(Ordering::SeqCst) {
         for (number, connection) in connections.iter_mut().enumerate() {
-            if !is_open(connection) {
+            if !is_open(connection, &mut Vec::new()) {
                 ended.push_back(std::mem::replace(connection, open(number)));
                 ended_count += 1;
                 if ended.len() > keep_ended {
@@ -97,11 +86,6 @@
     }
 }
 
-fn open_descriptors(dispatcher: &Dispatcher) -> usize {
-    let process_id = dispatcher.process_id().expect("a process");
-    std::fs::read_dir(format!("/proc/{process_id}/fd")).expect("its descriptors").count()
-}
-
 /// Clients submit messages beside held connections for `length`; checks what they are told.
 fn play(holders: usize, keep_ended: usize, length: Duration) {
     let (endpoint, platform) = (Endpoint::start(|_, _| Reply::status(200)), Platform::start());
@@ -109,7 +93,7 @@
     dispatcher.control_enabled = true;
     dispatcher.start();
     let address = dispatcher.client_address();
-    let descriptors_before = open_descriptors(&dispatcher);
+    let descriptors_before = dispatcher.open_descriptors();
     let stop = &AtomicBool::new(false);
     let (heard, ended, descriptors) = thread::scope(|scope| {
         let held = scope.spawn(move || hold_connections(address, holders, keep_ended, stop));
@@ -125,7 +109,7 @@
         let clients: Vec<_> = (0..CLIENTS).map(|client| scope.spawn(move || submit(client))).collect();
         let (started_at, mut descriptors) = (Instant::now(), 0);
         while started_at.elapsed() < length {
-            descriptors = descriptors.max(open_descriptors(&dispatcher));
+            descriptors = descriptors.max(dispatcher.open_descriptors());
             thread::sleep(POLL_INTERVAL);
         }
         stop.store(true, Ordering::SeqCst);
--- a/crates/fawnspoke/tests/sockets/control_callers.rs
+++ b/crates/fawnspoke/tests/sockets/control_callers.rs
@@ -2,7 +2,7 @@
 
 use crate::support::*;
 use fawnspoke_control::protocol::Request;
-use std::io::{ErrorKind, Read, Write};
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -47,13 +47,8 @@
 
     /// How the server closed it, if it did.
     fn poll(&mut self) -> Option<Disconnection> {
-        let mut buffer = [0; 512];
-        loop {
-            match self.stream.read(&mut buffer) {
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return None,
-                Ok(length) if length > 0 => self.received.extend_from_slice(&buffer[..length]),
-                _ => break,
-            }
+        if is_open(&mut self.stream, &mut self.received) {
+            return None;
         }
         let response = String::from_utf8_lossy(&self.received).into_owned();
         Some(Disconnection { age: self.opened_at.elapsed(), response })
@@ -125,12 +120,6 @@
     answers
 }
 
-/// Number of file descriptors of the dispatcher's process.
-fn open_descriptors(dispatcher: &Dispatcher) -> usize {
-    let process_id = dispatcher.process_id().expect("a process");
-    std::fs::read_dir(format!("/proc/{process_id}/fd")).expect("its descriptors").count()
-}
-
 /// Operators call beside `holders` connections for `length`; checks what all of them are told.
 fn play(holders: usize, length: Duration) {
     let (endpoint, platform) = (Endpoint::start(|_, _| Reply::status(200)), Platform::start());
@@ -140,7 +129,7 @@
     let address = dispatcher.control_address().expect("a control port");
     let ready = |answer: Answer| answer.is_true();
     eventually("the ready status", || ready(call_in_pieces(address, Request::Status, 0)));
-    let descriptors_before = open_descriptors(&dispatcher);
+    let descriptors_before = dispatcher.open_descriptors();
     let stop = &AtomicBool::new(false);
     let (answers, disconnections, descriptors) = thread::scope(|scope| {
         let held = scope.spawn(move || hold_connections(address, holders, stop));
@@ -148,7 +137,7 @@
             (0..OPERATORS).map(|operator| scope.spawn(move || operate(address, operator, stop))).collect();
         let (started_at, mut descriptors) = (Instant::now(), 0);
         while started_at.elapsed() < length {
-            descriptors = descriptors.max(open_descriptors(&dispatcher));
+            descriptors = descriptors.max(dispatcher.open_descriptors());
             thread::sleep(POLL_INTERVAL);
         }
         stop.store(true, Ordering::SeqCst);
--- a/crates/fawnspoke/tests/sockets/handover_callers.rs
+++ b/crates/fawnspoke/tests/sockets/handover_callers.rs
@@ -4,7 +4,6 @@
 use crate::support::*;
 use socket2::{Domain, SockAddr, Socket, Type};
 use std::fs::File;
-use std::io::{ErrorKind, Read};
 use std::os::fd::AsRawFd;
 use std::path::PathBuf;
 use std::process::Child;
@@ -39,16 +38,12 @@
     }
 }
 
-fn is_open(socket: &mut Socket) -> bool {
-    socket.read(&mut [0; 64]).is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
-}
-
 /// Holds up to `count` connections, and opens a new one at once for each that ends.
 fn hold_connections(path: &SocketPath, count: usize, stop: &AtomicBool) {
     let mut connections: Vec<Option<Socket>> = (0..count).map(|_| None).collect();
     while !stop.load(Ordering::SeqCst) {
         for connection in &mut connections {
-            if !connection.as_mut().is_some_and(is_open) {
+            if !connection.as_mut().is_some_and(|socket| is_open(socket, &mut Vec::new())) {
                 *connection = path.connect();
             }
         }
--- a/crates/fawnspoke/tests/sockets/support.rs
+++ b/crates/fawnspoke/tests/sockets/support.rs
@@ -4,6 +4,7 @@
     Client, Endpoint, HttpMessage, Platform, Reply, draining_endpoint, eventually, list_entry,
 };
 use serde_json::Value;
+use std::io::{ErrorKind, Read};
 use std::iter;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::ops::{Deref, DerefMut, Range};
@@ -20,6 +21,18 @@
         .expect("an endless iterator")
 }
 
+/// Whether the peer of a non-blocking connection has left it open. What it has sent is read into `received`.
+pub fn is_open(connection: &mut impl Read, received: &mut Vec<u8>) -> bool {
+    let mut buffer = [0; 512];
+    loop {
+        match connection.read(&mut buffer) {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return true,
+            Ok(length) if length > 0 => received.extend_from_slice(&buffer[..length]),
+            _ => return false,
+        }
+    }
+}
+
 /// The program under test, as a process.
 pub struct Dispatcher(fawnspoke_lab::blocking::Dispatcher);
 
@@ -38,6 +51,12 @@
         dispatcher
     }
 
+    /// Number of file descriptors of its process.
+    pub fn open_descriptors(&self) -> usize {
+        let process_id = self.process_id().expect("a process");
+        std::fs::read_dir(format!("/proc/{process_id}/fd")).expect("its descriptors").count()
+    }
+
     /// The number of messages that the journal on disk holds open.
     pub fn open_journal_messages(&self) -> usize {
         let program = env!("CARGO_BIN_EXE_fawnspoke");
