Each answer that refuses a message as ended is logged and counted

One limited log line a message names its id, attempt, status, connection and request on it, and the next step; the counts line has `ended`. No behaviour changes.

--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -229,6 +229,8 @@
             (end.settled, end.unproven) = (false, true);
         }
     }
+    let description = monitor.as_ref().map_or_else(String::new, |monitor| monitor.describe_request());
+    record_refusals_to_run(node, call, &message_ends, (response.status, &description));
     let rate_limit_report =
         node.config.report_fields.and_then(|fields| parse_rate_limit_report(&response.headers, fields));
     CallEnd {
@@ -242,6 +244,30 @@
     }
 }
 
+/// Logs and counts the messages that the endpoint refused to run because they are over or have used up their attempts, and
+/// whether each is sent again.
+fn record_refusals_to_run(
+    node: &Node, call: &Call, message_ends: &[MessageEnd], (status, request): (StatusCode, &str),
+) {
+    for end in message_ends.iter().filter(|end| end.outcome == Outcome::NotSent) {
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            continue;
+        }
+        let id = call.messages.iter().find(|message| message.number == end.number);
+        let id = id.map_or("", |message| &*message.content.id);
+        let next = match (end.settled, end.unproven) {
+            (true, _) => "closed",
+            (false, true) => "open, since the response may belong to an earlier request",
+            (false, false) => "open, since its end is still owed",
+        };
+        log::info_limited(format_args!(
+            "message {id}: attempt {} refused as ended ({status}) on {request}: {next}",
+            end.attempt
+        ));
+        node.traffic.update(call.destination, |counters| counters.refused_as_ended += 1);
+    }
+}
+
 /// Sends a health check request to an endpoint.
 pub async fn probe(node: &Node, endpoint: EndpointId) -> (Outcome, Option<RateLimitReport>) {
     let Some(listed) = node.directory.borrow().get(endpoint) else { return (Outcome::NotSent, None) };
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -168,6 +168,11 @@
         )
     }
 
+    /// A text that names the connection and its last request in the log.
+    pub fn describe_request(&self) -> String {
+        format!("request {} of {}", self.pairing.borrow().requests(), self.describe())
+    }
+
     /// The connection's endpoint.
     pub fn endpoint_id(&self) -> Option<EndpointId> {
         self.endpoint.as_ref().map(|endpoint| endpoint.endpoint)
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -14,7 +14,7 @@
 const LIMIT_EXHAUSTED_BELOW: f64 = 0.2;
 const LIMIT_UNUSED_FROM: f64 = 0.8;
 /// The names of the counters in the line, which `fawnspoke lab fleet` reads.
-const COUNTER_NAMES: [&str; 21] = [
+const COUNTER_NAMES: [&str; 22] = [
     "taken",
     "calls",
     "messages",
@@ -36,6 +36,7 @@
     "surplus",
     "unproven",
     "disproved",
+    "ended",
 ];
 
 /// Counters and gauges of one destination for one second.
@@ -82,10 +83,12 @@
     pub unproven_deliveries: u64,
     /// Deliveries that were disproved; their messages were sent again.
     pub disproved_deliveries: u64,
+    /// Messages that an endpoint refused to run, because they are over or have used up their attempts.
+    pub refused_as_ended: u64,
 }
 
 impl DestinationCounters {
-    fn values(&self) -> [u64; 21] {
+    fn values(&self) -> [u64; 22] {
         let DestinationCounters {
             accepted,
             calls,
@@ -110,6 +113,7 @@
             surplus_responses,
             unproven_deliveries,
             disproved_deliveries,
+            refused_as_ended,
             ..
         } = *self;
         [
@@ -134,6 +138,7 @@
             surplus_responses,
             unproven_deliveries,
             disproved_deliveries,
+            refused_as_ended,
         ]
     }
 
@@ -158,6 +163,7 @@
         self.surplus_responses += other.surplus_responses;
         self.unproven_deliveries += other.unproven_deliveries;
         self.disproved_deliveries += other.disproved_deliveries;
+        self.refused_as_ended += other.refused_as_ended;
     }
 }
 
