--- /dev/null
+++ b/crates/fawnspoke/tests/sockets/calls_after_end.rs
@@ -0,0 +1,55 @@
+//! Calls of a message after a response that ended it, or that may have.
+
+mod price;
+mod soak;
+
+use crate::misplaced_responses::endpoint::{Call, Endpoint, Request, Script};
+use crate::support::*;
+use std::thread;
+use std::time::Duration;
+
+const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+const GONE: &str = "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n";
+/// Longer than a retry takes.
+const RETRY_TIME: Duration = Duration::from_millis(1500);
+
+/// Starts an endpoint of destination 7 of this kind (`single`, or `many` messages a call), a platform, and a dispatcher.
+fn start(
+    kind: &str, script: impl Fn(&Request) -> Script + Send + Sync + 'static,
+) -> (Endpoint, Platform, Dispatcher) {
+    let (endpoint, platform) = (Endpoint::start(script), Platform::start());
+    let dispatcher = Dispatcher::started(&platform, &[list_entry("e", endpoint.address, 7, kind, "up")]);
+    (endpoint, platform, dispatcher)
+}
+
+/// The calls that carried a message.
+fn calls_of(endpoint: &Endpoint, id: &str) -> Vec<Call> {
+    let calls = endpoint.all_calls().into_iter();
+    calls.filter(|call| call.message_ids().iter().any(|other| other == id)).collect()
+}
+
+/// Delivers a message, so that the connection has been used, and then submits another one.
+fn deliver_then_submit(dispatcher: &Dispatcher, endpoint: &Endpoint, class: &str, id: &str) {
+    assert_eq!(dispatcher.submit("safe", "first", 7), 202);
+    eventually("the first call's response", || endpoint.answered() == 1);
+    thread::sleep(Duration::from_millis(50));
+    assert_eq!(dispatcher.submit(class, id, 7), 202);
+    eventually("its call", || !calls_of(endpoint, id).is_empty());
+}
+
+#[test]
+fn a_message_answered_410_on_a_reused_connection_is_not_called_again() {
+    for class in ["safe", "keyed"] {
+        let (endpoint, platform, dispatcher) = start("single", |request| match &*request.id {
+            "over" => Script::respond(GONE),
+            _ => Script::respond(OK),
+        });
+        deliver_then_submit(&dispatcher, &endpoint, class, "over");
+        thread::sleep(RETRY_TIME);
+        let calls = calls_of(&endpoint, "over");
+        assert_eq!(calls[0].connection, endpoint.calls("first")[0].connection);
+        assert_eq!(calls.len(), 1, "{class}");
+        // The 410 may be another message's: then this one is still owed an end.
+        assert_eq!(platform.outcomes("over"), ["given_up"]);
+    }
+}
--- a/crates/fawnspoke/tests/sockets/misplaced_responses.rs
+++ b/crates/fawnspoke/tests/sockets/misplaced_responses.rs
@@ -1,7 +1,7 @@
 //! Responses that arrive on a connection to an endpoint but don't belong to the request that is outstanding there: late
 //! copies of earlier responses, and others that no request asked for.
 
-mod endpoint;
+pub mod endpoint;
 mod soak;
 
 use crate::soak::NOTICE_GRACE;
--- a/crates/fawnspoke/tests/sockets/misplaced_responses/endpoint.rs
+++ b/crates/fawnspoke/tests/sockets/misplaced_responses/endpoint.rs
@@ -80,6 +80,22 @@
     pub path: String,
     /// Its Request-Id, or nothing.
     pub id: String,
+    pub body: String,
+}
+
+impl Request {
+    /// The ids of its messages: one, or those of a batch.
+    pub fn message_ids(&self) -> Vec<String> {
+        message_ids(&self.path, &self.id, &self.body)
+    }
+}
+
+/// The ids of the messages of a request. Messages of a batch have bodies without line ends.
+fn message_ids(path: &str, id: &str, body: &str) -> Vec<String> {
+    if path != "/receive-many" {
+        return Vec::from_iter((!id.is_empty()).then(|| id.to_string()));
+    }
+    body.lines().step_by(2).filter_map(|line| Some(line.split_once(' ')?.0.to_string())).collect()
 }
 
 /// A request and what became of it.
@@ -94,6 +110,8 @@
     pub received_at: Instant,
     /// The status of its own response.
     pub status: u16,
+    /// The bytes of its own response.
+    pub response: String,
     pub retry_after: Option<Duration>,
     /// When its own response was written.
     pub answered_at: Option<Instant>,
@@ -102,6 +120,11 @@
 }
 
 impl Call {
+    /// The ids of its messages: one, or those of a batch.
+    pub fn message_ids(&self) -> Vec<String> {
+        message_ids(&self.path, &self.id, &self.body)
+    }
+
     /// Whether it was sent to this endpoint. A watch comes from the dispatcher of another test, whose platform has ended and
     /// had this port.
     fn is_own(&self) -> bool {
@@ -145,6 +168,7 @@
         call.status = text.get(9..12).and_then(|status| status.parse().ok()).unwrap_or(0);
         let seconds = header(&text, "retry-after").and_then(|seconds| seconds.parse().ok());
         call.retry_after = seconds.map(Duration::from_secs_f64);
+        call.response = text;
     }
 }
 
@@ -313,15 +337,16 @@
             path: path.clone(),
             address,
             connection: peer.port(),
-            body,
+            body: body.clone(),
             received_at: Instant::now(),
             status: 0,
+            response: String::new(),
             retry_after: None,
             answered_at: None,
             abandoned_at: None,
         };
         let index = shared.add(call);
-        let script = (shared.decide)(&Request { index, index_on_connection, path, id });
+        let script = (shared.decide)(&Request { index, index_on_connection, path, id, body });
         index_on_connection += 1;
         shared.set_status(index, script.response.as_deref().unwrap_or_default());
         if requests.send((index, script)).is_err() {
