A 410 that may be another message's copy ends its message by a notice, with no further call

If the 410 is its own, any further call breaks the rule; if it is a copy, the message is owed an end. A notice is right in both cases, a call in one. What a response means for each message is now one module without I/O (call_results), with four resolutions in place of two flags; on the hand-over's frames, which stay as they are, such an end goes as a delivery whose connection was not taken over, which ends by a notice.

--- a/crates/node/src/actions.rs
+++ b/crates/node/src/actions.rs
@@ -1,7 +1,8 @@
 //! Executes the actions of the decision core: starts calls and probes, journals how they end, ends messages
 //! undelivered.
 
-use crate::calls::{self, Call, CallEnd, CallMessage, MessageEnd};
+use crate::call_results::{MessageEnd, Resolution};
+use crate::calls::{self, Call, CallEnd, CallMessage};
 use crate::directory::ListedEndpoint;
 use crate::event_loop::Input;
 use crate::serving::Phase;
@@ -21,19 +22,20 @@
         node.count_message_end(end.number, CountedOutcome::Fulfilled);
     }
     for message_end in &end.message_ends {
-        if message_end.is_unproven_delivery() {
-            unproven::add(node, message_end.number, &end);
-            continue;
+        let number = message_end.number;
+        let has_begun = || node.journal.borrow().get(number).is_some_and(|entry| entry.in_flight.is_some());
+        match message_end.resolution {
+            Resolution::UnprovenDelivery => unproven::add(node, number, &end),
+            Resolution::EndByNotice => unproven::end_as_over(node, number),
+            Resolution::Settled => {
+                node.observe_journal_write(node.journal.borrow_mut().close(number));
+            }
+            Resolution::Open if has_begun() => {
+                let may_have_run = message_end.may_have_run();
+                node.observe_journal_write(node.journal.borrow_mut().attempt_ended(number, may_have_run));
+            }
+            Resolution::Open => {}
         }
-        let mut journal = node.journal.borrow_mut();
-        let has_begun = journal.get(message_end.number).is_some_and(|entry| entry.in_flight.is_some());
-        let written = match message_end.settled {
-            true => journal.close(message_end.number),
-            false if has_begun => journal.attempt_ended(message_end.number, message_end.may_have_run()),
-            false => continue,
-        };
-        drop(journal);
-        node.observe_journal_write(written);
     }
     node.traffic.record_call_end(destination, &end);
     node.fleet.report_outcomes(destination, end.message_ends.iter().map(|end| end.outcome));
@@ -46,7 +48,7 @@
     let cancellation = Rc::new(Notify::new());
     single.inspect(|number| drop(node.cancellations.borrow_mut().insert(*number, cancellation.clone())));
     let end_with = |outcome: Outcome| {
-        let end = |message: &CallMessage| MessageEnd::unsettled(message.number, message.attempt, outcome);
+        let end = |message: &CallMessage| MessageEnd::open(message.number, message.attempt, outcome);
         CallEnd::without_report(call.messages.iter().map(end).collect(), false)
     };
     let (mut end, is_aborted) = tokio::select! {
@@ -62,7 +64,6 @@
         Phase::HandedOver => {
             // The connection is not transferred.
             end.connection_kept = false;
-            end.make_transferable();
             node.transfer(Transfer::Completion(Completion::Call {
                 endpoint: endpoint.0,
                 destination,
@@ -106,7 +107,7 @@
             .get(endpoint)
             .filter(|listed| listed.destination == message.content.destination);
         let Some(listed) = listed.filter(|listed| node.fleet.may_send(listed.destination)) else {
-            let message_ends = vec![MessageEnd::unsettled(number, attempt, Outcome::NotSent)];
+            let message_ends = vec![MessageEnd::open(number, attempt, Outcome::NotSent)];
             node.send_input(Input::CallEnded {
                 endpoint,
                 sent_at: node.now(),
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -4,6 +4,7 @@
 //! the outcome for each message. Above all the outcome says whether the message may have run at the endpoint, since
 //! that decides whether it may be sent again.
 
+use crate::call_results::{CallResponse, CallResult, MessageEnd, Resolution};
 use crate::connection::{self, Connection, RESPONSE_COMPLETION_TIMEOUT, ResponseMonitor};
 use crate::connection_pool::idle_reuse_limit;
 use crate::serving::Phase;
@@ -15,7 +16,6 @@
 use hyper::header::{HeaderMap, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -50,39 +50,6 @@
     pub carries_unsafe: bool,
 }
 
-/// How a call ended for one of its messages.
-#[derive(Debug, Deserialize, Serialize)]
-pub struct MessageEnd {
-    /// The message's number in the journal.
-    pub number: u64,
-    /// The number of the attempt, from 0.
-    pub attempt: u32,
-    pub outcome: Outcome,
-    /// The message needs neither a retry nor a notice.
-    pub settled: bool,
-    /// The response may belong to an earlier request on its connection: the message may have run, whatever the outcome
-    /// says.
-    #[serde(skip)]
-    pub unproven: bool,
-}
-
-impl MessageEnd {
-    /// The end of a message that needs a retry or a notice.
-    pub fn unsettled(number: u64, attempt: u32, outcome: Outcome) -> MessageEnd {
-        MessageEnd { number, attempt, outcome, settled: false, unproven: false }
-    }
-
-    /// Whether the message was delivered, unless the response belongs to an earlier request.
-    pub fn is_unproven_delivery(&self) -> bool {
-        self.outcome == Outcome::Served && !self.settled
-    }
-
-    /// Whether the message may have run.
-    pub fn may_have_run(&self) -> bool {
-        self.unproven || !self.outcome.never_ran()
-    }
-}
-
 /// How a call ended.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct CallEnd {
@@ -103,13 +70,6 @@
 }
 
 impl CallEnd {
-    /// Expresses by the outcomes alone which messages may have run: the frame to another process has no more.
-    pub fn make_transferable(&mut self) {
-        for end in self.message_ends.iter_mut().filter(|end| end.unproven && end.outcome.never_ran()) {
-            end.outcome = Outcome::MalformedResponse;
-        }
-    }
-
     /// The end of a call whose response, if any, gives no usable information beyond the outcome.
     pub fn without_report(message_ends: Vec<MessageEnd>, connection_reused: bool) -> CallEnd {
         CallEnd {
@@ -159,80 +119,34 @@
             Err(Outcome::Error)
         }
     };
-    let end_all = |outcome: Outcome, settled: bool| {
-        let end = |message: &CallMessage| MessageEnd {
-            settled,
-            ..MessageEnd::unsettled(message.number, message.attempt, outcome)
-        };
-        messages.iter().map(end).collect::<Vec<_>>()
-    };
     let response = match response {
         Ok(response) => response,
         Err(outcome) => {
             let PoolUse { connection_reused, connection_kept, .. } = pool_use;
-            return CallEnd {
-                connection_kept,
-                ..CallEnd::without_report(end_all(outcome, false), connection_reused)
-            };
+            let open = |message: &CallMessage| MessageEnd::open(message.number, message.attempt, outcome);
+            let message_ends = messages.iter().map(open).collect();
+            return CallEnd { connection_kept, ..CallEnd::without_report(message_ends, connection_reused) };
         }
     };
     let monitor = pool_use.monitor;
     let proof = monitor.as_ref().map_or(ResponseProof::MayHaveRun, |monitor| monitor.proof(response.status));
-    let Some(body) = &response.body else {
-        // Of a malformed response only a status line with 200 counts, and only for a single message: for a batch the
-        // status line says nothing about its messages.
-        let is_delivered = response.status == StatusCode::OK && messages.len() == 1;
-        let outcome = if is_delivered { Outcome::Served } else { Outcome::MalformedResponse };
-        let message_ends = end_all(outcome, is_delivered && proof == ResponseProof::Own);
-        // Retry-After counts from when it was sent; honouring one that was not meant only delays messages.
-        return CallEnd {
-            retry_after: parse_retry_after(&response.headers),
-            monitor,
-            due_at: Some(deadline.into_std()),
-            ..CallEnd::without_report(message_ends, pool_use.connection_reused)
-        };
-    };
-    let mut message_ends = match response.status {
-        StatusCode::OK if messages.len() > 1 => {
-            let (ends, are_all_named) = parse_batch_response(messages, body);
-            if let Some(monitor) = monitor.iter().find(|_| !are_all_named) {
-                monitor.pairing.borrow_mut().mark_foreign();
-            }
-            ends
-        }
-        StatusCode::OK => end_all(Outcome::Served, proof == ResponseProof::Own),
-        StatusCode::SERVICE_UNAVAILABLE
-            if response.headers.get("X-Line-Busy").is_some_and(|value| value == "1") =>
-        {
-            end_all(Outcome::NotSent, false)
-        }
-        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
-            end_all(Outcome::Overloaded, false)
-        }
-        StatusCode::GATEWAY_TIMEOUT => end_all(Outcome::NotSent, false),
-        StatusCode::GONE => end_all(Outcome::NotSent, true),
-        StatusCode::INTERNAL_SERVER_ERROR => end_all(Outcome::Error, false),
-        status @ (StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE) => {
-            log::info_limited(format_args!(
-                "call to {address}: endpoint rejected {} messages with {status}",
-                messages.len()
-            ));
-            end_all(Outcome::InvalidRequest, false)
-        }
-        other => {
-            log::info_limited(format_args!("call to {address}: unexpected status {other}"));
-            end_all(Outcome::Error, false)
-        }
-    };
-    if proof == ResponseProof::MayHaveRun {
-        for end in &mut message_ends {
-            (end.settled, end.unproven) = (false, true);
-        }
+    let CallResult { message_ends, is_foreign } = CallResponse {
+        status: response.status,
+        is_line_busy: response.headers.get("X-Line-Busy").is_some_and(|value| value == "1"),
+        body: response.body.as_deref(),
+        proof,
     }
+    .interpret(messages);
+    if let Some(monitor) = monitor.iter().find(|_| is_foreign) {
+        monitor.pairing.borrow_mut().mark_foreign();
+    }
+    log_unexpected_status(call, response.status);
     let description = monitor.as_ref().map_or_else(String::new, |monitor| monitor.describe_request());
     record_refusals_to_run(node, call, &message_ends, (response.status, &description));
+    // Of a malformed response the wait alone is used: honouring one that was not meant only delays messages.
+    let report_fields = node.config.report_fields.filter(|_| response.body.is_some());
     let rate_limit_report =
-        node.config.report_fields.and_then(|fields| parse_rate_limit_report(&response.headers, fields));
+        report_fields.and_then(|fields| parse_rate_limit_report(&response.headers, fields));
     CallEnd {
         message_ends,
         retry_after: parse_retry_after(&response.headers),
@@ -244,21 +158,37 @@
     }
 }
 
+/// Logs a status that the protocol does not have, or that rejects the request as invalid.
+fn log_unexpected_status(call: &Call, status: StatusCode) {
+    match status {
+        StatusCode::OK
+        | StatusCode::TOO_MANY_REQUESTS
+        | StatusCode::SERVICE_UNAVAILABLE
+        | StatusCode::GATEWAY_TIMEOUT
+        | StatusCode::GONE
+        | StatusCode::INTERNAL_SERVER_ERROR => {}
+        StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE => log::info_limited(format_args!(
+            "call to {}: endpoint rejected {} messages with {status}",
+            call.address,
+            call.messages.len()
+        )),
+        other => log::info_limited(format_args!("call to {}: unexpected status {other}", call.address)),
+    }
+}
+
 /// Logs and counts the messages that the endpoint refused to run because they are over or have used up their attempts, and
 /// whether each is sent again.
 fn record_refusals_to_run(
     node: &Node, call: &Call, message_ends: &[MessageEnd], (status, request): (StatusCode, &str),
 ) {
-    for end in message_ends.iter().filter(|end| end.outcome == Outcome::NotSent) {
-        if status == StatusCode::SERVICE_UNAVAILABLE {
-            continue;
-        }
+    let refused = message_ends.iter().filter(|end| end.outcome == Outcome::NotSent);
+    for end in refused.filter(|_| status != StatusCode::SERVICE_UNAVAILABLE) {
         let id = call.messages.iter().find(|message| message.number == end.number);
         let id = id.map_or("", |message| &*message.content.id);
-        let next = match (end.settled, end.unproven) {
-            (true, _) => "closed",
-            (false, true) => "open, since the response may belong to an earlier request",
-            (false, false) => "open, since its end is still owed",
+        let next = match end.resolution {
+            Resolution::Settled => "closed",
+            Resolution::Open => "open, since its end is still owed",
+            _ => "ended by a notice, since the response may belong to an earlier request",
         };
         log::info_limited(format_args!(
             "message {id}: attempt {} refused as ended ({status}) on {request}: {next}",
@@ -524,34 +454,6 @@
     head("/receive-many").body(Full::new(body.into()))
 }
 
-/// Parses the body of a batch response; returns also whether it names all messages. One that it does not name may have
-/// run.
-fn parse_batch_response(messages: &[CallMessage], body: &[u8]) -> (Vec<MessageEnd>, bool) {
-    let text = String::from_utf8_lossy(body);
-    let results: HashMap<&str, &str> = text.lines().filter_map(|line| line.trim().split_once(' ')).collect();
-    let are_all_named = messages.iter().all(|message| results.contains_key(&*message.content.id));
-    let end = |message: &CallMessage| {
-        let (outcome, settled) = match results.get(&*message.content.id).map(|result| result.trim()) {
-            Some("delivered") => (Outcome::Served, true),
-            Some("failed") => (Outcome::Error, false),
-            Some("refused") => (Outcome::Overloaded, false),
-            Some("over") => (Outcome::NotSent, true),
-            Some("spent") => (Outcome::NotSent, false),
-            _ => (Outcome::ConnectionReset, false),
-        };
-        MessageEnd { settled, ..MessageEnd::unsettled(message.number, message.attempt, outcome) }
-    };
-    let mut ends: Vec<MessageEnd> = messages.iter().map(end).collect();
-    // The last end represents the whole call: "not sent" is the least informative outcome, a rejection the most.
-    ends.sort_by_key(|end| match end.outcome {
-        Outcome::NotSent => 0,
-        Outcome::Served => 1,
-        Outcome::Overloaded => 3,
-        _ => 2,
-    });
-    (ends, are_all_named)
-}
-
 /// The Retry-After of a response, in seconds.
 fn parse_retry_after(headers: &HeaderMap) -> Option<Seconds> {
     let seconds: f64 = headers.get(RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -3,7 +3,8 @@
 //! after SIGTERM or SIGINT, or once another process has taken over. All decisions are made by the core.
 
 use crate::actions::execute;
-use crate::calls::{self, CallEnd};
+use crate::call_results::{MessageEnd, Resolution};
+use crate::calls::CallEnd;
 use crate::connection::SurplusResponse;
 use crate::handover::{self, HandoverRequest, HandoverResult};
 use crate::transfer::Transfer;
@@ -88,7 +89,7 @@
             } = end;
             let latency = now - sent_at;
             for end in message_ends {
-                let calls::MessageEnd { number, attempt, outcome, settled, unproven } = end;
+                let MessageEnd { number, attempt, outcome, resolution, unproven } = end;
                 let id = MessageId(number);
                 if unproven {
                     dispatcher.handle(now, Event::AttemptMayHaveRun { id, attempt });
@@ -101,7 +102,7 @@
                         attempt,
                         outcome,
                         retry_after,
-                        settled,
+                        settled: resolution != Resolution::Open,
                         latency,
                         rate_limit_report,
                         connection_reused,
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -3,7 +3,8 @@
 //! decisions are made by these state machines.
 
 use crate::actions::complete_call;
-use crate::calls::{CallEnd, MessageEnd};
+use crate::call_results::MessageEnd;
+use crate::calls::CallEnd;
 use crate::config::Config;
 use crate::connection::{self, Connection};
 use crate::connection_pool::DistrustedEndpoint;
@@ -707,7 +708,7 @@
         ));
     }
     for attempt in in_flight.into_values() {
-        let end = MessageEnd::unsettled(attempt.id.0, attempt.attempt, Outcome::ConnectionReset);
+        let end = MessageEnd::open(attempt.id.0, attempt.attempt, Outcome::ConnectionReset);
         let destination = node.directory.borrow().get(attempt.endpoint).map_or(0, |info| info.destination);
         complete_call(
             &node,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 //! to the decision core and executes the resulting actions.
 
 mod actions;
+mod call_results;
 mod calls;
 mod client_listener;
 mod clients;
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -275,7 +275,7 @@
         let end = |rate| CallEnd {
             rate_limit_report: Some(RateLimitReport { rate, remaining_share: Some(0.0) }),
             ..CallEnd::without_report(
-                vec![crate::calls::MessageEnd::unsettled(1, 0, Outcome::Overloaded)],
+                vec![crate::call_results::MessageEnd::open(1, 0, Outcome::Overloaded)],
                 false,
             )
         };
--- a/crates/node/src/unproven.rs
+++ b/crates/node/src/unproven.rs
@@ -8,6 +8,7 @@
 use crate::calls::CallEnd;
 use crate::connection::ResponseMonitor;
 use crate::{Node, log};
+use fawnspoke_control::metrics::CountedOutcome;
 use fawnspoke_journal::Notice;
 use fawnspoke_pairing::{Conclusion, UnprovenDelivery};
 use std::cell::{Cell, RefCell};
@@ -95,6 +96,14 @@
     }
 }
 
+/// Ends a message by a notice that is over if the response to its call is its own: in case it is not.
+pub fn end_as_over(node: &Node, number: u64) {
+    if node.journal.borrow().get(number).is_some() {
+        node.count_message_end(number, CountedOutcome::Faulted);
+        end_undelivered(node, number, Notice::GivenUp);
+    }
+}
+
 /// Checks all unproven deliveries.
 pub fn check(node: &Node) {
     let monitors = node.unproven.monitors.take();
