A message whose attempts an endpoint calls used up is ended, and not called again

Its end is owed and no call can bring it. The core has an outcome for it now, after which a message is ended as after its last attempt: handed back where a repeat is harmless or it never ran, given up otherwise. It is right for another message's copy as well: the call's connection is closed.

Tests: a_message_answered_504..., a_message_named_spent_in_a_batch... (sockets; failed before: 2 and more calls), in the core a_message_that_has_used_up_its_attempts..., and the robustness check draws the outcome and refuses a send after it.

--- a/crates/fawnspoke/tests/sockets/calls_after_end.rs
+++ b/crates/fawnspoke/tests/sockets/calls_after_end.rs
@@ -10,6 +10,7 @@
 
 const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 const GONE: &str = "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n";
+const SPENT: &str = "HTTP/1.1 504 Gateway Timeout\r\nContent-Length: 0\r\n\r\n";
 /// Longer than a retry takes.
 const RETRY_TIME: Duration = Duration::from_millis(1500);
 
@@ -53,3 +54,34 @@
         assert_eq!(platform.outcomes("over"), ["given_up"]);
     }
 }
+
+#[test]
+fn a_message_answered_504_is_ended_by_a_notice_and_not_called_again() {
+    for class in ["safe", "keyed", "unsafe"] {
+        let (endpoint, platform, dispatcher) = start("single", |request| match &*request.id {
+            "spent" => Script::respond(SPENT),
+            _ => Script::respond(OK),
+        });
+        deliver_then_submit(&dispatcher, &endpoint, class, "spent");
+        thread::sleep(RETRY_TIME);
+        assert_eq!(calls_of(&endpoint, "spent").len(), 1, "{class}");
+        assert_eq!(platform.outcomes("spent"), ["handed_back"]);
+    }
+}
+
+#[test]
+fn a_message_named_spent_in_a_batch_is_ended_by_a_notice_and_not_called_again() {
+    let (endpoint, platform) = (
+        Endpoint::start(|request| {
+            let results: String = request.message_ids().iter().map(|id| format!("{id} spent\r\n")).collect();
+            Script::respond(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{results}", results.len()))
+        }),
+        Platform::start(),
+    );
+    let dispatcher = Dispatcher::started(&platform, &[draining_endpoint(7)]);
+    ["a", "b"].iter().for_each(|id| assert_eq!(dispatcher.submit("safe", id, 7), 202));
+    platform.push_changes(2, &[list_entry("e", endpoint.address, 7, "many", "up")]);
+    eventually("both notices", || ["a", "b"].iter().all(|id| platform.outcomes(id) == ["handed_back"]));
+    thread::sleep(RETRY_TIME);
+    assert_eq!(endpoint.all_calls().len(), 1, "both messages in one call");
+}
--- a/crates/node/src/call_results.rs
+++ b/crates/node/src/call_results.rs
@@ -67,6 +67,8 @@
             Resolution::Settled => (outcome, true),
             // Read as a delivery whose connection was not taken over: ended by a notice, and not called again.
             Resolution::UnprovenDelivery | Resolution::EndByNotice => (Outcome::Served, false),
+            // Earlier versions don't know this outcome, and would call again.
+            Resolution::Open if outcome == Outcome::AttemptsExhausted => (Outcome::Served, false),
             // The outcome alone tells that the message may have run.
             Resolution::Open if unproven && outcome.never_ran() => (Outcome::MalformedResponse, false),
             Resolution::Open => (outcome, false),
@@ -135,7 +137,7 @@
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
                 (Outcome::Overloaded, Resolution::Open)
             }
-            StatusCode::GATEWAY_TIMEOUT => (Outcome::NotSent, Resolution::Open),
+            StatusCode::GATEWAY_TIMEOUT => (Outcome::AttemptsExhausted, Resolution::Open),
             StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE => {
                 (Outcome::InvalidRequest, Resolution::Open)
             }
@@ -157,7 +159,7 @@
     let mut message_ends: Vec<MessageEnd> = messages.iter().map(end).collect();
     // The last end represents the whole call: "not sent" is the least informative outcome, a rejection the most.
     message_ends.sort_by_key(|end| match end.outcome {
-        Outcome::NotSent => 0,
+        Outcome::NotSent | Outcome::AttemptsExhausted => 0,
         Outcome::Served => 1,
         Outcome::Overloaded => 3,
         _ => 2,
@@ -172,7 +174,7 @@
         Some("failed") => (Outcome::Error, Resolution::Open),
         Some("refused") => (Outcome::Overloaded, Resolution::Open),
         Some("over") => (Outcome::NotSent, Resolution::Settled),
-        Some("spent") => (Outcome::NotSent, Resolution::Open),
+        Some("spent") => (Outcome::AttemptsExhausted, Resolution::Open),
         _ => (Outcome::ConnectionReset, Resolution::Open),
     }
 }
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -181,13 +181,15 @@
 fn record_refusals_to_run(
     node: &Node, call: &Call, message_ends: &[MessageEnd], (status, request): (StatusCode, &str),
 ) {
-    let refused = message_ends.iter().filter(|end| end.outcome == Outcome::NotSent);
-    for end in refused.filter(|_| status != StatusCode::SERVICE_UNAVAILABLE) {
+    // An endpoint without a free slot refuses messages that have not ended.
+    let is_line_busy = status == StatusCode::SERVICE_UNAVAILABLE;
+    let is_ended = |end: &&MessageEnd| matches!(end.outcome, Outcome::NotSent | Outcome::AttemptsExhausted);
+    for end in message_ends.iter().filter(is_ended).filter(|_| !is_line_busy) {
         let id = call.messages.iter().find(|message| message.number == end.number);
         let id = id.map_or("", |message| &*message.content.id);
         let next = match end.resolution {
             Resolution::Settled => "closed",
-            Resolution::Open => "open, since its end is still owed",
+            Resolution::Open => "to be ended by a notice",
             _ => "ended by a notice, since the response may belong to an earlier request",
         };
         log::info_limited(format_args!(
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -206,7 +206,7 @@
                     );
                 }
                 Some(Outcome::ConnectFailed) => counters.connect_failures += 1,
-                Some(Outcome::Served | Outcome::NotSent) | None => {}
+                Some(Outcome::Served | Outcome::NotSent | Outcome::AttemptsExhausted) | None => {}
                 Some(_) => counters.failed += 1,
             }
         });
--- a/crates/waydoor/src/interface.rs
+++ b/crates/waydoor/src/interface.rs
@@ -323,13 +323,18 @@
     /// The endpoint cannot use the request: the call never ran, and the endpoint is alive.
     #[serde(rename = "Rejected")]
     InvalidRequest,
+    /// Refused, since the message has used up its attempts: the call never ran, and no further one would.
+    AttemptsExhausted,
 }
 
 impl Outcome {
     /// Whether the call certainly did not run.
     pub fn never_ran(self) -> bool {
-        use Outcome::{ConnectFailed, InvalidRequest, NotRecorded, NotSent, Overloaded};
-        matches!(self, Overloaded | ConnectFailed | NotSent | NotRecorded | InvalidRequest)
+        use Outcome::{AttemptsExhausted, ConnectFailed, InvalidRequest, NotRecorded, NotSent, Overloaded};
+        matches!(
+            self,
+            Overloaded | ConnectFailed | NotSent | NotRecorded | InvalidRequest | AttemptsExhausted
+        )
     }
 
     /// Whether a complete answer arrived; its connection is normally idle afterwards.
--- a/crates/waydoor/src/policy.rs
+++ b/crates/waydoor/src/policy.rs
@@ -7,6 +7,7 @@
 //! paper does not treat; each says which failure it prevents and what that costs.
 
 mod attempts;
+mod cancellation;
 mod connections;
 mod endpoint_list;
 mod health_log;
--- a/crates/waydoor/src/policy/attempts.rs
+++ b/crates/waydoor/src/policy/attempts.rs
@@ -21,10 +21,6 @@
 /// Each consecutive failure doubles the timeout, at most this often: waiting longer tells a slow endpoint
 /// from one that does not answer.
 const MAX_TIMEOUT_DOUBLINGS: u32 = 3;
-/// A call that later ones overtook is cancelled after this multiple of the mean latency, but not before this
-/// time, if its slot is needed.
-const OVERTAKEN_LATENCY_MULTIPLE: f64 = 7.0;
-const MIN_OVERTAKEN_SECONDS: f64 = 0.3;
 /// No unsafe message is sent to a target with a larger share of failures.
 const MAX_FAILURE_SHARE_FOR_UNSAFE: f64 = 0.3;
 /// Time reserved for the request to arrive before its idempotency key expires.
@@ -48,6 +44,9 @@
             let zone = self.endpoints.get(&attempt.endpoint).map_or(0, |e| e.zone);
             state.may_have_run.get_or_insert((sent_at, zone));
         }
+        if end.outcome == Outcome::AttemptsExhausted {
+            state.attempts = state.attempts.max(self.settings.max_attempts);
+        }
         state.done |= end.settled || end.outcome == Outcome::Served;
         if matches!(end.outcome, Outcome::TimedOut | Outcome::ConnectionReset | Outcome::Cancelled)
             && let Some(queue) = state.message.key.and_then(|key| self.key_queues.get_mut(&key))
@@ -67,13 +66,20 @@
         }
         // An endpoint may close an idle connection; that is not an outage.
         let idle_connection_closed = end.connection_reused && end.outcome == Outcome::ConnectionReset;
-        let unsent = matches!(end.outcome, Outcome::ConnectFailed | Outcome::NotSent | Outcome::NotRecorded);
+        let unsent = matches!(
+            end.outcome,
+            Outcome::ConnectFailed | Outcome::NotSent | Outcome::NotRecorded | Outcome::AttemptsExhausted
+        );
         if idle_connection_closed || unsent {
             self.for_each_call_target(attempt.endpoint, |target, slow_start, _| {
                 target.refund_call(now, slow_start)
             });
         }
-        if end.outcome == Outcome::NotSent && end.settled || end.outcome == Outcome::NotRecorded {
+        let used_no_trial = match end.outcome {
+            Outcome::NotSent => end.settled,
+            outcome => matches!(outcome, Outcome::NotRecorded | Outcome::AttemptsExhausted),
+        };
+        if used_no_trial {
             self.for_each_call_target(attempt.endpoint, |target, _, _| target.allow_trial_now(now));
         }
         // A call that ended early at its message's deadline did not get its full timeout, so it is no
@@ -96,26 +102,6 @@
         self.remove_if_unlisted(attempt.endpoint);
     }
 
-    /// Cancels calls that later ones overtook, to free their slots. The cost is that a call which was only
-    /// slow is repeated.
-    pub(super) fn cancel_overtaken(&mut self, now: Seconds, actions: &mut Vec<Action>) {
-        if !self.settings.cancel
-            || self.calls.len() < self.settings.max_concurrent_calls
-            || self.queued_destinations.is_empty()
-        {
-            return;
-        }
-        for (id, attempt, call, TargetState { stats, outage, .. }) in self.single_message_calls() {
-            let min_age =
-                (OVERTAKEN_LATENCY_MULTIPLE * stats.expected_latency(now)).max(MIN_OVERTAKEN_SECONDS);
-            let overtaken_by = outage.last_success_sent_at - call.sent_at;
-            let overtaken = now - call.sent_at >= min_age && overtaken_by >= min_age / 2.0;
-            if overtaken && !call.carries_unsafe && !std::mem::replace(&mut call.cancelled, true) {
-                actions.push(Action::CancelAttempt { id, attempt });
-            }
-        }
-    }
-
     /// How long an attempt at an endpoint may take.
     fn call_timeout(&self, now: Seconds, class: usize, endpoint: EndpointId) -> Seconds {
         let stats =
--- a/crates/waydoor/src/policy/outage.rs
+++ b/crates/waydoor/src/policy/outage.rs
@@ -126,7 +126,8 @@
             | Outcome::NotSent
             | Outcome::NotRecorded
             | Outcome::MalformedResponse
-            | Outcome::InvalidRequest => {}
+            | Outcome::InvalidRequest
+            | Outcome::AttemptsExhausted => {}
         }
     }
 
--- a/crates/waydoor/tests/limits.rs
+++ b/crates/waydoor/tests/limits.rs
@@ -1,8 +1,9 @@
 //! Limits the size of the policy modules, and checks that the deployment file lists all of them.
 
-const POLICY_MODULES: [(&str, &str); 15] = [
+const POLICY_MODULES: [(&str, &str); 16] = [
     ("policy.rs", include_str!("../src/policy.rs")),
     ("policy/attempts.rs", include_str!("../src/policy/attempts.rs")),
+    ("policy/cancellation.rs", include_str!("../src/policy/cancellation.rs")),
     ("policy/connections.rs", include_str!("../src/policy/connections.rs")),
     ("policy/endpoint_list.rs", include_str!("../src/policy/endpoint_list.rs")),
     ("policy/health_log.rs", include_str!("../src/policy/health_log.rs")),
--- a/crates/waydoor/tests/robustness.rs
+++ b/crates/waydoor/tests/robustness.rs
@@ -135,7 +135,7 @@
     ]
 }
 
-const OUTCOMES: [Outcome; 7] = [
+const OUTCOMES: [Outcome; 8] = [
     Outcome::Served,
     Outcome::Error,
     Outcome::Overloaded,
@@ -143,6 +143,7 @@
     Outcome::ConnectFailed,
     Outcome::ConnectionReset,
     Outcome::NotSent,
+    Outcome::AttemptsExhausted,
 ];
 
 /// What the checker recorded of a message.
@@ -159,6 +160,8 @@
     may_have_run: bool,
     final_outcomes: u32,
     withdrawn: bool,
+    /// An endpoint said that it has used up its attempts.
+    attempts_exhausted: bool,
 }
 
 /// Records what happened and checks the delivery rules, independently of the dispatcher's state.
@@ -191,6 +194,7 @@
                     let message = self.messages.get_mut(&id.0).expect("the message was accepted");
                     assert!(message.in_flight.is_none(), "two attempts in flight");
                     assert!(message.final_outcomes == 0 && !message.withdrawn, "sent after its end");
+                    assert!(!message.attempts_exhausted, "sent after its last attempt");
                     assert!(now + timeout <= message.deadline, "the attempt outlasts the deadline");
                     assert!(self.is_ready[&endpoint.0], "sent to a draining or removed endpoint");
                     assert_eq!(destination_of(endpoint.0), message.destination);
@@ -293,6 +297,7 @@
                     may_have_run: false,
                     final_outcomes,
                     withdrawn: false,
+                    attempts_exhausted: false,
                 };
                 checker.messages.insert(id, tracked);
                 if let Some(key) = key {
@@ -386,7 +391,11 @@
 ) -> AttemptEnd {
     let message = checker.messages.get_mut(&id).unwrap();
     let (endpoint, started_at, _) = message.in_flight.take().unwrap();
-    let surely_not_run = matches!(outcome, Outcome::Overloaded | Outcome::ConnectFailed | Outcome::NotSent);
+    let surely_not_run = matches!(
+        outcome,
+        Outcome::Overloaded | Outcome::ConnectFailed | Outcome::NotSent | Outcome::AttemptsExhausted
+    );
+    message.attempts_exhausted |= outcome == Outcome::AttemptsExhausted;
     if !surely_not_run {
         message.may_have_run = true;
         message.first_uncertain_start.get_or_insert(started_at);
--- a/crates/waydoor/tests/rules.rs
+++ b/crates/waydoor/tests/rules.rs
@@ -70,6 +70,18 @@
     assert_eq!(later[0].1.id, 1);
 }
 
+#[test]
+fn a_message_that_has_used_up_its_attempts_is_ended_and_not_called_again() {
+    for class in 0..3 {
+        let mut harness = Harness::new(settings());
+        harness.accept(1, class, 1);
+        assert_eq!(harness.run_round().len(), 1);
+        harness.end_attempt(1, 1, 0, Outcome::AttemptsExhausted, 0.05);
+        assert!(harness.run_round().is_empty());
+        assert!(harness.is_rejected(1), "class {class}: it never ran");
+    }
+}
+
 #[test]
 fn repeat_keyed_message_is_retried_only_within_its_window() {
     let mut harness = Harness::new(settings());
