Half a response that ends its message, and a batch response that can't be understood, bring no further call

Callers saw a message called again after a 410 or 504 whose body broke off, and after `over` or `spent` in half a batch response: any incomplete response but a 200 counted as "may have run". The status line, or the batch's whole line, is enough to call no further; a notice is right if the message is over and if it is not.

--- a/crates/node/src/call_results.rs
+++ b/crates/node/src/call_results.rs
@@ -89,13 +89,41 @@
     }
 }
 
+/// The body of a response, as far as it was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResponseBody<T> {
+    Whole(T),
+    /// The response is incomplete, too long or malformed.
+    Partial(T),
+}
+
+impl<T> ResponseBody<T> {
+    pub fn is_whole(&self) -> bool {
+        matches!(self, ResponseBody::Whole(_))
+    }
+
+    pub fn as_deref(&self) -> ResponseBody<&[u8]>
+    where
+        T: AsRef<[u8]>,
+    {
+        match self {
+            ResponseBody::Whole(bytes) => ResponseBody::Whole(bytes.as_ref()),
+            ResponseBody::Partial(bytes) => ResponseBody::Partial(bytes.as_ref()),
+        }
+    }
+}
+
+/// Whether a status line may end the messages of its call, whatever follows it.
+pub fn may_end_messages(status: StatusCode) -> bool {
+    matches!(status, StatusCode::OK | StatusCode::GONE | StatusCode::GATEWAY_TIMEOUT)
+}
+
 /// A response to a call, as far as it was read.
 pub struct CallResponse<'a> {
     pub status: StatusCode,
     /// The response says that all call slots of this dispatcher were taken.
     pub is_line_busy: bool,
-    /// None if the response is incomplete, too long or malformed.
-    pub body: Option<&'a [u8]>,
+    pub body: ResponseBody<&'a [u8]>,
     pub proof: ResponseProof,
 }
 
@@ -103,24 +131,24 @@
 pub struct CallResult {
     /// The last one represents the whole call.
     pub message_ends: Vec<MessageEnd>,
-    /// The response names other messages than those of the call.
-    pub is_foreign: bool,
+    /// The response may be to another call with some of its messages, so the call may still be open.
+    pub is_ambiguous: bool,
 }
 
 impl CallResponse<'_> {
     /// What the response means for each message of the call.
     pub fn interpret(&self, messages: &[CallMessage]) -> CallResult {
-        if let (StatusCode::OK, true, Some(body)) = (self.status, messages.len() > 1, self.body) {
-            return parse_batch_response(messages, body);
+        if self.status == StatusCode::OK && messages.len() > 1 {
+            return self.interpret_batch(messages);
         }
         let (outcome, resolution) = self.meaning_for_all(messages.len() == 1);
-        let unproven = self.proof == ResponseProof::MayHaveRun;
+        let unproven = self.proof == ResponseProof::MayHaveRun || !self.body.is_whole();
         let end = |message: &CallMessage| MessageEnd {
             resolution,
             unproven,
             ..MessageEnd::open(message.number, message.attempt, outcome)
         };
-        CallResult { message_ends: messages.iter().map(end).collect(), is_foreign: false }
+        CallResult { message_ends: messages.iter().map(end).collect(), is_ambiguous: false }
     }
 
     /// What a response means that says the same of all messages.
@@ -130,51 +158,133 @@
         match self.status {
             // The status line alone counts, and only for a single message: for a batch it says nothing about its messages.
             StatusCode::OK if is_single => (Outcome::Served, delivery),
-            _ if self.body.is_none() => (Outcome::MalformedResponse, Resolution::Open),
-            StatusCode::GONE if is_own => (Outcome::NotSent, Resolution::Settled),
+            StatusCode::GONE if is_own && self.body.is_whole() => (Outcome::NotSent, Resolution::Settled),
             StatusCode::GONE => (Outcome::NotSent, Resolution::EndByNotice),
+            StatusCode::GATEWAY_TIMEOUT => (Outcome::AttemptsExhausted, Resolution::Open),
+            _ if !self.body.is_whole() => (Outcome::MalformedResponse, Resolution::Open),
             StatusCode::SERVICE_UNAVAILABLE if self.is_line_busy => (Outcome::NotSent, Resolution::Open),
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
                 (Outcome::Overloaded, Resolution::Open)
             }
-            StatusCode::GATEWAY_TIMEOUT => (Outcome::AttemptsExhausted, Resolution::Open),
             StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE => {
                 (Outcome::InvalidRequest, Resolution::Open)
             }
             _ => (Outcome::Error, Resolution::Open),
         }
     }
+
+    /// What a batch response means for each message of the call.
+    fn interpret_batch(&self, messages: &[CallMessage]) -> CallResult {
+        let (ResponseBody::Whole(body) | ResponseBody::Partial(body)) = self.body;
+        let body = BatchBody::parse(body, self.body.is_whole());
+        let is_complete = self.body.is_whole() && body.names_only_valid_results && body.names_all(messages);
+        let is_first = self.proof == ResponseProof::Own;
+        let mut is_ambiguous = self.body.is_whole() && !is_complete;
+        let mut message_ends: Vec<MessageEnd> = Vec::new();
+        for message in messages {
+            let result = body.results.get(&*message.content.id).copied();
+            let mut end = MessageEnd::open(message.number, message.attempt, Outcome::MalformedResponse);
+            (end.outcome, end.resolution) = match is_complete {
+                true => result.map_or((Outcome::ConnectionReset, Resolution::Open), BatchResult::meaning),
+                false => BatchResult::meaning_in_incomplete(result, self.body.is_whole()),
+            };
+            // It may be a copy of the response to an earlier attempt of the message on the same connection.
+            let may_be_earlier = !is_first && message.attempt > 0 && end.resolution == Resolution::Open;
+            end.unproven = !is_complete || may_be_earlier;
+            is_ambiguous |= may_be_earlier && self.body.is_whole();
+            message_ends.push(end);
+        }
+        // The last end represents the whole call: "not sent" is the least informative outcome, a rejection the most.
+        message_ends.sort_by_key(|end| match end.outcome {
+            Outcome::NotSent | Outcome::AttemptsExhausted => 0,
+            Outcome::Served => 1,
+            Outcome::Overloaded => 3,
+            _ => 2,
+        });
+        CallResult { message_ends, is_ambiguous }
+    }
+}
+
+/// What a batch response says of one message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BatchResult {
+    Delivered,
+    Failed,
+    Refused,
+    Over,
+    Spent,
 }
 
-/// Parses the body of a batch response. A message that it does not name may have run.
-fn parse_batch_response(messages: &[CallMessage], body: &[u8]) -> CallResult {
-    let text = String::from_utf8_lossy(body);
-    let results: HashMap<&str, &str> = text.lines().filter_map(|line| line.trim().split_once(' ')).collect();
-    let is_foreign = !messages.iter().all(|message| results.contains_key(&*message.content.id));
-    let end = |message: &CallMessage| {
-        let result = results.get(&*message.content.id).map(|result| result.trim());
-        let (outcome, resolution) = meaning_of_batch_result(result);
-        MessageEnd { resolution, ..MessageEnd::open(message.number, message.attempt, outcome) }
-    };
-    let mut message_ends: Vec<MessageEnd> = messages.iter().map(end).collect();
-    // The last end represents the whole call: "not sent" is the least informative outcome, a rejection the most.
-    message_ends.sort_by_key(|end| match end.outcome {
-        Outcome::NotSent | Outcome::AttemptsExhausted => 0,
-        Outcome::Served => 1,
-        Outcome::Overloaded => 3,
-        _ => 2,
-    });
-    CallResult { message_ends, is_foreign }
-}
-
-/// What a batch response says of one message; `None`: it does not name the message.
-fn meaning_of_batch_result(result: Option<&str>) -> (Outcome, Resolution) {
-    match result {
-        Some("delivered") => (Outcome::Served, Resolution::Settled),
-        Some("failed") => (Outcome::Error, Resolution::Open),
-        Some("refused") => (Outcome::Overloaded, Resolution::Open),
-        Some("over") => (Outcome::NotSent, Resolution::Settled),
-        Some("spent") => (Outcome::AttemptsExhausted, Resolution::Open),
-        _ => (Outcome::ConnectionReset, Resolution::Open),
+impl BatchResult {
+    fn parse(word: &str) -> Option<BatchResult> {
+        match word.trim() {
+            "delivered" => Some(BatchResult::Delivered),
+            "failed" => Some(BatchResult::Failed),
+            "refused" => Some(BatchResult::Refused),
+            "over" => Some(BatchResult::Over),
+            "spent" => Some(BatchResult::Spent),
+            _ => None,
+        }
+    }
+
+    /// What it means in a whole response that names all messages of the call.
+    fn meaning(self) -> (Outcome, Resolution) {
+        match self {
+            BatchResult::Delivered => (Outcome::Served, Resolution::Settled),
+            BatchResult::Failed => (Outcome::Error, Resolution::Open),
+            BatchResult::Refused => (Outcome::Overloaded, Resolution::Open),
+            BatchResult::Over => (Outcome::NotSent, Resolution::Settled),
+            BatchResult::Spent => (Outcome::AttemptsExhausted, Resolution::Open),
+        }
+    }
+
+    /// What it means in any other response: a message that is over gets no further call. A delivery counts only with the whole
+    /// response; in one that is whole and can't be understood it may be meant.
+    fn meaning_in_incomplete(result: Option<BatchResult>, is_whole: bool) -> (Outcome, Resolution) {
+        match result {
+            Some(BatchResult::Over) => (Outcome::NotSent, Resolution::EndByNotice),
+            Some(BatchResult::Spent) => (Outcome::AttemptsExhausted, Resolution::Open),
+            Some(BatchResult::Delivered) if is_whole => (Outcome::Served, Resolution::EndByNotice),
+            Some(BatchResult::Refused) if is_whole => (Outcome::Overloaded, Resolution::Open),
+            Some(BatchResult::Failed) if is_whole => (Outcome::Error, Resolution::Open),
+            None if is_whole => (Outcome::ConnectionReset, Resolution::Open),
+            _ => (Outcome::MalformedResponse, Resolution::Open),
+        }
+    }
+}
+
+/// The body of a batch response.
+struct BatchBody<'a> {
+    results: HashMap<&'a str, BatchResult>,
+    /// Each line has an id and a result.
+    names_only_valid_results: bool,
+}
+
+impl BatchBody<'_> {
+    /// Parses the lines of a body; where it is not whole, only those that have ended.
+    fn parse(body: &[u8], is_whole: bool) -> BatchBody<'_> {
+        let end = match is_whole {
+            true => body.len(),
+            false => body.iter().rposition(|byte| *byte == b'\n').map_or(0, |position| position + 1),
+        };
+        let (mut results, mut names_only_valid_results) = (HashMap::new(), true);
+        for line in body[..end].split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii) {
+            let parsed = std::str::from_utf8(line).ok().and_then(|line| {
+                let (id, word) = line.split_once(' ')?;
+                Some((id, BatchResult::parse(word)?))
+            });
+            match parsed {
+                Some((id, result)) => drop(results.insert(id, result)),
+                None => names_only_valid_results &= line.is_empty(),
+            }
+        }
+        BatchBody { results, names_only_valid_results }
+    }
+
+    fn names_all(&self, messages: &[CallMessage]) -> bool {
+        messages.iter().all(|message| self.results.contains_key(&*message.content.id))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -4,18 +4,19 @@
 //! the outcome for each message. Above all the outcome says whether the message may have run at the endpoint, since
 //! that decides whether it may be sent again.
 
-use crate::call_results::{CallResponse, CallResult, MessageEnd, Resolution};
+use crate::call_results::{self, CallResponse, CallResult, MessageEnd, Resolution, ResponseBody};
 use crate::connection::{self, Connection, RESPONSE_COMPLETION_TIMEOUT, ResponseMonitor};
 use crate::connection_pool::idle_reuse_limit;
 use crate::serving::Phase;
 use crate::{Node, log};
 use fawnspoke_journal::AcceptedMessage;
 use fawnspoke_pairing::ResponseProof;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{HeaderMap, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -130,21 +131,23 @@
     };
     let monitor = pool_use.monitor;
     let proof = monitor.as_ref().map_or(ResponseProof::MayHaveRun, |monitor| monitor.proof(response.status));
-    let CallResult { message_ends, is_foreign } = CallResponse {
+    let CallResult { message_ends, is_ambiguous } = CallResponse {
         status: response.status,
         is_line_busy: response.headers.get("X-Line-Busy").is_some_and(|value| value == "1"),
         body: response.body.as_deref(),
         proof,
     }
     .interpret(messages);
-    if let Some(monitor) = monitor.iter().find(|_| is_foreign) {
+    if let Some(monitor) = monitor.iter().find(|_| is_ambiguous) {
         monitor.pairing.borrow_mut().mark_foreign();
+        // The call may still be open there, and a retry must not be a second attempt beside it.
+        node.pool.close_out_of_step();
     }
     log_unexpected_status(call, response.status);
     let description = monitor.as_ref().map_or_else(String::new, |monitor| monitor.describe_request());
     record_refusals_to_run(node, call, &message_ends, (response.status, &description));
     // Of a malformed response the wait alone is used: honouring one that was not meant only delays messages.
-    let report_fields = node.config.report_fields.filter(|_| response.body.is_some());
+    let report_fields = node.config.report_fields.filter(|_| response.body.is_whole());
     let rate_limit_report =
         report_fields.and_then(|fields| parse_rate_limit_report(&response.headers, fields));
     CallEnd {
@@ -221,7 +224,7 @@
     .await
     {
         Err(outcome) => (outcome, None),
-        Ok(response) if response.body.is_none() => (Outcome::MalformedResponse, None),
+        Ok(response) if !response.body.is_whole() => (Outcome::MalformedResponse, None),
         Ok(response) => {
             let report = node
                 .config
@@ -243,8 +246,7 @@
 struct EndpointResponse {
     status: StatusCode,
     headers: HeaderMap,
-    /// None if the response is incomplete, too long or malformed.
-    body: Option<Bytes>,
+    body: ResponseBody<Vec<u8>>,
     /// The connection went back to the pool.
     connection_kept: bool,
 }
@@ -361,11 +363,11 @@
         };
         // hyper reports only that the response was unusable; the bytes that arrived show whether it had a status line.
         let (status, has_started) = (monitor.head.borrow().status(), monitor.first_byte_at.get().is_some());
-        if status == Some(StatusCode::OK) {
+        if let Some(status) = status.filter(|status| call_results::may_end_messages(*status)) {
             return Ok(EndpointResponse {
-                status: StatusCode::OK,
+                status,
                 headers: HeaderMap::new(),
-                body: None,
+                body: ResponseBody::Partial(Vec::new()),
                 connection_kept: false,
             });
         }
@@ -412,26 +414,41 @@
     };
     let now = Instant::now();
     let deadline = (now + limit).min(deadline.max(now + BUFFERED_READ_TIMEOUT));
-    let mut collected = pin!(Limited::new(body, MAX_RESPONSE_BYTES).collect());
-    let mut body = timeout_at(deadline.min(now + BUFFERED_READ_TIMEOUT), collected.as_mut()).await;
-    if body.is_err() {
+    let bytes = RefCell::default();
+    let mut collected = pin!(collect_body(body, &bytes));
+    let mut completed = timeout_at(deadline.min(now + BUFFERED_READ_TIMEOUT), collected.as_mut()).await;
+    if completed.is_err() {
         // Retry-After counts from when it was sent, so it is reported before the body is complete.
         if let Some(delay) = parse_retry_after(&head.headers) {
             node.send_event(Event::RetryAfter { endpoint, delay });
         }
-        body = timeout_at(deadline, collected).await;
+        completed = timeout_at(deadline, collected).await;
     }
-    let body = body.ok().and_then(Result::ok).map(|body| body.to_bytes());
+    let is_whole = completed.is_ok_and(|completed| completed);
+    let body = if is_whole { ResponseBody::Whole } else { ResponseBody::Partial }(bytes.take());
     // The endpoint may have left the list meanwhile.
     let is_listed = node.directory.borrow().ready_address(endpoint) == Some(connection.address);
     // A rejection that may belong to an earlier request leaves the call possibly open. Closing its connection gives it
     // up, so that a retry is no second attempt beside it.
     let may_be_open = connection.monitor.proof(head.status) == ResponseProof::MayHaveRun;
-    let connection_kept =
-        body.is_some() && is_listed && !may_be_open && node.pool.put_back(endpoint, connection);
+    let connection_kept = is_whole && is_listed && !may_be_open && node.pool.put_back(endpoint, connection);
     EndpointResponse { status: head.status, headers: head.headers, body, connection_kept }
 }
 
+/// Reads a body into `bytes`; whether it is complete and not too long.
+async fn collect_body(mut body: Incoming, bytes: &RefCell<Vec<u8>>) -> bool {
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return false };
+        let Ok(data) = frame.into_data() else { continue };
+        let mut bytes = bytes.borrow_mut();
+        if bytes.len() + data.len() > MAX_RESPONSE_BYTES {
+            return false;
+        }
+        bytes.extend_from_slice(&data);
+    }
+    true
+}
+
 /// Builds the HTTP request of a call.
 fn build_request(call: &Call) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
     let timeout_ms = (call.timeout * 1000.0).ceil() as u64;
