A delivery that a surplus response puts in doubt ends by a notice, and is not sent again

Callers saw a safe or keyed message called again after its 200, when another response than 200 came behind it: the surplus one may be the copy and the 200 its own, and then the call comes after the end. `DeliveryDisproved` reopened it, the one event that could take an end back: it is gone from the core. A notice is right if the 200 is its own and if it is not.

Price: with copies a message that was not delivered is now given up where it was sent again before.

--- a/crates/fawnspoke/tests/sockets/calls_after_end.rs
+++ b/crates/fawnspoke/tests/sockets/calls_after_end.rs
@@ -3,7 +3,7 @@
 mod price;
 mod soak;
 
-use crate::misplaced_responses::endpoint::{Call, Endpoint, Request, Script};
+use crate::misplaced_responses::endpoint::{Call, Endpoint, Extra, Request, Script};
 use crate::support::*;
 use std::thread;
 use std::time::Duration;
@@ -106,3 +106,17 @@
         }
     }
 }
+
+#[test]
+fn a_delivered_message_is_not_called_again_after_a_response_beyond_the_requests() {
+    let rejection = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+    let (endpoint, platform, dispatcher) = start("single", move |request| match &*request.id {
+        "delivered" => Script::respond(OK).followed_by(Extra::new(Duration::from_millis(30), rejection)),
+        _ => Script::respond(OK),
+    });
+    deliver_then_submit(&dispatcher, &endpoint, "safe", "delivered");
+    thread::sleep(RETRY_TIME);
+    assert_eq!(calls_of(&endpoint, "delivered").len(), 1);
+    // The 503 may be its own, and the 200 a copy: then it is still owed an end.
+    assert_eq!(platform.outcomes("delivered"), ["given_up"]);
+}
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -178,11 +178,6 @@
         self.endpoint.as_ref().map(|endpoint| endpoint.endpoint)
     }
 
-    /// The destination of the connection's endpoint.
-    pub fn destination(&self) -> u32 {
-        self.endpoint.as_ref().map_or(0, |endpoint| endpoint.destination)
-    }
-
     /// Counts the messages of the request as relayed. hyper flushes once it has nothing more to write, so the whole
     /// request has been written to the socket.
     fn on_flush(&self) {
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -14,7 +14,7 @@
 const LIMIT_EXHAUSTED_BELOW: f64 = 0.2;
 const LIMIT_UNUSED_FROM: f64 = 0.8;
 /// The names of the counters in the line, which `fawnspoke lab fleet` reads.
-const COUNTER_NAMES: [&str; 22] = [
+const COUNTER_NAMES: [&str; 21] = [
     "taken",
     "calls",
     "messages",
@@ -35,7 +35,6 @@
     "limit",
     "surplus",
     "unproven",
-    "disproved",
     "ended",
 ];
 
@@ -81,14 +80,12 @@
     pub surplus_responses: u64,
     /// Deliveries that could not be proven before their messages had to end by a notice.
     pub unproven_deliveries: u64,
-    /// Deliveries that were disproved; their messages were sent again.
-    pub disproved_deliveries: u64,
     /// Messages that an endpoint refused to run, because they are over or have used up their attempts.
     pub refused_as_ended: u64,
 }
 
 impl DestinationCounters {
-    fn values(&self) -> [u64; 22] {
+    fn values(&self) -> [u64; 21] {
         let DestinationCounters {
             accepted,
             calls,
@@ -112,7 +109,6 @@
             rate_limit,
             surplus_responses,
             unproven_deliveries,
-            disproved_deliveries,
             refused_as_ended,
             ..
         } = *self;
@@ -137,7 +133,6 @@
             rate_limit,
             surplus_responses,
             unproven_deliveries,
-            disproved_deliveries,
             refused_as_ended,
         ]
     }
@@ -162,7 +157,6 @@
         self.remaining_percent_sum += other.remaining_percent_sum;
         self.surplus_responses += other.surplus_responses;
         self.unproven_deliveries += other.unproven_deliveries;
-        self.disproved_deliveries += other.disproved_deliveries;
         self.refused_as_ended += other.refused_as_ended;
     }
 }
--- a/crates/node/src/unproven.rs
+++ b/crates/node/src/unproven.rs
@@ -1,8 +1,9 @@
 //! Deliveries that rest on a response which may belong to an earlier request: what becomes of their messages.
 //!
 //! Such a message has ended for the decision core, but stays open in the journal, so that a kill loses nothing. It is
-//! closed once its delivery is proven, and sent again if it is disproved. If neither can be told (its connection has
-//! ended, or its deadline comes first), a notice ends it, which does no harm to a message that was delivered.
+//! closed once its delivery is proven. If that fails (a response too many followed, its connection has ended, or its deadline
+//! comes first), a notice ends it, which does no harm to a message that was delivered. It is never called again: its response
+//! may have been its own.
 
 use crate::actions::end_undelivered;
 use crate::calls::CallEnd;
@@ -15,7 +16,7 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
 use std::time::Instant;
-use waydoor::{Event, Seconds};
+use waydoor::Seconds;
 
 /// Time before a message's deadline at which a notice ends it if its delivery is still unproven. It covers the interval
 /// of the checks and a stall of the process.
@@ -116,7 +117,7 @@
             if conclusion == Conclusion::Mismatched {
                 node.pool.close_out_of_step();
             }
-            numbers.into_iter().for_each(|number| conclude(node, &monitor, conclusion, number));
+            numbers.into_iter().for_each(|number| conclude(node, conclusion, number));
         }
         let overdue = monitor.pairing.borrow_mut().take_unproven(|number| is_overdue(node, number));
         overdue.into_iter().for_each(|number| end_by_notice(node, number, "its deadline is near"));
@@ -140,14 +141,15 @@
     node.now() >= node.to_monotonic(entry.message.deadline) - DEADLINE_MARGIN_SECONDS
 }
 
-fn conclude(node: &Node, monitor: &ResponseMonitor, conclusion: Conclusion, number: u64) {
+fn conclude(node: &Node, conclusion: Conclusion, number: u64) {
     match conclusion {
         Conclusion::Delivered => {
             node.unproven.numbers.borrow_mut().remove(&number);
             node.observe_journal_write(node.journal.borrow_mut().close(number));
         }
         Conclusion::Unknown => end_by_notice(node, number, "its connection does not show it"),
-        Conclusion::Mismatched => send_again(node, monitor, number),
+        // It may still be its own: the surplus response may be the copy.
+        Conclusion::Mismatched => end_by_notice(node, number, "a response beyond the requests followed it"),
     }
 }
 
@@ -167,18 +169,3 @@
     node.traffic.update(destination, |counters| counters.unproven_deliveries += 1);
     end_undelivered(node, number, Notice::GivenUp);
 }
-
-/// Returns a message to the decision core: its delivery was disproved.
-fn send_again(node: &Node, monitor: &ResponseMonitor, number: u64) {
-    node.unproven.numbers.borrow_mut().remove(&number);
-    let Some(progress) = node.message_progress(number) else { return };
-    if let Some(entry) = node.journal.borrow().get(number) {
-        log::info_limited(format_args!(
-            "message {}: {} had responses that belong to no request, so its 200 may not be its own: sending it again",
-            entry.message.id,
-            monitor.describe()
-        ));
-    }
-    node.traffic.update(monitor.destination(), |counters| counters.disproved_deliveries += 1);
-    node.send_event(Event::DeliveryDisproved(progress));
-}
--- a/crates/waydoor/src/interface.rs
+++ b/crates/waydoor/src/interface.rs
@@ -427,8 +427,6 @@
     Accepted(Message),
     /// A message that a previous process accepted is continued.
     Recovered(MessageProgress),
-    /// The response that ended a message as delivered was not its own: the message is open again, and may have run.
-    DeliveryDisproved(MessageProgress),
     /// The destination was unavailable or recovering when the previous process ended (its last
     /// [`Action::RecordOutage`] said so).
     OutageRestored(DestinationId),
--- a/crates/waydoor/src/policy.rs
+++ b/crates/waydoor/src/policy.rs
@@ -59,10 +59,6 @@
                     self.limit_backlog_rate(now, progress.message.destination);
                 }
             }
-            Event::DeliveryDisproved(progress) => {
-                self.forget_end(progress.message.id);
-                self.reopen(now, progress);
-            }
             Event::OutageRestored(destination) => {
                 self.recovered_outages.insert(destination);
                 self.restore_outage(now, destination);
--- a/crates/waydoor/src/state.rs
+++ b/crates/waydoor/src/state.rs
@@ -762,13 +762,6 @@
         }
     }
 
-    /// Forgets that a message has ended.
-    pub(crate) fn forget_end(&mut self, id: MessageId) {
-        if self.ended_messages.0.remove(&id) {
-            self.ended_messages.1.retain(|ended| *ended != id);
-        }
-    }
-
     /// Removes an endpoint that is no longer in service, once no call to it is in flight.
     pub(crate) fn remove_if_unlisted(&mut self, id: EndpointId) {
         let Some(e) = self.endpoints.get(&id).filter(|e| !e.ready && e.target.in_flight == 0) else { return };
