A delivery that is not proven yet is not called again by a later process

Its notice is on record now as soon as the 200 is read, and is held: proof closes the message, anything else sends the notice, and a restart sends it too.

--- a/crates/fawnspoke/tests/sockets/calls_after_end.rs
+++ b/crates/fawnspoke/tests/sockets/calls_after_end.rs
@@ -120,3 +120,29 @@
     // The 503 may be its own, and the 200 a copy: then it is still owed an end.
     assert_eq!(platform.outcomes("delivered"), ["given_up"]);
 }
+
+#[test]
+fn a_delivery_on_a_reused_connection_is_not_called_again_after_a_kill() {
+    let (endpoint, platform, mut dispatcher) = start("single", |_| Script::respond(OK));
+    deliver_then_submit(&dispatcher, &endpoint, "keyed", "delivered");
+    eventually("its delivery", || endpoint.deliveries("delivered") == 1);
+    // Long enough to read the response, and too short to prove that it is its own.
+    thread::sleep(Duration::from_millis(50));
+    dispatcher.kill();
+    dispatcher.start();
+    eventually("the notice", || platform.outcomes("delivered") == ["given_up"]);
+    thread::sleep(RETRY_TIME);
+    assert_eq!(calls_of(&endpoint, "delivered").len(), 1);
+}
+
+#[test]
+fn a_proven_delivery_is_answered_as_delivered_after_a_restart() {
+    let (endpoint, platform, mut dispatcher) = start("single", |_| Script::respond(OK));
+    deliver_then_submit(&dispatcher, &endpoint, "safe", "delivered");
+    eventually("its proof", || dispatcher.open_journal_messages() == 0);
+    dispatcher.kill();
+    dispatcher.start();
+    assert_eq!(dispatcher.submit("safe", "delivered", 7), 202);
+    thread::sleep(RETRY_TIME);
+    assert_eq!((calls_of(&endpoint, "delivered").len(), platform.notices().len()), (1, 0));
+}
--- a/crates/fawnspoke/tests/sockets/support.rs
+++ b/crates/fawnspoke/tests/sockets/support.rs
@@ -57,13 +57,15 @@
         std::fs::read_dir(format!("/proc/{process_id}/fd")).expect("its descriptors").count()
     }
 
-    /// The number of messages that the journal on disk holds open.
+    /// The number of messages that the journal on disk holds open, with those that only a notice is due for.
     pub fn open_journal_messages(&self) -> usize {
         let program = env!("CARGO_BIN_EXE_fawnspoke");
         let output = Command::new(program).args(["journal", "show"]).arg(self.state_dir()).output();
         let text = String::from_utf8(output.unwrap().stdout).unwrap();
         let (_, owed) = text.split_once("owed: ").expect("a summary");
-        owed.split(' ').next().and_then(|count| count.parse().ok()).expect("a count")
+        let (messages, rest) = owed.split_once(" messages and ").expect("a count of messages");
+        let (notices, _) = rest.split_once(' ').expect("a count of notices");
+        [messages, notices].iter().map(|count| count.parse::<usize>().expect("a count")).sum()
     }
 }
 
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -351,18 +351,21 @@
         self.index.len() - self.index.pending_notices().len()
     }
 
-    /// The first `max_count` pending notices, whether or not they are recorded.
-    pub fn pending_notices(&self, max_count: usize) -> Vec<(u64, String, Notice)> {
-        self.due_notices(UnixMicros::MAX, max_count)
+    /// The pending notices, whether or not they are recorded.
+    pub fn pending_notices(&self) -> impl Iterator<Item = u64> {
+        self.index.pending_notices().iter().copied()
     }
 
-    /// The first `max_count` notices that may be sent now. A notice has to be recorded before it is sent, or the next
+    /// The first `max_count` notices that may be sent now, without those that `is_held` selects. A notice has to be recorded before it is sent, or the next
     /// process could still deliver the message; after the deadline it would not, so then no record is needed.
-    pub fn due_notices(&self, now: UnixMicros, max_count: usize) -> Vec<(u64, String, Notice)> {
+    pub fn due_notices(
+        &self, now: UnixMicros, max_count: usize, is_held: impl Fn(u64) -> bool,
+    ) -> Vec<(u64, String, Notice)> {
         let journaled = self
             .index
             .pending_notices()
             .iter()
+            .filter(|number| !is_held(**number))
             .filter_map(|number| Some((*number, self.index.get(*number)?)));
         let sendable = journaled.filter(|(number, journaled)| {
             journaled.message.deadline <= now || !self.pending.messages.contains(number)
--- a/crates/journal/src/recent_outcomes.rs
+++ b/crates/journal/src/recent_outcomes.rs
@@ -24,6 +24,8 @@
     /// The outcome of a message that is being closed; `None` if the message was withdrawn.
     pub(crate) fn of(journaled: &JournaledMessage) -> Option<FinalOutcome> {
         match journaled.notice {
+            // Its notice became due when its attempt was answered, in case the answer was not its own.
+            Some(Notice::GivenUp) if journaled.in_flight.is_some() => Some(FinalOutcome::Delivered),
             Some(Notice::GivenUp) => Some(FinalOutcome::GivenUp),
             Some(Notice::HandedBack { .. }) => Some(FinalOutcome::HandedBack),
             // Without an attempt, the message was withdrawn: its client disconnected before it got the answer.
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -250,10 +250,11 @@
     let mut response_timeout = FIRST_NOTICE_TIMEOUT;
     let mut has_failed = false;
     loop {
-        let due = node.journal.borrow().due_notices(node.unix_now(), batch_limit);
+        let is_held = |number| node.unproven.contains(number);
+        let due = node.journal.borrow().due_notices(node.unix_now(), batch_limit, is_held);
         if due.is_empty() {
             // A notice must be journaled before it is sent, so one that is not is checked again soon.
-            let unrecorded = !node.journal.borrow().pending_notices(1).is_empty();
+            let unrecorded = node.journal.borrow().pending_notices().any(|number| !is_held(number));
             if unrecorded {
                 sleep(UNRECORDED_RETRY_DELAY).await;
             } else {
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -205,9 +205,7 @@
         if now >= traffic_logged_at + TRAFFIC_LINE_INTERVAL_SECONDS {
             traffic_logged_at = now;
             let journal = node.journal.borrow();
-            let open_messages = journal
-                .iter()
-                .filter(|(number, entry)| entry.notice.is_none() && !node.unproven.contains(*number));
+            let open_messages = journal.iter().filter(|(_, entry)| entry.notice.is_none());
             let ages = open_messages.map(|(_, entry)| {
                 (entry.message.destination, -node.to_monotonic(entry.message.accepted_at) + now)
             });
--- a/crates/node/src/journaling.rs
+++ b/crates/node/src/journaling.rs
@@ -119,7 +119,7 @@
         log::info(format_args!(
             "journal: restored {} messages and {} notices",
             open_messages.len(),
-            journal.pending_notices(usize::MAX).len()
+            journal.pending_notices().count()
         ));
         for destination in journal.outages().filter(|_| !self.adopted_state) {
             self.send_event(Event::OutageRestored(DestinationId(destination)));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -150,7 +150,7 @@
 
     /// Accepted messages that have not ended.
     fn open_messages(&self) -> usize {
-        self.journal.borrow().open_messages().saturating_sub(self.unproven.count())
+        self.journal.borrow().open_messages()
     }
 
     /// Names a new connection to an endpoint.
--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -119,7 +119,7 @@
         Some(FinalOutcome::GivenUp) => return respond(StatusCode::CONFLICT, "it failed, and may have run\n"),
         Some(FinalOutcome::HandedBack) | None => {}
     }
-    if journal.open_messages().saturating_sub(node.unproven.count()) >= node.config.settings.max_messages {
+    if journal.open_messages() >= node.config.settings.max_messages {
         return reject(node, class, destination_id);
     }
     let now = node.now();
--- a/crates/node/src/unproven.rs
+++ b/crates/node/src/unproven.rs
@@ -1,8 +1,8 @@
 //! Deliveries that rest on a response which may belong to an earlier request: what becomes of their messages.
 //!
-//! Such a message has ended for the decision core, but stays open in the journal, so that a kill loses nothing. It is
-//! closed once its delivery is proven. If that fails (a response too many followed, its connection has ended, or its deadline
-//! comes first), a notice ends it, which does no harm to a message that was delivered. It is never called again: its response
+//! Such a message has ended for the decision core. A notice for it is in the journal at once, so that a later process ends it
+//! and doesn't call it again, and is held. The message is closed once its delivery is proven. If that fails (a response too many followed, its connection has ended, or its deadline
+//! comes first), the notice is sent, which does no harm to a message that was delivered. It is never called again: its response
 //! may have been its own.
 
 use crate::actions::end_undelivered;
@@ -78,16 +78,17 @@
     if node.journal.borrow().get(number).is_none() {
         return;
     }
-    node.observe_journal_write(node.journal.borrow_mut().attempt_ended(number, true));
+    // A later process doesn't call it again either.
+    node.observe_journal_write(node.journal.borrow_mut().notice_due(number, Notice::GivenUp));
     let (Some(monitor), Some(due_at)) = (&end.monitor, end.due_at) else {
-        return end_by_notice(node, number, "its connection was not taken over");
+        return release_notice(node, number, "its connection was not taken over");
     };
     if is_overdue(node, number) {
-        return end_by_notice(node, number, "its deadline is near");
+        return release_notice(node, number, "its deadline is near");
     }
-    // They don't count as open messages, but the journal has to hold them.
+    // They don't count as open messages, but the journal holds them.
     if node.unproven.count() >= node.config.settings.max_messages {
-        return end_by_notice(node, number, "too many others wait to be proven");
+        return release_notice(node, number, "too many others wait to be proven");
     }
     node.unproven.numbers.borrow_mut().insert(number);
     monitor.pairing.borrow_mut().add_unproven(Instant::now(), UnprovenDelivery { number, due_at });
@@ -120,7 +121,7 @@
             numbers.into_iter().for_each(|number| conclude(node, conclusion, number));
         }
         let overdue = monitor.pairing.borrow_mut().take_unproven(|number| is_overdue(node, number));
-        overdue.into_iter().for_each(|number| end_by_notice(node, number, "its deadline is near"));
+        overdue.into_iter().for_each(|number| release_notice(node, number, "its deadline is near"));
         if monitor.has_unproven() {
             node.unproven.monitors.borrow_mut().push(monitor);
         }
@@ -131,7 +132,7 @@
 pub fn end_all(node: &Node) {
     for monitor in node.unproven.monitors.take() {
         let numbers = monitor.pairing.borrow_mut().take_unproven(|_| true);
-        numbers.into_iter().for_each(|number| end_by_notice(node, number, "another process takes over"));
+        numbers.into_iter().for_each(|number| release_notice(node, number, "another process takes over"));
     }
 }
 
@@ -147,14 +148,14 @@
             node.unproven.numbers.borrow_mut().remove(&number);
             node.observe_journal_write(node.journal.borrow_mut().close(number));
         }
-        Conclusion::Unknown => end_by_notice(node, number, "its connection does not show it"),
+        Conclusion::Unknown => release_notice(node, number, "its connection does not show it"),
         // It may still be its own: the surplus response may be the copy.
-        Conclusion::Mismatched => end_by_notice(node, number, "a response beyond the requests followed it"),
+        Conclusion::Mismatched => release_notice(node, number, "a response beyond the requests followed it"),
     }
 }
 
-/// Ends a message that may have been delivered.
-fn end_by_notice(node: &Node, number: u64, reason: &str) {
+/// Lets the notice of a message be sent whose delivery can't be proven.
+fn release_notice(node: &Node, number: u64, reason: &str) {
     node.unproven.numbers.borrow_mut().remove(&number);
     let destination = {
         let journal = node.journal.borrow();
@@ -167,5 +168,5 @@
         entry.message.destination
     };
     node.traffic.update(destination, |counters| counters.unproven_deliveries += 1);
-    end_undelivered(node, number, Notice::GivenUp);
+    node.notice_due.notify_one();
 }
--- a/crates/pairing/tests/model.rs
+++ b/crates/pairing/tests/model.rs
@@ -23,6 +23,7 @@
 const DUE_TICKS: u32 = 2;
 
 const SERVED: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+const OVER: &[u8] = b"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n";
 const REJECTED: &[u8] = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
 
 /// How the endpoint answered a call.
@@ -30,6 +31,8 @@
 enum Answer {
     Served,
     Rejected,
+    /// The message is over: it has not run, and must not be sent again.
+    Over,
 }
 
 impl Answer {
@@ -37,6 +40,7 @@
         match self {
             Answer::Served => SERVED,
             Answer::Rejected => REJECTED,
+            Answer::Over => OVER,
         }
     }
 }
@@ -69,6 +73,8 @@
     Unproven,
     /// Delivered: nothing is owed any more.
     Delivered,
+    /// Over, by the endpoint's answer: nothing is owed any more.
+    Over,
     /// Rejected: it never ran, so it may be sent again whatever its effect.
     Rejected,
     /// It may have run, and is sent again if a repeat of it is harmless.
@@ -83,6 +89,8 @@
     /// The endpoint's own answer to it.
     answer: Option<Answer>,
     message: MessageState,
+    /// A response was read for it that ends its message if it is its own.
+    told_end: bool,
 }
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq)]
@@ -144,9 +152,15 @@
     NoRequestBehindUnread,
     /// A connection of another process counts as used.
     AdoptedIsUsed,
+    /// A notice for an unproven delivery is on record before a kill.
+    UnprovenIsOnRecord,
+    /// A delivery that is disproved is ended by a notice.
+    DisprovedIsNotCalled,
+    /// A later 410 ends its message by a notice.
+    LaterOverIsNotCalled,
 }
 
-const GUARDS: [Guard; 8] = [
+const GUARDS: [Guard; 11] = [
     Guard::LaterDeliveryIsUnproven,
     Guard::LaterRejectionMayBeCopy,
     Guard::CloseBeforeRetry,
@@ -155,6 +169,9 @@
     Guard::SurplusCounts,
     Guard::NoRequestBehindUnread,
     Guard::AdoptedIsUsed,
+    Guard::UnprovenIsOnRecord,
+    Guard::DisprovedIsNotCalled,
+    Guard::LaterOverIsNotCalled,
 ];
 
 struct ConnectionModel {
@@ -214,6 +231,8 @@
 
     fn end_call(&self, state: &mut ModelState, number: usize, status: StatusCode) {
         let is_delivery = status == StatusCode::OK;
+        let is_over = status == StatusCode::GONE;
+        state.calls[number].told_end = is_delivery || is_over;
         let proof = match state.pairing.proof(status, false) {
             ResponseProof::UnprovenDelivery if !self.has(Guard::LaterDeliveryIsUnproven) => {
                 ResponseProof::Own
@@ -223,8 +242,12 @@
         };
         state.calls[number].message = match proof {
             ResponseProof::Own if is_delivery => MessageState::Delivered,
+            ResponseProof::Own if is_over => MessageState::Over,
             ResponseProof::Own => MessageState::Rejected,
             ResponseProof::UnprovenDelivery => MessageState::Unproven,
+            ResponseProof::MayHaveRun if is_over && self.has(Guard::LaterOverIsNotCalled) => {
+                MessageState::EndedByNotice
+            }
             ResponseProof::MayHaveRun => MessageState::MayHaveRun,
         };
         match proof {
@@ -258,6 +281,7 @@
         for number in numbers {
             state.calls[number as usize].message = match conclusion {
                 Conclusion::Delivered => MessageState::Delivered,
+                Conclusion::Mismatched if !self.has(Guard::DisprovedIsNotCalled) => MessageState::MayHaveRun,
                 Conclusion::Mismatched | Conclusion::Unknown => MessageState::EndedByNotice,
             };
         }
@@ -281,9 +305,11 @@
     fn end_process(&self, state: &mut ModelState) {
         state.is_closed = true;
         for call in &mut state.calls {
-            if matches!(call.message, MessageState::Called | MessageState::Unproven) {
-                call.message = MessageState::MayHaveRun;
-            }
+            call.message = match call.message {
+                MessageState::Unproven if self.has(Guard::UnprovenIsOnRecord) => MessageState::EndedByNotice,
+                MessageState::Called | MessageState::Unproven => MessageState::MayHaveRun,
+                message => message,
+            };
         }
     }
 }
@@ -321,7 +347,7 @@
             steps.push(Step::Send);
         }
         if state.half.is_none() && state.calls.iter().any(|call| call.answer.is_none()) {
-            steps.extend([Step::Answer(Answer::Served), Step::Answer(Answer::Rejected)]);
+            steps.extend([Answer::Served, Answer::Rejected, Answer::Over].map(Step::Answer));
         }
         if state.half.is_none() && state.copies < MAX_COPIES && !state.closed_by_endpoint {
             for (number, earlier) in [false, true].into_iter().enumerate() {
@@ -362,7 +388,12 @@
             Step::Send => {
                 state.pairing.request_sent();
                 let due_tick = state.ticks + DUE_TICKS;
-                state.calls.push(Call { due_tick, answer: None, message: MessageState::Called });
+                state.calls.push(Call {
+                    due_tick,
+                    answer: None,
+                    message: MessageState::Called,
+                    told_end: false,
+                });
             }
             Step::Answer(answer) => {
                 let call = state.calls.iter_mut().find(|call| call.answer.is_none())?;
@@ -418,10 +449,19 @@
                     all(state, MessageState::Rejected, |call| call.answer == Some(Answer::Rejected))
                 },
             ),
+            Property::always("what counts as over is over", |_: &ConnectionModel, state: &ModelState| {
+                all(state, MessageState::Over, |call| call.answer == Some(Answer::Over))
+            }),
             Property::always("no retry beside an open call", |_: &ConnectionModel, state: &ModelState| {
                 let is_open = !state.is_closed;
                 all(state, MessageState::MayHaveRun, |call| call.answer.is_some() || !is_open)
             }),
+            Property::always(
+                "no call after a response that ends its message",
+                |_: &ConnectionModel, state: &ModelState| {
+                    all(state, MessageState::MayHaveRun, |call| !call.told_end)
+                },
+            ),
             Property::sometimes("a later delivery is proven", |_: &ConnectionModel, state: &ModelState| {
                 state.calls.iter().skip(1).any(|call| call.message == MessageState::Delivered)
             }),
@@ -448,7 +488,9 @@
     let always = [
         "what counts as delivered was delivered",
         "what counts as rejected never ran",
+        "what counts as over is over",
         "no retry beside an open call",
+        "no call after a response that ends its message",
     ];
     let violated = always.into_iter().filter(|name| discoveries.contains_key(name)).collect();
     if removed.is_none() {
