A response that ends its message counts wherever it stands among what arrived for the call

A rejection that may be a copy was read, the connection closed, and the message sent again, though its own 200 or 410 had arrived behind the rejection; likewise a response that arrived in the moment of a cancellation. What has arrived when a connection is closed was read for its wait alone. Now a call with one message that may have run is followed by no other if any response that ends a message arrived after its request: a notice ends it, right if that response is its own and if not.

Tests: a_response_that_ends_its_message_is_seen_behind_a_copy_of_a_rejection (failed before: 2 calls), a unit of the pairing.

--- a/crates/fawnspoke/tests/sockets/calls_after_end.rs
+++ b/crates/fawnspoke/tests/sockets/calls_after_end.rs
@@ -146,3 +146,17 @@
     thread::sleep(RETRY_TIME);
     assert_eq!((calls_of(&endpoint, "delivered").len(), platform.notices().len()), (1, 0));
 }
+
+#[test]
+fn a_response_that_ends_its_message_is_seen_behind_a_copy_of_a_rejection() {
+    for own in [OK, GONE] {
+        let (endpoint, platform, dispatcher) = start("single", move |request| match &*request.id {
+            "second" => Script::respond(format!("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n{own}")),
+            _ => Script::respond(OK),
+        });
+        deliver_then_submit(&dispatcher, &endpoint, "keyed", "second");
+        thread::sleep(RETRY_TIME);
+        assert_eq!(calls_of(&endpoint, "second").len(), 1, "{own}");
+        assert_eq!(platform.outcomes("second"), ["given_up"]);
+    }
+}
--- a/crates/node/src/actions.rs
+++ b/crates/node/src/actions.rs
@@ -2,7 +2,7 @@
 //! undelivered.
 
 use crate::call_results::{MessageEnd, Resolution};
-use crate::calls::{self, Call, CallEnd, CallMessage};
+use crate::calls::{self, Call, CallEnd, CallMessage, PoolUse};
 use crate::directory::ListedEndpoint;
 use crate::event_loop::Input;
 use crate::serving::Phase;
@@ -51,11 +51,16 @@
         let end = |message: &CallMessage| MessageEnd::open(message.number, message.attempt, outcome);
         CallEnd::without_report(call.messages.iter().map(end).collect(), false)
     };
+    let mut pool_use = PoolUse::default();
     let (mut end, is_aborted) = tokio::select! {
-        end = calls::perform(&node, &call) => (end, false),
+        end = calls::perform(&node, &call, &mut pool_use) => (end, false),
         () = cancellation.notified() => (end_with(Outcome::Cancelled), false),
         () = node.abort_signal.notified() => (end_with(Outcome::ConnectionReset), true),
     };
+    // A batch response tells in its body what has ended.
+    if single.is_some() && pool_use.may_have_ended_message() {
+        end.message_ends.iter_mut().for_each(MessageEnd::close_if_uncertain);
+    }
     node.calls_with_connection.set(node.calls_with_connection.get() - 1);
     single.inspect(|number| drop(node.cancellations.borrow_mut().remove(number)));
     let (endpoint, destination) = (call.endpoint, call.destination);
--- a/crates/node/src/call_results.rs
+++ b/crates/node/src/call_results.rs
@@ -45,6 +45,15 @@
         MessageEnd { number, attempt, outcome, resolution: Resolution::Open, unproven: false }
     }
 
+    /// Ends the message by a notice if it may have run and is open: a response arrived that ends it if it is its own.
+    pub fn close_if_uncertain(&mut self) {
+        // The decision core ends one that has used up its attempts, as it may be handed back.
+        let may_be_called = self.resolution == Resolution::Open && self.outcome != Outcome::AttemptsExhausted;
+        if may_be_called && self.may_have_run() {
+            self.resolution = Resolution::EndByNotice;
+        }
+    }
+
     /// Whether the message may have run.
     pub fn may_have_run(&self) -> bool {
         self.unproven || !self.outcome.never_ran()
@@ -113,11 +122,6 @@
     }
 }
 
-/// Whether a status line may end the messages of its call, whatever follows it.
-pub fn may_end_messages(status: StatusCode) -> bool {
-    matches!(status, StatusCode::OK | StatusCode::GONE | StatusCode::GATEWAY_TIMEOUT)
-}
-
 /// A response to a call, as far as it was read.
 pub struct CallResponse<'a> {
     pub status: StatusCode,
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -4,7 +4,7 @@
 //! the outcome for each message. Above all the outcome says whether the message may have run at the endpoint, since
 //! that decides whether it may be sent again.
 
-use crate::call_results::{self, CallResponse, CallResult, MessageEnd, Resolution, ResponseBody};
+use crate::call_results::{CallResponse, CallResult, MessageEnd, Resolution, ResponseBody};
 use crate::connection::{self, Connection, RESPONSE_COMPLETION_TIMEOUT, ResponseMonitor};
 use crate::connection_pool::idle_reuse_limit;
 use crate::serving::Phase;
@@ -87,7 +87,7 @@
 
 /// How [`exchange`] used the pool.
 #[derive(Default)]
-struct PoolUse {
+pub struct PoolUse {
     /// The connection came from the pool.
     connection_reused: bool,
     /// The request was not sent, and its connection went back to the pool.
@@ -96,12 +96,19 @@
     monitor: Option<Rc<ResponseMonitor>>,
 }
 
+impl PoolUse {
+    /// Whether a response to the call has arrived that ends its message, if it is its own. To be asked once the call has
+    /// ended: then everything that arrived was read.
+    pub fn may_have_ended_message(&self) -> bool {
+        self.monitor.as_ref().is_some_and(|monitor| monitor.pairing.borrow().may_have_ended_last_request())
+    }
+}
+
 /// Makes a call and waits for its end.
-pub async fn perform(node: &Node, call: &Call) -> CallEnd {
+pub async fn perform(node: &Node, call: &Call, pool_use: &mut PoolUse) -> CallEnd {
     let deadline = Instant::now() + Duration::from_secs_f64(call.timeout.clamp(0.0, 3600.0));
     let Call { endpoint, address, destination, zone, ref messages, carries_unsafe, .. } = *call;
     let is_open = || node.directory.borrow().may_receive(endpoint, address, destination);
-    let mut pool_use = PoolUse::default();
     let response = match build_request(call) {
         Ok(request) => {
             exchange(
@@ -111,7 +118,7 @@
                 deadline,
                 &is_open,
                 &RequestContent { messages, zone, needs_new_connection: carries_unsafe },
-                &mut pool_use,
+                pool_use,
             )
             .await
         }
@@ -123,13 +130,13 @@
     let response = match response {
         Ok(response) => response,
         Err(outcome) => {
-            let PoolUse { connection_reused, connection_kept, .. } = pool_use;
+            let PoolUse { connection_reused, connection_kept, .. } = *pool_use;
             let open = |message: &CallMessage| MessageEnd::open(message.number, message.attempt, outcome);
             let message_ends = messages.iter().map(open).collect();
             return CallEnd { connection_kept, ..CallEnd::without_report(message_ends, connection_reused) };
         }
     };
-    let monitor = pool_use.monitor;
+    let monitor = pool_use.monitor.clone();
     let proof = monitor.as_ref().map_or(ResponseProof::MayHaveRun, |monitor| monitor.proof(response.status));
     let CallResult { message_ends, is_ambiguous } = CallResponse {
         status: response.status,
@@ -363,7 +370,7 @@
         };
         // hyper reports only that the response was unusable; the bytes that arrived show whether it had a status line.
         let (status, has_started) = (monitor.head.borrow().status(), monitor.first_byte_at.get().is_some());
-        if let Some(status) = status.filter(|status| call_results::may_end_messages(*status)) {
+        if let Some(status) = status.filter(|status| fawnspoke_pairing::ends_message(*status)) {
             return Ok(EndpointResponse {
                 status,
                 headers: HeaderMap::new(),
--- a/crates/pairing/src/lib.rs
+++ b/crates/pairing/src/lib.rs
@@ -14,6 +14,6 @@
 
 pub use pairing::{
     Conclusion, ConnectionState, ObservedHead, QUIET_TIME, ResponsePairing, ResponseProof, SocketState,
-    UnprovenDelivery,
+    UnprovenDelivery, ends_message,
 };
 pub use scanner::ResponseHead;
--- a/crates/pairing/src/pairing.rs
+++ b/crates/pairing/src/pairing.rs
@@ -85,6 +85,11 @@
     pub due_at: Instant,
 }
 
+/// Whether a response with this status ends the message of its request, if it is its own: no call may follow.
+pub fn ends_message(status: StatusCode) -> bool {
+    matches!(status, StatusCode::OK | StatusCode::GONE | StatusCode::GATEWAY_TIMEOUT)
+}
+
 /// Pairs the requests and responses of one connection.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct ResponsePairing {
@@ -103,6 +108,8 @@
     has_other_status: bool,
     /// A response named other messages than those of its request.
     is_foreign: bool,
+    /// The number of the last request after which a response arrived that ends its message.
+    ended_request: Option<u64>,
 }
 
 impl ResponsePairing {
@@ -134,7 +141,11 @@
             complete_heads -= 1;
         }
         let (has_other_status, last_head) = (&mut self.has_other_status, &mut self.last_head);
+        let ended_request = &mut self.ended_request;
         self.scanner.scan(bytes, |head| {
+            if head.status.is_some_and(ends_message) {
+                *ended_request = Some(requests);
+            }
             complete_heads += 1;
             *last_head = Some(head);
             let may_be_copy = complete_heads > 1 || !first_is_proven;
@@ -172,6 +183,12 @@
         }
     }
 
+    /// Whether any response that ends its message has arrived since the last request was sent. It may be its own, also
+    /// if another one was taken for that.
+    pub fn may_have_ended_last_request(&self) -> bool {
+        self.ended_request == Some(self.requests)
+    }
+
     /// What the connection may be used for now.
     pub fn state(&self, now: Instant) -> ConnectionState {
         if self.is_desynchronised() {
@@ -402,6 +419,18 @@
         assert_eq!(pairing.state(later), ConnectionState::Idle);
     }
 
+    #[test]
+    fn a_response_that_ends_its_message_counts_for_the_last_request_alone() {
+        let mut pairing = after_one_request();
+        surplus(&mut pairing, Instant::now(), OK.as_bytes());
+        assert!(pairing.may_have_ended_last_request());
+        pairing.request_sent();
+        surplus(&mut pairing, Instant::now(), REJECTED.as_bytes());
+        assert!(!pairing.may_have_ended_last_request());
+        surplus(&mut pairing, Instant::now(), OK.as_bytes());
+        assert!(pairing.may_have_ended_last_request());
+    }
+
     #[test]
     fn a_connection_awaits_the_whole_response() {
         let now = Instant::now();
