--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,6 +30,7 @@
 mod size_limits;
 mod startup;
 mod stream;
+mod takeover;
 mod traffic;
 mod transfer;
 mod unproven;
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -9,7 +9,7 @@
 use crate::fleet::{self, FleetConstraints};
 use crate::retry::{self, Retry};
 use crate::serving::ServingState;
-use crate::{Node, client_listener, clock, control, discovery, handover, log, traffic};
+use crate::{Node, client_listener, clock, control, discovery, handover, log, takeover, traffic};
 use fawnspoke_control::metrics::Metrics;
 use fawnspoke_control::server;
 use fawnspoke_journal::compaction::{self, Limits};
@@ -140,7 +140,7 @@
         log::info(format_args!("{} answers operators at {address}", config.name));
     }
     let (locks, handover) = tokio::select! {
-        arrived = handover::acquire_ownership(&config) => arrived,
+        arrived = takeover::acquire_ownership(&config) => arrived,
         // This process owns nothing yet.
         _ = signals.terminate.recv() => return Ok(ExitAction::Exit),
         _ = signals.interrupt.recv() => return Ok(ExitAction::Exit),
@@ -222,7 +222,7 @@
     // The decision core gets the list and the restored messages before the first client is served.
     std::iter::from_fn(|| inputs.try_recv().ok()).for_each(|input| apply_input(&node, node.now(), input));
     if let Some(handover) = handover {
-        spawn_local(handover::complete_takeover(node.clone(), handover));
+        spawn_local(takeover::complete_takeover(node.clone(), handover));
     }
     node.handover_socket.open();
     spawn_local(discovery::watch_list(node.clone()));
