The ends of calls pass through a process that has handed over itself, to the process that owns

Two upgrades 1 s apart: the end of a call at the first process reached the second, which owned nothing any more. What a predecessor sends is applied by an owner alone now, and passed on by a process that has handed over, which ends only after its predecessor; clients with half a request go on likewise (their bytes were dropped), an operator's command is refused, not lost.

--- a/crates/fawnspoke/tests/sockets/calls_after_end.rs
+++ b/crates/fawnspoke/tests/sockets/calls_after_end.rs
@@ -160,3 +160,24 @@
         assert_eq!(platform.outcomes("second"), ["given_up"]);
     }
 }
+
+#[test]
+fn a_call_that_ends_at_the_first_of_three_processes_is_not_made_again_by_the_third() {
+    for response in [OK, GONE] {
+        let (endpoint, platform, mut dispatcher) =
+            start("single", move |_| Script::respond(response).after(Duration::from_millis(1200)));
+        assert_eq!(dispatcher.submit("keyed", "slow", 7), 202);
+        eventually("its call", || calls_of(&endpoint, "slow").len() == 1);
+        let mut first = dispatcher.upgrade();
+        thread::sleep(Duration::from_millis(200));
+        let mut second = dispatcher.upgrade();
+        eventually("its response", || endpoint.answered() == 1);
+        // Both processes have nothing left to do, and end by themselves.
+        first.wait().expect("the first process ends");
+        second.wait().expect("the second process ends");
+        thread::sleep(RETRY_TIME);
+        assert_eq!(calls_of(&endpoint, "slow").len(), 1, "{response}");
+        assert!(platform.notices().is_empty(), "{:?}", platform.notices());
+        assert_eq!(dispatcher.open_journal_messages(), 0);
+    }
+}
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -221,6 +221,11 @@
         .await;
         return HandoverResult::Resumed { stopping };
     }
+    // A process that starts from the journal assumes that all calls have ended.
+    if !first_request.hello.in_memory_state && node.has_predecessor.get() {
+        reject_request(&first_request.link, "calls of an earlier process are in flight").await;
+        return HandoverResult::Resumed { stopping };
+    }
     let started_at = Instant::now();
     let (mut state_machine, mut link) = (SenderState::Owner { stopping }, Some(first_request.link));
     let (mut event, mut finished) = (Event::HandoverRequested, false);
@@ -326,6 +331,7 @@
         let handed_over = node.serving_state.phase() == Phase::HandedOver;
         if handed_over
             && !finished
+            && !node.has_predecessor.get()
             && node.calls_in_flight.get() == 0
             && node.clients.count() == 0
             && transfers.is_empty()
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -127,6 +127,8 @@
     cancellations: RefCell<HashMap<u64, Rc<Notify>>>,
     /// The state of the decision core was handed over by the previous process.
     adopted_state: bool,
+    /// The process from which this one took over still runs, and may have calls in flight.
+    has_predecessor: Cell<bool>,
 }
 
 impl Node {
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -211,6 +211,7 @@
         abort_signal: Notify::new(),
         cancellations: RefCell::default(),
         adopted_state,
+        has_predecessor: Cell::new(handover.is_some()),
         config,
     });
     if !adopted_state {
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -9,7 +9,9 @@
 use crate::config::Config;
 use crate::event_loop::Input;
 use crate::handover::{HandoverState, PACKET_TIMEOUT, POLL_INTERVAL};
-use crate::transfer::Completion;
+use crate::serving::Phase;
+use crate::stream::SharedStream;
+use crate::transfer::{Completion, Transfer};
 use crate::{Node, clients, connection, control, log};
 use fawnspoke_control::overrides::{OverrideKey, OverrideKind};
 use fawnspoke_handover::frames::{
@@ -19,6 +21,7 @@
 use fawnspoke_handover::lock::{self, Lock};
 use fawnspoke_handover::receiver::{self, ReceiverState};
 use std::collections::HashMap;
+use std::io;
 use std::os::fd::OwnedFd;
 use std::rc::Rc;
 use std::time::Duration;
@@ -259,14 +262,15 @@
     for attempt in in_flight.into_values() {
         let end = MessageEnd::open(attempt.id.0, attempt.attempt, Outcome::ConnectionReset);
         let destination = node.directory.borrow().get(attempt.endpoint).map_or(0, |info| info.destination);
-        complete_call(
-            &node,
-            attempt.endpoint,
+        let completion = Completion::Call {
+            endpoint: attempt.endpoint.0,
             destination,
-            attempt.sent_at,
-            CallEnd::without_report(vec![end], false),
-        );
+            sent_at: attempt.sent_at,
+            end: CallEnd::without_report(vec![end], false),
+        };
+        apply_or_pass_on(&node, completion).await;
     }
+    node.has_predecessor.set(false);
 }
 
 async fn receive_transfer(
@@ -277,7 +281,7 @@
         descriptor.and_then(|descriptor| TcpStream::from_std(std::net::TcpStream::from(descriptor)).ok());
     match (frame, stream) {
         (SenderFrame::Client { partial_request, waited_ms }, Some(stream)) => {
-            if let Err(error) = clients::adopt(node, stream, partial_request, waited_ms) {
+            if let Err(error) = receive_client(node, stream, partial_request, waited_ms).await {
                 log::info_limited(format_args!("handover: client connection: {error}"));
             }
         }
@@ -285,8 +289,9 @@
             let now = tokio::time::Instant::now();
             let idle_since = now.checked_sub(Duration::from_millis(idle_ms.into())).unwrap_or(now);
             let endpoint = EndpointId(endpoint);
-            // The connection is usable as long as the list has the endpoint at this address.
-            if node.directory.borrow().ready_address(endpoint) == Some(address)
+            // The connection is usable as long as this process serves and the list has the endpoint at this address.
+            if node.serving_state.phase() == Phase::Serving
+                && node.directory.borrow().ready_address(endpoint) == Some(address)
                 && let endpoint_connection = node.endpoint_connection(endpoint, address)
                 && let Ok(connection) =
                     connection::adopt(stream, address, idle_since, endpoint_connection).await
@@ -295,38 +300,22 @@
             }
         }
         (SenderFrame::CallCompleted(bytes), _) => match frames::decode(&bytes) {
-            Ok(Completion::Call { endpoint, destination, sent_at, mut end }) => {
-                end.message_ends.retain(|end| in_flight.remove(&(end.number, end.attempt)).is_some());
-                if end.message_ends.is_empty() {
-                    let endpoint = EndpointId(endpoint);
-                    let wait = end.retry_after.map(|delay| DispatcherEvent::RetryAfter { endpoint, delay });
-                    wait.into_iter().for_each(|event| node.send_event(event));
-                } else {
-                    complete_call(node, EndpointId(endpoint), destination, sent_at, end);
+            Ok(completion) => {
+                if let Some(completion) = without_known_ends(completion, in_flight) {
+                    apply_or_pass_on(node, completion).await;
                 }
             }
-            Ok(Completion::Probe { endpoint, outcome, latency, rate_limit_report }) => {
-                node.send_event(DispatcherEvent::ProbeEnded {
-                    endpoint: EndpointId(endpoint),
-                    outcome,
-                    latency,
-                    rate_limit_report,
-                });
-            }
-            Ok(Completion::RetryAfter { endpoint, delay }) => {
-                node.send_event(DispatcherEvent::RetryAfter { endpoint: EndpointId(endpoint), delay });
-            }
-            Ok(Completion::SurplusResponse(surplus)) => {
-                node.send_input(Input::SurplusResponse(surplus.into()))
-            }
             Err(error) => log::info_limited(format_args!("handover: {error}")),
         },
         (SenderFrame::OverrideCommand { number, activate, endpoint_id }, _) => {
-            let result = control::apply_command(
-                node,
-                &OverrideKey { kind: OverrideKind::Suspend, endpoint_id },
-                activate,
-            );
+            let result = match node.serving_state.wait_until_settled().await {
+                Phase::HandedOver => Err("another process took over meanwhile; try again".into()),
+                _ => control::apply_command(
+                    node,
+                    &OverrideKey { kind: OverrideKind::Suspend, endpoint_id },
+                    activate,
+                ),
+            };
             let (success, message) =
                 result.map_or_else(|message| (false, message), |message| (true, message));
             if let Ok(packet) = frames::encode(&ReceiverFrame::OverrideResult { number, success, message }) {
@@ -336,3 +325,55 @@
         (other, _) => log::info_limited(format_args!("handover: unexpected frame: {other:?}")),
     }
 }
+
+/// Serves a client of the previous process, or passes the connection on if this process has handed over itself.
+async fn receive_client(
+    node: &Rc<Node>, stream: TcpStream, partial_request: Vec<u8>, waited_ms: Option<u32>,
+) -> io::Result<()> {
+    if node.serving_state.wait_until_settled().await != Phase::HandedOver {
+        return clients::adopt(node, stream, partial_request, waited_ms);
+    }
+    let stream = SharedStream::new(stream)?;
+    node.transfer(Transfer::Client { stream, partial_request, waited_ms });
+    Ok(())
+}
+
+/// Removes the ends of attempts that are not expected, and the expected ones from `in_flight`. What remains of a call without
+/// an expected end is its wait, if it has one.
+fn without_known_ends(
+    completion: Completion, in_flight: &mut HashMap<(u64, u32), InFlightAttempt>,
+) -> Option<Completion> {
+    let Completion::Call { endpoint, destination, sent_at, mut end } = completion else {
+        return Some(completion);
+    };
+    end.message_ends.retain(|end| in_flight.remove(&(end.number, end.attempt)).is_some());
+    if end.message_ends.is_empty() {
+        return end.retry_after.map(|delay| Completion::RetryAfter { endpoint, delay });
+    }
+    Some(Completion::Call { endpoint, destination, sent_at, end })
+}
+
+/// Applies what an endpoint sent to the previous process. If this process has handed over meanwhile, the next one is the owner and
+/// gets it: this one has neither the journal nor the state of the decision core any more.
+async fn apply_or_pass_on(node: &Node, completion: Completion) {
+    if node.serving_state.wait_until_settled().await == Phase::HandedOver {
+        return node.transfer(Transfer::Completion(completion));
+    }
+    match completion {
+        Completion::Call { endpoint, destination, sent_at, end } => {
+            complete_call(node, EndpointId(endpoint), destination, sent_at, end);
+        }
+        Completion::Probe { endpoint, outcome, latency, rate_limit_report } => {
+            node.send_event(DispatcherEvent::ProbeEnded {
+                endpoint: EndpointId(endpoint),
+                outcome,
+                latency,
+                rate_limit_report,
+            });
+        }
+        Completion::RetryAfter { endpoint, delay } => {
+            node.send_event(DispatcherEvent::RetryAfter { endpoint: EndpointId(endpoint), delay });
+        }
+        Completion::SurplusResponse(surplus) => node.send_input(Input::SurplusResponse(surplus.into())),
+    }
+}
