A delivery is proven once its response was due, also on a connection that stays in use

A 200 on a reused connection was proven only by 0.5 s without a byte, which a connection in steady use never has; after 4 s it rested. But if the 200 was a copy, the message's own response is read as one to a later request, or as a surplus one, once it is due. So the delivery is proven when its response was due, everything that arrived was read, and all responses were 200.

--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -195,7 +195,7 @@
 
     /// Scans bytes that were read.
     fn observe(&self, bytes: &[u8]) {
-        let observed = self.pairing.borrow_mut().observe(std::time::Instant::now(), bytes);
+        let observed = self.pairing.borrow_mut().observe(bytes);
         for observed in observed.into_iter().filter(|observed| observed.is_surplus) {
             self.report_surplus(observed.head);
         }
@@ -214,7 +214,7 @@
         let mut buffer = [0; READ_BUFFER_BYTES];
         for _ in 0..MAX_CLOSING_READS {
             let Ok(length @ 1..) = stream.read_arrived(&mut buffer) else { return };
-            let observed = self.pairing.borrow_mut().observe(std::time::Instant::now(), &buffer[..length]);
+            let observed = self.pairing.borrow_mut().observe(&buffer[..length]);
             for ObservedHead { head, is_surplus } in observed {
                 match is_surplus {
                     true => self.report_surplus(head),
@@ -320,8 +320,8 @@
 
 impl Connection {
     /// Whether a request may be sent on it now, as far as its responses show.
-    pub fn allows_request(&self, now: Instant) -> bool {
-        self.monitor.pairing.borrow().state(now.into_std()).allows_request()
+    pub fn allows_request(&self) -> bool {
+        self.monitor.pairing.borrow().state().allows_request()
     }
 }
 
--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -77,14 +77,13 @@
     ) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&endpoint)?;
-        let now = Instant::now();
         let is_usable = |connection: &Connection| {
             connection.address == address
                 && connection.idle_since.elapsed() < max_idle
                 && connection.is_reusable()
         };
         self.retain_or_retire(connections, is_usable);
-        let index = connections.iter().rposition(|connection| connection.allows_request(now))?;
+        let index = connections.iter().rposition(Connection::allows_request)?;
         Some(connections.remove(index))
     }
 
--- a/crates/node/src/unproven.rs
+++ b/crates/node/src/unproven.rs
@@ -91,7 +91,7 @@
         return release_notice(node, number, "too many others wait to be proven");
     }
     node.unproven.numbers.borrow_mut().insert(number);
-    monitor.pairing.borrow_mut().add_unproven(Instant::now(), UnprovenDelivery { number, due_at });
+    monitor.pairing.borrow_mut().add_unproven(UnprovenDelivery { number, due_at });
     let mut monitors = node.unproven.monitors.borrow_mut();
     if !monitors.iter().any(|known| Rc::ptr_eq(known, monitor)) {
         monitors.push(monitor.clone());
--- a/crates/pairing/src/lib.rs
+++ b/crates/pairing/src/lib.rs
@@ -5,15 +5,15 @@
 //! whenever they arrive while no request is outstanding.
 //!
 //! The first response on a connection is that to its first request. A later 200 may be a copy of an earlier response, so
-//! a delivery that rests on it is unproven. It is proven when its own response was due at the latest, and the connection
-//! has then been silent for a while with as many responses as requests. An endpoint that answers later than that could
-//! still deceive it, so where copies were seen lately, silence proves nothing.
+//! a delivery that rests on it is unproven. If it was a copy, the message's own response is read as one to a later request, or
+//! as one beyond the requests, once it is due at the latest. So the delivery is proven if all responses were 200 until then. An
+//! endpoint that answers later than that could still deceive it, so where copies were seen lately, nothing is proven so.
 
 mod pairing;
 mod scanner;
 
 pub use pairing::{
-    Conclusion, ConnectionState, ObservedHead, QUIET_TIME, ResponsePairing, ResponseProof, SocketState,
-    UnprovenDelivery, ends_message,
+    Conclusion, ConnectionState, ObservedHead, ResponsePairing, ResponseProof, SocketState, UnprovenDelivery,
+    ends_message,
 };
 pub use scanner::ResponseHead;
