A handover socket that could not be made at first is tried again

The socket was made once, at the start; if the folder refused that moment, no upgrade was possible until the process ended. It is tried again every 0.5 s now.

Test: an_upgrade_is_taken_after_the_handover_socket_could_not_be_made_at_first failed before (no socket in 30 s).

--- a/crates/fawnspoke/tests/sockets/calls_after_end.rs
+++ b/crates/fawnspoke/tests/sockets/calls_after_end.rs
@@ -88,21 +88,23 @@
 
 #[test]
 fn half_a_response_that_ends_its_message_is_not_followed_by_another_call() {
-    let head = "Content-Length: 9\r\n\r\nhalf";
-    for (status, outcome) in [("410 Gone", "given_up"), ("504 Gateway Timeout", "handed_back")] {
-        // On a new connection and on one that was used.
-        for is_first in [true, false] {
-            let (endpoint, platform, dispatcher) = start("single", move |request| match &*request.id {
-                "half" => Script::respond(format!("HTTP/1.1 {status}\r\n{head}")),
-                _ => Script::respond(OK),
-            });
-            match is_first {
-                true => assert_eq!(dispatcher.submit("safe", "half", 7), 202),
-                false => deliver_then_submit(&dispatcher, &endpoint, "safe", "half"),
+    // Half of a body, and half of a head.
+    for rest in ["Content-Length: 9\r\n\r\nhalf", "Content-Le"] {
+        for (status, outcome) in [("410 Gone", "given_up"), ("504 Gateway Timeout", "handed_back")] {
+            // On a new connection and on one that was used.
+            for is_first in [true, false] {
+                let (endpoint, platform, dispatcher) = start("single", move |request| match &*request.id {
+                    "half" => Script::respond(format!("HTTP/1.1 {status}\r\n{rest}")),
+                    _ => Script::respond(OK),
+                });
+                match is_first {
+                    true => assert_eq!(dispatcher.submit("safe", "half", 7), 202),
+                    false => deliver_then_submit(&dispatcher, &endpoint, "safe", "half"),
+                }
+                thread::sleep(RETRY_TIME);
+                assert_eq!(calls_of(&endpoint, "half").len(), 1, "{status} {rest}");
+                assert_eq!(platform.outcomes("half"), [outcome]);
             }
-            thread::sleep(RETRY_TIME);
-            assert_eq!(calls_of(&endpoint, "half").len(), 1, "{status}");
-            assert_eq!(platform.outcomes("half"), [outcome]);
         }
     }
 }
--- a/crates/fawnspoke/tests/sockets/handover_callers.rs
+++ b/crates/fawnspoke/tests/sockets/handover_callers.rs
@@ -132,3 +132,19 @@
         end_of_faults.join().expect("no panic");
     }
 }
+
+#[test]
+fn an_upgrade_is_taken_after_the_handover_socket_could_not_be_made_at_first() {
+    let platform = Platform::start();
+    let mut dispatcher = Dispatcher::new(&platform, &[draining_endpoint(7)]);
+    // The socket's file can't take the place of a directory.
+    let socket = dispatcher.state_dir().join("handover");
+    std::fs::create_dir_all(&socket).unwrap();
+    dispatcher.start();
+    eventually("the failure", || dispatcher.log_contains("handover: cannot listen"));
+    std::fs::remove_dir(&socket).unwrap();
+    eventually("the handover socket", || socket.exists());
+    let mut previous = dispatcher.upgrade();
+    previous.wait().expect("the previous process ends");
+    assert!(dispatcher.log_contains("handover: took over"));
+}
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -45,6 +45,8 @@
     AdmissionLimits { max_callers: 4, min_time: Duration::from_millis(10) };
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Delay after the socket could not be bound.
+const BIND_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Time for a new process to send its request.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time to send or receive one packet of the state.
@@ -128,18 +130,24 @@
         )
     }
 
-    /// Starts to listen, in place of an earlier listener. If that fails, an upgrade is a restart.
+    /// Starts to listen, in place of an earlier listener. If that fails it is tried again; until then an upgrade is a
+    /// restart.
     pub fn open(&self) {
         self.close();
-        let listener = match Listener::bind(&self.state_dir) {
-            Ok(listener) => listener,
-            Err(error) => {
-                return log::info_limited(format_args!(
-                    "handover: cannot listen: {error}; an upgrade is a restart"
-                ));
-            }
-        };
-        let task = spawn_local(accept_requests(listener, self.requests.clone()));
+        let listener = Listener::bind(&self.state_dir);
+        if let Err(error) = &listener {
+            log::info_limited(format_args!(
+                "handover: cannot listen: {error}; an upgrade is a restart until that succeeds"
+            ));
+        }
+        let (state_dir, requests) = (self.state_dir.clone(), self.requests.clone());
+        let task = spawn_local(async move {
+            let listener = match listener {
+                Ok(listener) => listener,
+                Err(_) => retry_bind(&state_dir).await,
+            };
+            accept_requests(listener, requests).await;
+        });
         self.listen_task.replace(Some(task.abort_handle()));
     }
 
@@ -150,6 +158,17 @@
     }
 }
 
+/// Binds the handover socket once the folder allows it.
+async fn retry_bind(state_dir: &Path) -> Listener {
+    loop {
+        sleep(BIND_RETRY_DELAY).await;
+        if let Ok(listener) = Listener::bind(state_dir) {
+            log::info_limited(format_args!("handover: listening"));
+            return listener;
+        }
+    }
+}
+
 /// Accepts new processes, and passes their requests on.
 async fn accept_requests(listener: Listener, requests: UnboundedSender<HandoverRequest>) {
     let pending = AdmissionGate::new(PENDING_LIMITS);
