--- a/crates/machine-faults/src/lib.rs
+++ b/crates/machine-faults/src/lib.rs
@@ -333,5 +333,7 @@
     if is_due(&WAITS, field(Field::InterruptInterval)) {
         return fail(i64::from(libc::EINTR));
     }
-    unsafe { libc::syscall(libc::SYS_epoll_wait, epoll, events, max_events, timeout) as c_int }
+    // arm64 has no `epoll_wait`; without a signal mask `epoll_pwait` is the same call.
+    let no_mask = std::ptr::null::<libc::sigset_t>();
+    unsafe { libc::syscall(libc::SYS_epoll_pwait, epoll, events, max_events, timeout, no_mask, 0) as c_int }
 }
