--- /dev/null
+++ b/crates/fawnspoke/tests/sockets/memory_limit.rs
@@ -0,0 +1,233 @@
+//! Crowds of clients whose requests stay incomplete, beside clients with small requests, where memory is short.
+
+use crate::support::*;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Least memory that a dispatcher is given, in megabytes of 10^6 bytes.
+const LEAST_MEMORY_MB: u64 = 32;
+/// A client waits this long for its response (protocol page); on sockets each limit is 50 ms longer.
+const RESPONSE_LIMIT: Duration = Duration::from_millis(450);
+const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
+const POLL_INTERVAL: Duration = Duration::from_millis(2);
+const CROWD_THREADS: usize = 4;
+const BODY_BYTES: usize = 64 * 1024;
+
+/// What each client of a crowd sends before it stops.
+#[derive(Clone, Copy, Debug)]
+enum Part {
+    /// A head and half of the longest body.
+    HalfBody,
+    /// A head with 50 short fields, and all but a piece of the longest body.
+    ShortFields,
+    /// A head with 56 fields of 230 bytes, and all but a byte of the longest body.
+    LongFields,
+    /// 3,000 fields without an end of the head.
+    EndlessHead,
+    /// A complete request, and then as `ShortFields`.
+    SecondRequest,
+    /// Complete requests with the longest body, without reading the responses.
+    Complete,
+}
+
+fn head(id: &str, fields: &str, body_bytes: usize) -> String {
+    format!(
+        "POST /keyed HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: {id}\r\nRequest-Class: keyed\r\n\
+         Idempotency-Key: {id}\r\nRequest-Timeout-Ms: 1000\r\nX-Consignee: dest=7\r\n{fields}\
+         Content-Length: {body_bytes}\r\n\r\n"
+    )
+}
+
+fn request(part: Part, id: &str) -> Vec<u8> {
+    let fields = |count: usize, length: usize| -> String {
+        (0..count).map(|number| format!("x-{number:04}: {}\r\n", "v".repeat(length))).collect()
+    };
+    let (head, body_bytes) = match part {
+        Part::HalfBody => (head(id, "", BODY_BYTES), BODY_BYTES / 2),
+        Part::ShortFields => (head(id, &fields(50, 1), BODY_BYTES), 65_000),
+        Part::LongFields => (head(id, &fields(56, 220), BODY_BYTES), BODY_BYTES - 1),
+        Part::EndlessHead => (format!("POST /keyed HTTP/1.1\r\n{}", fields(3000, 1)), 0),
+        Part::SecondRequest => {
+            let second = request(Part::ShortFields, &format!("{id}s"));
+            return [format!("{}x", head(id, "", 1)).as_bytes(), &second].concat();
+        }
+        Part::Complete => (head(id, "", BODY_BYTES), BODY_BYTES),
+    };
+    [head.as_bytes(), &vec![b'b'; body_bytes]].concat()
+}
+
+/// A client of a crowd.
+struct CrowdClient {
+    stream: TcpStream,
+    /// What it sends before it waits for a response; empty if it does not wait.
+    first: usize,
+    bytes: Vec<u8>,
+    sent: usize,
+    answered: bool,
+}
+
+impl CrowdClient {
+    fn connect(address: SocketAddr, part: Part, id: &str) -> Option<CrowdClient> {
+        let stream = TcpStream::connect_timeout(&address, Duration::from_millis(200)).ok()?;
+        stream.set_nonblocking(true).expect("a socket");
+        let bytes = request(part, id);
+        let first = if matches!(part, Part::SecondRequest) { head(id, "", 1).len() + 1 } else { bytes.len() };
+        Some(CrowdClient { stream, first, bytes, sent: 0, answered: false })
+    }
+
+    /// Writes and reads what it can; false once the dispatcher has closed.
+    fn step(&mut self) -> bool {
+        let end = if self.answered { self.bytes.len() } else { self.first };
+        match self.stream.write(&self.bytes[self.sent..end]) {
+            Ok(length) => self.sent += length,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            Err(_) => return false,
+        }
+        let mut received = Vec::new();
+        let open = is_open(&mut self.stream, &mut received);
+        self.answered |= received.starts_with(b"HTTP/1.1 202");
+        open
+    }
+}
+
+/// Keeps `count` clients connected that stop within their requests; each that is closed connects again.
+fn hold(address: SocketAddr, part: Part, count: usize, ids: &AtomicUsize, stop: &AtomicBool) {
+    let connect = || {
+        let number = ids.fetch_add(1, Ordering::SeqCst);
+        CrowdClient::connect(address, part, &format!("crowd{number}"))
+    };
+    let mut clients: Vec<Option<CrowdClient>> = (0..count).map(|_| connect()).collect();
+    while !stop.load(Ordering::SeqCst) {
+        for client in &mut clients {
+            if !client.as_mut().is_some_and(CrowdClient::step) {
+                *client = connect();
+            }
+        }
+        thread::sleep(POLL_INTERVAL);
+    }
+}
+
+/// Submits small messages, one after another: `on_one_connection`, or each on a new one. Returns how long each took to be
+/// answered, if it was.
+fn submit_small(
+    address: SocketAddr, name: &str, on_one_connection: bool, stop: &AtomicBool,
+) -> Vec<Option<Duration>> {
+    let mut kept: Option<TcpStream> = None;
+    let mut latencies = Vec::new();
+    while !stop.load(Ordering::SeqCst) {
+        let started_at = Instant::now();
+        let answered = submit_once(address, &mut kept, &format!("{name}{}", latencies.len()));
+        if !on_one_connection || answered.is_none() {
+            kept = None;
+        }
+        latencies.push(answered.map(|()| started_at.elapsed()));
+        thread::sleep(REQUEST_INTERVAL.saturating_sub(started_at.elapsed()));
+    }
+    latencies
+}
+
+fn submit_once(address: SocketAddr, kept: &mut Option<TcpStream>, id: &str) -> Option<()> {
+    let text = format!("{}x", head(id, "", 1));
+    let is_new = kept.is_none();
+    let mut stream = match kept.take() {
+        Some(stream) => stream,
+        None => TcpStream::connect_timeout(&address, RESPONSE_LIMIT).ok()?,
+    };
+    stream.set_read_timeout(Some(RESPONSE_LIMIT)).expect("a socket");
+    stream.set_nodelay(true).expect("a socket");
+    let mut response = [0; 512];
+    let answered = stream.write_all(text.as_bytes()).and_then(|()| stream.read(&mut response));
+    match answered {
+        Ok(1..) => *kept = Some(stream),
+        // A request that crosses the close of a kept connection is sent once more, on a new one.
+        Ok(0) | Err(_)
+            if !is_new && !matches!(&answered, Err(error) if error.kind() == ErrorKind::WouldBlock) =>
+        {
+            return submit_once(address, kept, id);
+        }
+        _ => return None,
+    }
+    response.starts_with(b"HTTP/1.1 202").then_some(())
+}
+
+/// What a crowd did to the dispatcher.
+struct Measured {
+    /// Highest memory of the process, in bytes.
+    peak_bytes: u64,
+    /// Of all small messages.
+    latencies: Vec<Option<Duration>>,
+    crowd_connections: usize,
+}
+
+/// The memory that the process has used at most. The program's own code is larger without optimisation: then what an
+/// optimised one has of it takes its place.
+fn peak_bytes(process_id: u32) -> u64 {
+    const OPTIMISED_CODE_BYTES: u64 = 8_000_000;
+    let status = std::fs::read_to_string(format!("/proc/{process_id}/status")).expect("a running process");
+    let field = |name: &str| {
+        let line = status.lines().find_map(|line| line.strip_prefix(name)).expect("a field");
+        line.trim().trim_end_matches(" kB").parse::<u64>().expect("a number") * 1024
+    };
+    let peak = field("VmHWM:");
+    if cfg!(debug_assertions) { peak - field("RssFile:") + OPTIMISED_CODE_BYTES } else { peak }
+}
+
+fn play(memory_mb: u64, part: Part, crowd: usize, length: Duration) -> Measured {
+    let (endpoint, platform) = (Endpoint::start(|_, _| Reply::status(200)), Platform::start());
+    let mut dispatcher = Dispatcher::new(&platform, &[endpoint.list_entry("e", 7, "up")]);
+    dispatcher.config["limits"]["memory_mb"] = memory_mb.into();
+    dispatcher.start();
+    let address = dispatcher.client_address();
+    let (stop, ids) = (&AtomicBool::new(false), &AtomicUsize::new(0));
+    let latencies = thread::scope(|scope| {
+        for _ in 0..CROWD_THREADS {
+            scope.spawn(|| hold(address, part, crowd / CROWD_THREADS, ids, stop));
+        }
+        let clients = [("new", false), ("kept", true)]
+            .map(|(name, on_one)| scope.spawn(move || submit_small(address, name, on_one, stop)));
+        thread::sleep(length);
+        stop.store(true, Ordering::SeqCst);
+        clients.into_iter().flat_map(|client| client.join().expect("no panic")).collect::<Vec<_>>()
+    });
+    assert!(dispatcher.is_running());
+    let peak_bytes = peak_bytes(dispatcher.process_id().expect("a process"));
+    let measured = Measured { peak_bytes, latencies, crowd_connections: ids.load(Ordering::SeqCst) };
+    let unanswered = measured.latencies.iter().filter(|latency| latency.is_none()).count();
+    println!(
+        "{memory_mb} MB, {crowd} x {part:?}: peak {:.1} MB; {} small messages, {unanswered} without 202, worst {:.3} s; {} \
+         connections of the crowd",
+        peak_bytes as f64 / 1e6,
+        measured.latencies.len(),
+        measured.latencies.iter().flatten().max().map_or(0.0, Duration::as_secs_f64),
+        measured.crowd_connections,
+    );
+    measured
+}
+
+fn check(memory_mb: u64, part: Part, crowd: usize) {
+    let measured = play(memory_mb, part, crowd, Duration::from_secs(4));
+    assert!(
+        measured.peak_bytes <= memory_mb * 1_000_000,
+        "{part:?}: {} bytes at a limit of {memory_mb} MB",
+        measured.peak_bytes
+    );
+    let late =
+        measured.latencies.iter().filter(|latency| latency.is_none_or(|latency| latency > RESPONSE_LIMIT));
+    // Other processes of the machine may delay some responses.
+    assert!(
+        late.count() * 10 <= measured.latencies.len(),
+        "{part:?}: responses after more than {RESPONSE_LIMIT:?}"
+    );
+}
+
+/// Guards against a process that passes its memory limit because the requests that it reads are limited by number.
+#[test]
+fn part_requests_of_a_crowd_stay_within_the_memory_limit() {
+    for part in [Part::HalfBody, Part::ShortFields, Part::LongFields, Part::EndlessHead, Part::SecondRequest]
+    {
+        check(LEAST_MEMORY_MB, part, 900);
+    }
+}
