Memory, closed client connections, panics and the end of a process are logged

Change: a line a second while the peak grows or connections are closed, with the reasons; gauges memory_resident, memory_peak, memory_messages and client_connections; a line at an ordered end.

The restart after a panic has units for its decisions and no run on real processes: no way to cause a panic from outside is known.

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -35,6 +35,14 @@
     pub listed_endpoints: u64,
     /// Listed endpoints that get no calls at present, suspended by an operator or unavailable to the dispatcher.
     pub out_of_rotation: u64,
+    /// Resident memory of the process, in bytes.
+    pub resident_bytes: u64,
+    /// The most of it so far.
+    pub peak_bytes: u64,
+    /// Bytes that the journal needs for open messages and notices.
+    pub message_bytes: u64,
+    /// Open client connections.
+    pub client_connections: u64,
 }
 
 /// All metrics of one process.
@@ -45,6 +53,10 @@
     pending_messages: AtomicU64,
     listed_endpoints: AtomicU64,
     out_of_rotation: AtomicU64,
+    resident_bytes: AtomicU64,
+    peak_bytes: AtomicU64,
+    message_bytes: AtomicU64,
+    client_connections: AtomicU64,
     ready: AtomicBool,
 }
 
@@ -76,6 +88,10 @@
         self.pending_messages.store(gauges.pending_messages, Relaxed);
         self.listed_endpoints.store(gauges.listed_endpoints, Relaxed);
         self.out_of_rotation.store(gauges.out_of_rotation, Relaxed);
+        self.resident_bytes.store(gauges.resident_bytes, Relaxed);
+        self.peak_bytes.store(gauges.peak_bytes, Relaxed);
+        self.message_bytes.store(gauges.message_bytes, Relaxed);
+        self.client_connections.store(gauges.client_connections, Relaxed);
     }
 
     /// Whether this process is ready to serve.
@@ -105,6 +121,10 @@
             ("open_requests", &self.pending_messages),
             ("registry_entries", &self.listed_endpoints),
             ("out_of_rotation", &self.out_of_rotation),
+            ("memory_resident", &self.resident_bytes),
+            ("memory_peak", &self.peak_bytes),
+            ("memory_messages", &self.message_bytes),
+            ("client_connections", &self.client_connections),
         ] {
             let _ = writeln!(text, "app.{name}:{}|g", gauge.load(Relaxed));
         }
@@ -125,12 +145,21 @@
         metrics.count_outcome(1, CountedOutcome::Faulted);
         metrics.count_outcome(7, CountedOutcome::Faulted);
         metrics.add_relayed(4);
-        metrics.set_gauges(Gauges { pending_messages: 5, listed_endpoints: 6, out_of_rotation: 2 });
+        metrics.set_gauges(Gauges {
+            pending_messages: 5,
+            listed_endpoints: 6,
+            out_of_rotation: 2,
+            resident_bytes: 7,
+            peak_bytes: 8,
+            message_bytes: 9,
+            client_connections: 10,
+        });
         assert_eq!(
             metrics.statsd_lines(),
             "app.fulfilled.a:1|c\napp.throttled.a:0|c\napp.faulted.a:0|c\napp.fulfilled.b:0|c\n\
              app.throttled.b:2|c\napp.faulted.b:1|c\napp.relayed:4|c\napp.open_requests:5|g\n\
-             app.registry_entries:6|g\napp.out_of_rotation:2|g\n"
+             app.registry_entries:6|g\napp.out_of_rotation:2|g\napp.memory_resident:7|g\n\
+             app.memory_peak:8|g\napp.memory_messages:9|g\napp.client_connections:10|g\n"
         );
     }
 }
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -404,6 +404,11 @@
         self.pending.is_empty()
     }
 
+    /// Upper bound on the bytes that all open messages and notices need in the files.
+    pub fn live_bytes(&self) -> u64 {
+        self.usage().max_live_bytes
+    }
+
     fn usage(&self) -> Usage {
         Usage {
             bytes_on_disk: self.bytes_on_disk(),
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -1,6 +1,7 @@
 //! Client connections: accepts them, limits their number and the time a request may take, and
 //! closes them.
 
+use crate::client_closes::{CloseCounters, CloseReason};
 use crate::event_loop::Input;
 use crate::requests;
 use crate::serving::Phase;
@@ -56,6 +57,8 @@
 pub struct ClientConnections {
     open: RefCell<BTreeMap<u64, Rc<ClientConnection>>>,
     next_number: Cell<u64>,
+    /// Why connections were closed.
+    pub closes: CloseCounters,
     /// Notified when a connection has ended or become idle.
     changed: Notify,
 }
@@ -110,6 +113,7 @@
         idle.sort_by_key(|client| client.last_active_at.get());
         // Closing it would lose a request that has not been read yet.
         let oldest = idle.into_iter().find(|client| client.stream.unread() != Unread::Bytes);
+        oldest.inspect(|_| self.closes.add(CloseReason::IdleDisplaced));
         oldest.inspect(|client| client.close()).cloned()
     }
 
@@ -140,6 +144,7 @@
             }
             if client.stream.unread() != Unread::Bytes {
                 client.evicted.set(true);
+                self.closes.add(CloseReason::Displaced);
                 client.close();
                 return None;
             }
@@ -401,6 +406,7 @@
                 // nothing has arrived yet.
                 if client.is_idle() && client.stream.unread() != Unread::Bytes {
                     client.closed_between_requests.set(true);
+                    node.clients.closes.add(CloseReason::Stopping);
                     connection.as_mut().graceful_shutdown();
                 }
                 let _ = connection.await;
@@ -493,6 +499,7 @@
             self.request_timer.as_mut().reset(deadline);
         }
         ready!(self.request_timer.as_mut().poll(cx));
+        self.node.clients.closes.add(CloseReason::RequestTimedOut);
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -168,5 +168,14 @@
         listed_endpoints += 1;
         out_of_rotation += u64::from(!ready || dispatcher.is_unavailable(now, endpoint));
     }
-    Gauges { pending_messages: node.open_messages() as u64, listed_endpoints, out_of_rotation }
+    let memory = node.process_memory.get();
+    Gauges {
+        pending_messages: node.open_messages() as u64,
+        listed_endpoints,
+        out_of_rotation,
+        resident_bytes: memory.resident,
+        peak_bytes: memory.peak,
+        message_bytes: node.journal.borrow().live_bytes(),
+        client_connections: node.clients.count() as u64,
+    }
 }
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -7,8 +7,9 @@
 use crate::calls::CallEnd;
 use crate::connection::SurplusResponse;
 use crate::handover::{self, HandoverRequest, HandoverResult};
+use crate::resource_log::ResourceLog;
 use crate::transfer::Transfer;
-use crate::{Node, compaction, connection_pool, control, log, unproven};
+use crate::{Node, compaction, connection_pool, control, log, panics, unproven};
 use hyper::StatusCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -145,6 +146,7 @@
     let mut compactor = compaction::Compactor::default();
     let mut stop_requested_at = None;
     let mut traffic_logged_at = 0.0;
+    let mut resource_log = ResourceLog::default();
     let mut actions = Vec::new();
     loop {
         let wake_at = timer.map_or(sweep_at, |(_, due): (u32, Seconds)| due.min(sweep_at));
@@ -181,6 +183,9 @@
                 HandoverResult::Restart => return ExitAction::Restart,
             }
         }
+        if panics::dispatcher_panicked() {
+            return ExitAction::Restart;
+        }
         node.fleet.refresh(&node);
         let now = node.now();
         if stop_signalled && stop_requested_at.is_none() {
@@ -210,6 +215,8 @@
                 (entry.message.destination, -node.to_monotonic(entry.message.accepted_at) + now)
             });
             node.traffic.take_line(now, ages).inspect(|line| log::info_limited(line));
+            drop(journal);
+            resource_log.take_line(&node, now).inspect(|line| log::info(line));
         }
         let is_sweep_due = now >= sweep_at;
         if is_sweep_due || node.unproven.take_requested_check() {
@@ -233,6 +240,13 @@
                 && node.clients.awaiting_response() == 0
                 && (is_empty || now - stop_requested_at >= CALLS_DEADLINE_SECONDS);
             if is_done || now - stop_requested_at >= EXIT_DEADLINE_SECONDS {
+                log::info(format_args!(
+                    "{now:.3} ending: {} messages and {} notices on record, {} calls out, {} requests unanswered",
+                    journal.open_messages(),
+                    journal.pending_notices().count(),
+                    node.calls_in_flight.get(),
+                    node.clients.awaiting_response(),
+                ));
                 return ExitAction::Exit;
             }
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 mod actions;
 mod call_results;
 mod calls;
+mod client_closes;
 mod client_listener;
 mod clients;
 mod clock;
@@ -24,7 +25,10 @@
 mod handover;
 mod journaling;
 mod log;
+mod panics;
+mod process_memory;
 mod requests;
+mod resource_log;
 mod retry;
 mod serving;
 mod size_limits;
@@ -54,6 +58,7 @@
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
 use std::os::unix::process::CommandExt;
+use std::panic::AssertUnwindSafe;
 use std::path::Path;
 use std::process::{Command, ExitCode};
 use std::rc::Rc;
@@ -97,6 +102,8 @@
     /// Journaled messages whose 202 response has not been written yet.
     unacknowledged: RefCell<HashSet<u64>>,
     clients: ClientConnections,
+    /// The memory of this process, as last read.
+    process_memory: Cell<process_memory::ProcessMemory>,
     /// Calls that have begun and whose end is not processed yet.
     calls_in_flight: Cell<usize>,
     /// Those of the calls in flight that may have a connection open.
@@ -211,10 +218,18 @@
             return ExitCode::from(2);
         }
     };
-    let outcome = LocalSet::new().block_on(&runtime, startup::run(config, signals));
+    panics::install_hook();
+    let started_at = Instant::now();
+    let run = || LocalSet::new().block_on(&runtime, startup::run(config, signals));
+    let outcome = std::panic::catch_unwind(AssertUnwindSafe(run)).unwrap_or(Ok(ExitAction::Restart));
     match outcome {
         Ok(ExitAction::Exit) => ExitCode::SUCCESS,
+        Ok(ExitAction::Restart) if !panics::may_restart(started_at.elapsed()) => {
+            log::error("fawnspoke: ended within a second of its start; not started again");
+            ExitCode::FAILURE
+        }
         Ok(ExitAction::Restart) => {
+            log::info("restarting from the journal");
             // The sockets and files of this process close on exec; the new one recovers from the journal as after a
             // kill.
             let error = Command::new("/proc/self/exe").args(std::env::args_os().skip(1)).exec();
--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -1,6 +1,7 @@
 //! Client requests: checks each submitted message, journals it and answers.
 
 use crate::Node;
+use crate::client_closes::CloseReason;
 use crate::clients::ClientConnection;
 use crate::size_limits::MAX_BODY_BYTES;
 use crate::stream::Unread;
@@ -52,6 +53,9 @@
     };
     // Connections are closed one by one while this process shuts down. After an invalid request there
     // may be more input than its sender declared.
+    if response.status().is_client_error() {
+        node.clients.closes.add(CloseReason::InvalidRequest);
+    }
     if node.shutting_down.get() || response.status().is_client_error() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -196,6 +196,7 @@
         journal_failing_since: Cell::new(None),
         unacknowledged: RefCell::default(),
         clients: ClientConnections::default(),
+        process_memory: Cell::default(),
         calls_in_flight: Cell::new(0),
         calls_with_connection: Cell::new(0),
         shutting_down: Cell::new(false),
