--- a/crates/fawnspoke/tests/sockets/memory_limit.rs
+++ b/crates/fawnspoke/tests/sockets/memory_limit.rs
@@ -15,6 +15,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
 const CROWD_THREADS: usize = 4;
 const BODY_BYTES: usize = 64 * 1024;
+/// What the program's own code takes of the memory where it is compiled with optimisation.
+const OPTIMISED_CODE_BYTES: u64 = 8_000_000;
 
 /// What each client of a crowd sends before it stops.
 #[derive(Clone, Copy, Debug)]
@@ -29,8 +31,6 @@
     EndlessHead,
     /// A complete request, and then as `ShortFields`.
     SecondRequest,
-    /// Complete requests with the longest body, without reading the responses.
-    Complete,
 }
 
 fn head(id: &str, fields: &str, body_bytes: usize) -> String {
@@ -54,7 +54,6 @@
             let second = request(Part::ShortFields, &format!("{id}s"));
             return [format!("{}x", head(id, "", 1)).as_bytes(), &second].concat();
         }
-        Part::Complete => (head(id, "", BODY_BYTES), BODY_BYTES),
     };
     [head.as_bytes(), &vec![b'b'; body_bytes]].concat()
 }
@@ -165,14 +164,24 @@
 /// The memory that the process has used at most. The program's own code is larger without optimisation: then what an
 /// optimised one has of it takes its place.
 fn peak_bytes(process_id: u32) -> u64 {
-    const OPTIMISED_CODE_BYTES: u64 = 8_000_000;
-    let status = std::fs::read_to_string(format!("/proc/{process_id}/status")).expect("a running process");
+    memory_bytes(process_id, "VmHWM:")
+}
+
+/// As [`peak_bytes`], the memory that it uses now. A process that has ended uses none.
+fn resident_bytes(process_id: u32) -> u64 {
+    memory_bytes(process_id, "VmRSS:")
+}
+
+fn memory_bytes(process_id: u32, name: &str) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process_id}/status")).unwrap_or_default();
     let field = |name: &str| {
-        let line = status.lines().find_map(|line| line.strip_prefix(name)).expect("a field");
-        line.trim().trim_end_matches(" kB").parse::<u64>().expect("a number") * 1024
+        let line = status.lines().find_map(|line| line.strip_prefix(name))?;
+        Some(line.trim().trim_end_matches(" kB").parse::<u64>().expect("a number") * 1024)
     };
-    let peak = field("VmHWM:");
-    if cfg!(debug_assertions) { peak - field("RssFile:") + OPTIMISED_CODE_BYTES } else { peak }
+    match (field(name), field("RssFile:")) {
+        (Some(memory), Some(code)) if cfg!(debug_assertions) => memory - code + OPTIMISED_CODE_BYTES,
+        (memory, _) => memory.unwrap_or(0),
+    }
 }
 
 fn play(memory_mb: u64, part: Part, crowd: usize, length: Duration) -> Measured {
@@ -231,3 +240,89 @@
         check(LEAST_MEMORY_MB, part, 900);
     }
 }
+
+/// Waits until the figure of `memory` has been read for `length`, and returns its highest value.
+fn highest(length: Duration, memory: impl Fn() -> u64) -> u64 {
+    let started_at = Instant::now();
+    let mut highest = 0;
+    while started_at.elapsed() < length {
+        highest = highest.max(memory());
+        thread::sleep(POLL_INTERVAL);
+    }
+    highest
+}
+
+/// Guards against a process that passes its memory limit because it keeps the body of each response up to a length that is
+/// harmless for one call.
+#[test]
+fn responses_that_stall_stay_within_the_memory_limit() {
+    const CALLS: usize = 400;
+    let body = "r".repeat(120_000);
+    let endpoint = Endpoint::start(move |_, _| {
+        Reply::Raw(format!("HTTP/1.1 500 Error\r\nContent-Length: 130000\r\n\r\n{body}").into_bytes())
+    });
+    let platform = Platform::start();
+    let mut dispatcher = Dispatcher::new(&platform, &[endpoint.list_entry("e", 7, "up")]);
+    dispatcher.config["limits"]["memory_mb"] = LEAST_MEMORY_MB.into();
+    dispatcher.config["settings"]["family_info"]["call_slots"] = CALLS.into();
+    dispatcher.config["settings"]["limits"]["open_cap"] = (2 * CALLS).into();
+    dispatcher.start();
+    let mut client = dispatcher.connect();
+    for number in 0..CALLS {
+        assert_eq!(client.submit("safe", &format!("m{number}"), 7, 15_000, b"x").status(), 202);
+    }
+    thread::sleep(Duration::from_secs(3));
+    let peak = peak_bytes(dispatcher.process_id().expect("a process"));
+    println!("{} calls, peak {:.1} MB", endpoint.requests().len(), peak as f64 / 1e6);
+    assert!(peak <= LEAST_MEMORY_MB * 1_000_000, "{peak} bytes");
+}
+
+/// Guards against a process that passes its memory limit because its disk has room for more messages than its memory.
+#[test]
+fn held_messages_stay_within_the_memory_limit() {
+    let platform = Platform::start();
+    let mut dispatcher = Dispatcher::new(&platform, &[draining_endpoint(7)]);
+    dispatcher.config["limits"]["memory_mb"] = LEAST_MEMORY_MB.into();
+    dispatcher.config["limits"]["disk_mb"] = 200.into();
+    dispatcher.config["settings"]["limits"]["open_cap"] = 2000.into();
+    dispatcher.start();
+    let mut client = dispatcher.connect();
+    let body = vec![b'b'; BODY_BYTES];
+    let statuses: Vec<u16> = (0..1000)
+        .map(|number| client.submit("safe", &format!("m{number}"), 7, 19_000, &body).status())
+        .collect();
+    let taken = statuses.iter().filter(|status| **status == 202).count();
+    let peak = peak_bytes(dispatcher.process_id().expect("a process"));
+    println!("{taken} messages taken on, peak {:.1} MB", peak as f64 / 1e6);
+    assert!(statuses.iter().all(|status| [202, 503].contains(status)));
+    assert!(taken > 0);
+    assert!(peak <= LEAST_MEMORY_MB * 1_000_000, "{peak} bytes");
+}
+
+/// Guards against two processes of an upgrade that each use the whole of the memory limit that they share.
+#[test]
+fn both_processes_of_an_upgrade_stay_within_the_memory_limit() {
+    let (endpoint, platform) = (Endpoint::start(|_, _| Reply::status(200)), Platform::start());
+    let mut dispatcher = Dispatcher::new(&platform, &[endpoint.list_entry("e", 7, "up")]);
+    dispatcher.config["limits"]["memory_mb"] = LEAST_MEMORY_MB.into();
+    dispatcher.config["listen"] = free_address().to_string().into();
+    dispatcher.start();
+    let address = dispatcher.client_address();
+    let (stop, ids) = (&AtomicBool::new(false), &AtomicUsize::new(0));
+    let peak = thread::scope(|scope| {
+        for _ in 0..CROWD_THREADS {
+            scope.spawn(|| hold(address, Part::ShortFields, 900 / CROWD_THREADS, ids, stop));
+        }
+        thread::sleep(Duration::from_secs(2));
+        let mut old = dispatcher.upgrade();
+        let processes = [old.id(), dispatcher.process_id().expect("a process")];
+        let resident = || processes.map(resident_bytes).iter().sum();
+        let peak = highest(Duration::from_secs(3), resident);
+        stop.store(true, Ordering::SeqCst);
+        old.kill().expect("a process");
+        old.wait().expect("a process");
+        peak
+    });
+    println!("both processes: {:.1} MB", peak as f64 / 1e6);
+    assert!(peak <= LEAST_MEMORY_MB * 1_000_000, "{peak} bytes");
+}
