Clients' requests use a budget in bytes, and an incomplete one costs only its bytes

Cause: half of the memory was granted at 80 KiB a connection, once. A part of a request lived in the connection's growing buffer and in hyper's, its fields on top, and connections that an upgrade passed on were not counted at all. Few connections were allowed at small limits, so a sound client waited for one. Class: a bound in things instead of bytes.

Change: memory_plan divides the limit into shares that sum up to it with two processes; the start logs them. A connection may hold 2 KiB of a request; what is beyond is leased from one budget in bytes (head as it arrives, the rest as declared), in the order of asking. While requests wait, the incomplete one that has held memory for the longest is answered 503 after 0.1 s and its memory returned. hyper gets a request once it is complete, and exists only while it is answered; 64 are answered at a time. A declared body over 64 KiB is answered 413 with the head instead of being read to 1 MiB. Connections that wait for memory can be closed for others though their rest is unread. clients.rs is split: client_connection, client_connections, client_session, request_buffer, request_memory.

The tests of the memory limit are a package test of their own, one at a time: their crowds delayed the timed tests beside them.

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -43,6 +43,8 @@
     pub message_bytes: u64,
     /// Open client connections.
     pub client_connections: u64,
+    /// Bytes that clients' requests hold beyond the allowances of their connections.
+    pub request_bytes: u64,
 }
 
 /// All metrics of one process.
@@ -57,6 +59,7 @@
     peak_bytes: AtomicU64,
     message_bytes: AtomicU64,
     client_connections: AtomicU64,
+    request_bytes: AtomicU64,
     ready: AtomicBool,
 }
 
@@ -92,6 +95,7 @@
         self.peak_bytes.store(gauges.peak_bytes, Relaxed);
         self.message_bytes.store(gauges.message_bytes, Relaxed);
         self.client_connections.store(gauges.client_connections, Relaxed);
+        self.request_bytes.store(gauges.request_bytes, Relaxed);
     }
 
     /// Whether this process is ready to serve.
@@ -125,6 +129,7 @@
             ("memory_peak", &self.peak_bytes),
             ("memory_messages", &self.message_bytes),
             ("client_connections", &self.client_connections),
+            ("memory_requests", &self.request_bytes),
         ] {
             let _ = writeln!(text, "app.{name}:{}|g", gauge.load(Relaxed));
         }
@@ -153,13 +158,15 @@
             peak_bytes: 8,
             message_bytes: 9,
             client_connections: 10,
+            request_bytes: 11,
         });
         assert_eq!(
             metrics.statsd_lines(),
             "app.fulfilled.a:1|c\napp.throttled.a:0|c\napp.faulted.a:0|c\napp.fulfilled.b:0|c\n\
              app.throttled.b:2|c\napp.faulted.b:1|c\napp.relayed:4|c\napp.open_requests:5|g\n\
              app.registry_entries:6|g\napp.out_of_rotation:2|g\napp.memory_resident:7|g\n\
-             app.memory_peak:8|g\napp.memory_messages:9|g\napp.client_connections:10|g\n"
+             app.memory_peak:8|g\napp.memory_messages:9|g\napp.client_connections:10|g\n\
+             app.memory_requests:11|g\n"
         );
     }
 }
--- a/crates/fawnspoke/tests/sockets/memory_limit.rs
+++ b/crates/fawnspoke/tests/memory_limit/main.rs
@@ -1,9 +1,12 @@
 //! Crowds of clients whose requests stay incomplete, beside clients with small requests, where memory is short.
 
-use crate::support::*;
+use fawnspoke_lab::blocking::{Dispatcher, Endpoint, Platform, Reply, draining_endpoint};
+use serde_json::Value;
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -14,10 +17,38 @@
 const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
 const CROWD_THREADS: usize = 4;
+const FIRST_REQUEST: &[u8] = b"GET /health/live HTTP/1.1\r\nHost: service.internal\r\n\r\n";
 const BODY_BYTES: usize = 64 * 1024;
 /// What the program's own code takes of the memory where it is compiled with optimisation.
 const OPTIMISED_CODE_BYTES: u64 = 8_000_000;
 
+/// Keeps the tests of this file apart: each needs most of the machine.
+fn run_alone() -> MutexGuard<'static, ()> {
+    static RUNNING: Mutex<()> = Mutex::new(());
+    RUNNING.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Prepares a dispatcher with this memory limit and initial endpoint list; the process is not started yet.
+fn new_dispatcher(memory_mb: u64, platform: &Platform, known: &[Value]) -> Dispatcher {
+    let program = Path::new(env!("CARGO_BIN_EXE_fawnspoke"));
+    let parent_dir = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let mut dispatcher = Dispatcher::new(program, parent_dir, platform, known);
+    dispatcher.config["limits"]["memory_mb"] = memory_mb.into();
+    dispatcher
+}
+
+/// Whether the peer of a non-blocking connection has left it open. What it has sent is read into `received`.
+fn is_open(connection: &mut impl Read, received: &mut Vec<u8>) -> bool {
+    let mut buffer = [0; 512];
+    loop {
+        match connection.read(&mut buffer) {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return true,
+            Ok(length) if length > 0 => received.extend_from_slice(&buffer[..length]),
+            _ => return false,
+        }
+    }
+}
+
 /// What each client of a crowd sends before it stops.
 #[derive(Clone, Copy, Debug)]
 enum Part {
@@ -29,7 +60,7 @@
     LongFields,
     /// 3,000 fields without an end of the head.
     EndlessHead,
-    /// A complete request, and then as `ShortFields`.
+    /// A complete request that is no message, and then as `ShortFields`.
     SecondRequest,
 }
 
@@ -52,7 +83,7 @@
         Part::EndlessHead => (format!("POST /keyed HTTP/1.1\r\n{}", fields(3000, 1)), 0),
         Part::SecondRequest => {
             let second = request(Part::ShortFields, &format!("{id}s"));
-            return [format!("{}x", head(id, "", 1)).as_bytes(), &second].concat();
+            return [FIRST_REQUEST, &second].concat();
         }
     };
     [head.as_bytes(), &vec![b'b'; body_bytes]].concat()
@@ -73,7 +104,7 @@
         let stream = TcpStream::connect_timeout(&address, Duration::from_millis(200)).ok()?;
         stream.set_nonblocking(true).expect("a socket");
         let bytes = request(part, id);
-        let first = if matches!(part, Part::SecondRequest) { head(id, "", 1).len() + 1 } else { bytes.len() };
+        let first = if matches!(part, Part::SecondRequest) { FIRST_REQUEST.len() } else { bytes.len() };
         Some(CrowdClient { stream, first, bytes, sent: 0, answered: false })
     }
 
@@ -87,7 +118,7 @@
         }
         let mut received = Vec::new();
         let open = is_open(&mut self.stream, &mut received);
-        self.answered |= received.starts_with(b"HTTP/1.1 202");
+        self.answered |= received.starts_with(b"HTTP/1.1 200");
         open
     }
 }
@@ -152,6 +183,12 @@
     response.starts_with(b"HTTP/1.1 202").then_some(())
 }
 
+/// An unused address outside the range from which outgoing connections get their ports.
+fn unused_address() -> SocketAddr {
+    let addresses = (20_000..32_000).map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    addresses.into_iter().find(|address| TcpListener::bind(address).is_ok()).expect("an unused port")
+}
+
 /// What a crowd did to the dispatcher.
 struct Measured {
     /// Highest memory of the process, in bytes.
@@ -186,8 +223,7 @@
 
 fn play(memory_mb: u64, part: Part, crowd: usize, length: Duration) -> Measured {
     let (endpoint, platform) = (Endpoint::start(|_, _| Reply::status(200)), Platform::start());
-    let mut dispatcher = Dispatcher::new(&platform, &[endpoint.list_entry("e", 7, "up")]);
-    dispatcher.config["limits"]["memory_mb"] = memory_mb.into();
+    let mut dispatcher = new_dispatcher(memory_mb, &platform, &[endpoint.list_entry("e", 7, "up")]);
     dispatcher.start();
     let address = dispatcher.client_address();
     let (stop, ids) = (&AtomicBool::new(false), &AtomicUsize::new(0));
@@ -235,6 +271,7 @@
 /// Guards against a process that passes its memory limit because the requests that it reads are limited by number.
 #[test]
 fn part_requests_of_a_crowd_stay_within_the_memory_limit() {
+    let _alone = run_alone();
     for part in [Part::HalfBody, Part::ShortFields, Part::LongFields, Part::EndlessHead, Part::SecondRequest]
     {
         check(LEAST_MEMORY_MB, part, 900);
@@ -257,13 +294,13 @@
 #[test]
 fn responses_that_stall_stay_within_the_memory_limit() {
     const CALLS: usize = 400;
+    let _alone = run_alone();
     let body = "r".repeat(120_000);
     let endpoint = Endpoint::start(move |_, _| {
         Reply::Raw(format!("HTTP/1.1 500 Error\r\nContent-Length: 130000\r\n\r\n{body}").into_bytes())
     });
     let platform = Platform::start();
-    let mut dispatcher = Dispatcher::new(&platform, &[endpoint.list_entry("e", 7, "up")]);
-    dispatcher.config["limits"]["memory_mb"] = LEAST_MEMORY_MB.into();
+    let mut dispatcher = new_dispatcher(LEAST_MEMORY_MB, &platform, &[endpoint.list_entry("e", 7, "up")]);
     dispatcher.config["settings"]["family_info"]["call_slots"] = CALLS.into();
     dispatcher.config["settings"]["limits"]["open_cap"] = (2 * CALLS).into();
     dispatcher.start();
@@ -280,9 +317,9 @@
 /// Guards against a process that passes its memory limit because its disk has room for more messages than its memory.
 #[test]
 fn held_messages_stay_within_the_memory_limit() {
+    let _alone = run_alone();
     let platform = Platform::start();
-    let mut dispatcher = Dispatcher::new(&platform, &[draining_endpoint(7)]);
-    dispatcher.config["limits"]["memory_mb"] = LEAST_MEMORY_MB.into();
+    let mut dispatcher = new_dispatcher(LEAST_MEMORY_MB, &platform, &[draining_endpoint(7)]);
     dispatcher.config["limits"]["disk_mb"] = 200.into();
     dispatcher.config["settings"]["limits"]["open_cap"] = 2000.into();
     dispatcher.start();
@@ -302,10 +339,10 @@
 /// Guards against two processes of an upgrade that each use the whole of the memory limit that they share.
 #[test]
 fn both_processes_of_an_upgrade_stay_within_the_memory_limit() {
+    let _alone = run_alone();
     let (endpoint, platform) = (Endpoint::start(|_, _| Reply::status(200)), Platform::start());
-    let mut dispatcher = Dispatcher::new(&platform, &[endpoint.list_entry("e", 7, "up")]);
-    dispatcher.config["limits"]["memory_mb"] = LEAST_MEMORY_MB.into();
-    dispatcher.config["listen"] = free_address().to_string().into();
+    let mut dispatcher = new_dispatcher(LEAST_MEMORY_MB, &platform, &[endpoint.list_entry("e", 7, "up")]);
+    dispatcher.config["listen"] = unused_address().to_string().into();
     dispatcher.start();
     let address = dispatcher.client_address();
     let (stop, ids) = (&AtomicBool::new(false), &AtomicUsize::new(0));
--- a/crates/fawnspoke/tests/sockets/main.rs
+++ b/crates/fawnspoke/tests/sockets/main.rs
@@ -12,7 +12,6 @@
 mod machine_faults;
 mod malformed_responses;
 mod manual_endpoint;
-mod memory_limit;
 mod misplaced_responses;
 mod operations;
 mod races;
--- a/crates/node/src/client_closes.rs
+++ b/crates/node/src/client_closes.rs
@@ -11,8 +11,12 @@
     IdleDisplaced,
     /// Its request was expected or incomplete, and another client needed its place.
     Displaced,
+    /// Its request was incomplete, and another request needed its memory.
+    DisplacedForMemory,
     /// Its request did not arrive in time.
     RequestTimedOut,
+    /// Its response could not be written: the client does not read.
+    ResponseTimedOut,
     /// Its request was invalid, or longer than the protocol allows.
     InvalidRequest,
     /// The process stops.
@@ -24,7 +28,9 @@
         formatter.write_str(match self {
             CloseReason::IdleDisplaced => "idle_displaced",
             CloseReason::Displaced => "displaced",
+            CloseReason::DisplacedForMemory => "displaced_for_memory",
             CloseReason::RequestTimedOut => "timed_out",
+            CloseReason::ResponseTimedOut => "not_reading",
             CloseReason::InvalidRequest => "invalid",
             CloseReason::Stopping => "stopping",
         })
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,6 +1,6 @@
 //! The configuration: one JSON file and a few environment variables, checked once at startup.
 
-use crate::size_limits::{MAX_BODY_BYTES, MAX_HEAD_BYTES};
+use crate::memory_plan::MemoryPlan;
 use fawnspoke_cluster::config::FleetConfig;
 use fawnspoke_cluster::runtime;
 use fawnspoke_control::{override_file, server};
@@ -72,8 +72,6 @@
     const MAX_CONTROL_CALLERS: usize = 128;
     /// Share of the disk space that the fleet's record may use.
     const FLEET_DISK_SHARE: f64 = 0.5;
-    /// Share of the memory that client requests may use while they are read.
-    const READING_MEMORY_SHARE: f64 = 0.5;
 
     /// Maximum number of callers of the control port at a time.
     pub fn max_control_callers(&self) -> usize {
@@ -81,11 +79,15 @@
             .clamp(Limits::MIN_CONTROL_CALLERS, Limits::MAX_CONTROL_CALLERS)
     }
 
-    /// Maximum number of client connections: half of the descriptors, and no more than can be read at once.
+    /// How the memory is divided.
+    pub fn memory_plan(&self) -> MemoryPlan {
+        let max_connections = self.sockets.saturating_sub(self.used_descriptors()) / 2;
+        MemoryPlan::new((self.memory_mb * 1e6) as u64, (self.disk_mb * 1e6) as u64, max_connections)
+    }
+
+    /// Maximum number of client connections: half of the descriptors, and no more than the memory has room for.
     pub fn max_clients(&self) -> usize {
-        let bytes_per_request = (MAX_HEAD_BYTES + MAX_BODY_BYTES) as f64;
-        let read_at_once = (self.memory_mb * 1e6 * Limits::READING_MEMORY_SHARE / bytes_per_request) as usize;
-        (self.sockets.saturating_sub(self.used_descriptors()) / 2).min(read_at_once).max(1)
+        self.memory_plan().max_client_connections.max(1)
     }
 
     /// Maximum number of client connections without a request. Without this limit, clients that send one
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -177,5 +177,6 @@
         peak_bytes: memory.peak,
         message_bytes: node.journal.borrow().live_bytes(),
         client_connections: node.clients.count() as u64,
+        request_bytes: node.clients.memory.leased_bytes() as u64,
     }
 }
--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -2,7 +2,7 @@
 
 use crate::Node;
 use crate::client_closes::CloseReason;
-use crate::clients::ClientConnection;
+use crate::client_connection::ClientConnection;
 use crate::size_limits::MAX_BODY_BYTES;
 use crate::stream::Unread;
 use fawnspoke_control::metrics;
@@ -14,8 +14,6 @@
 use std::convert::Infallible;
 use waydoor::{DestinationId, Effect, Event, Message, MessageId, QuotaStatus};
 
-/// A body that is too long is read up to this size, or the client would not see the response.
-const MAX_DISCARDED_BODY_BYTES: usize = 1 << 20;
 /// Longest message id or idempotency key.
 const MAX_TOKEN_LENGTH: usize = 256;
 
@@ -83,7 +81,7 @@
         Ok(None) => return respond(StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB\n"),
         Err(error) => return respond(StatusCode::BAD_REQUEST, format!("body: {error}\n")),
     };
-    let trailing = client.trailing_input(length);
+    let trailing = client.trailing_input();
     let Some(body) = client.body(length).filter(|_| trailing != Unread::Bytes) else {
         return respond(StatusCode::BAD_REQUEST, "one request at a time, as long as it says\n");
     };
@@ -227,18 +225,15 @@
 }
 
 /// Reads to the end of the body, which the connection's buffer keeps. Returns its length, or `None`
-/// if it is too long.
+/// if the declared one is too long: of such a request only the head is read.
 async fn read_body(mut body: Incoming) -> Result<Option<usize>, hyper::Error> {
-    if body.size_hint().lower() > MAX_DISCARDED_BODY_BYTES as u64 {
+    if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
         return Ok(None);
     }
     let mut length = 0;
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else { continue };
         length += data.len();
-        if length > MAX_DISCARDED_BODY_BYTES {
-            return Ok(None);
-        }
     }
     Ok(Some(length).filter(|_| length <= MAX_BODY_BYTES))
 }
--- a/crates/node/src/resource_log.rs
+++ b/crates/node/src/resource_log.rs
@@ -13,6 +13,10 @@
 struct Holders {
     memory: ProcessMemory,
     client_connections: usize,
+    /// Of requests that are longer than the allowance of their connection.
+    request_bytes: usize,
+    /// Requests that wait for memory.
+    waiting_requests: usize,
     open_messages: usize,
     /// Bytes that the journal needs for them.
     message_bytes: u64,
@@ -25,6 +29,8 @@
         Holders {
             memory: node.process_memory.get(),
             client_connections: node.clients.count(),
+            request_bytes: node.clients.memory.leased_bytes(),
+            waiting_requests: node.clients.memory.waiting(),
             open_messages: journal.open_messages(),
             message_bytes: journal.live_bytes(),
             calls: node.calls_in_flight.get(),
@@ -48,7 +54,8 @@
     fn line(
         &mut self, now: Seconds, holders: &Holders, memory_mb: f64, closes: Option<String>,
     ) -> Option<String> {
-        let Holders { memory, client_connections, open_messages, message_bytes, calls } = *holders;
+        let Holders { memory, client_connections, open_messages, message_bytes, calls, .. } = *holders;
+        let Holders { request_bytes, waiting_requests, .. } = *holders;
         let has_grown = memory.peak >= self.logged_peak + LOGGED_GROWTH_BYTES;
         if !has_grown && closes.is_none() {
             return None;
@@ -58,9 +65,10 @@
         let closes = closes.map_or_else(String::new, |closes| format!("; connections closed: {closes}"));
         Some(format!(
             "{now:.3} memory: {:.1} MB, at most {:.1} of {memory_mb:.1} MB; {client_connections} client connections, \
-             {open_messages} messages ({:.1} MB), {calls} calls{closes}",
+             {:.1} MB of requests ({waiting_requests} wait), {open_messages} messages ({:.1} MB), {calls} calls{closes}",
             megabytes(memory.resident),
             megabytes(memory.peak),
+            megabytes(request_bytes as u64),
             megabytes(message_bytes),
         ))
     }
@@ -78,7 +86,8 @@
         let line = log.line(2.0, &holders, 32.0, None).unwrap();
         assert_eq!(
             line,
-            "2.000 memory: 6.0 MB, at most 9.5 of 32.0 MB; 3 client connections, 0 messages (0.0 MB), 0 calls"
+            "2.000 memory: 6.0 MB, at most 9.5 of 32.0 MB; 3 client connections, 0.0 MB of requests (0 wait), \
+             0 messages (0.0 MB), 0 calls"
         );
         assert_eq!(log.line(3.0, &holders, 32.0, None), None);
         let line = log.line(4.0, &holders, 32.0, Some("displaced=1".into())).unwrap();
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -1,6 +1,7 @@
 //! Startup of a dispatcher process: signal handlers, the journal, and the tasks in their order.
 
-use crate::clients::{self, ClientConnections};
+use crate::client_connections::ClientConnections;
+use crate::clients;
 use crate::clock::JournalClock;
 use crate::config::Config;
 use crate::connection_pool::ConnectionPool;
@@ -175,6 +176,7 @@
         config.name,
         listener.local_addr().map_err(|error| error.to_string())?
     ));
+    log::info(format_args!("memory: {}", config.limits.memory_plan()));
     let (sender, mut inputs) = unbounded_channel();
     let (handover_socket, takeover_requests) = handover::HandoverListener::new(&config.state_dir);
     let (transfer_sender, transfer_receiver) = unbounded_channel();
@@ -195,7 +197,7 @@
         discovery_address: watch::Sender::new(config.discovery_address),
         journal_failing_since: Cell::new(None),
         unacknowledged: RefCell::default(),
-        clients: ClientConnections::default(),
+        clients: ClientConnections::new(config.limits.memory_plan().requests),
         process_memory: Cell::default(),
         calls_in_flight: Cell::new(0),
         calls_with_connection: Cell::new(0),
@@ -231,6 +233,7 @@
     spawn_local(discovery::deliver_notices(node.clone()));
     // Clients are served once all journaled messages are restored; this does not wait for discovery.
     spawn_local(clients::serve(node.clone()));
+    spawn_local(clients::reclaim_memory(node.clone()));
     spawn_local(fleet::process_updates(node.clone()));
     spawn_local(control::process_commands(node.clone(), control_requests));
     node.metrics.set_gauges(control::gauges(&node));
