Held messages are bounded by memory as well as by disk

With a disk larger than the memory a process took messages on until it passed its limit.

Cause: messages were bounded by open_cap (a count) and disk_mb. Class: a bound in things instead of bytes.

Change: a message is rejected with 503, and a line in the log, once its bytes and those of all open messages and notices, with 704 bytes of overhead each, exceed the share for messages. Connections to endpoints have a share too, after the slots of the settings.

--- a/crates/fawnspoke/tests/memory_limit/main.rs
+++ b/crates/fawnspoke/tests/memory_limit/main.rs
@@ -318,22 +318,24 @@
 #[test]
 fn held_messages_stay_within_the_memory_limit() {
     let _alone = run_alone();
-    let platform = Platform::start();
-    let mut dispatcher = new_dispatcher(LEAST_MEMORY_MB, &platform, &[draining_endpoint(7)]);
-    dispatcher.config["limits"]["disk_mb"] = 200.into();
-    dispatcher.config["settings"]["limits"]["open_cap"] = 2000.into();
-    dispatcher.start();
-    let mut client = dispatcher.connect();
-    let body = vec![b'b'; BODY_BYTES];
-    let statuses: Vec<u16> = (0..1000)
-        .map(|number| client.submit("safe", &format!("m{number}"), 7, 19_000, &body).status())
-        .collect();
-    let taken = statuses.iter().filter(|status| **status == 202).count();
-    let peak = peak_bytes(dispatcher.process_id().expect("a process"));
-    println!("{taken} messages taken on, peak {:.1} MB", peak as f64 / 1e6);
-    assert!(statuses.iter().all(|status| [202, 503].contains(status)));
-    assert!(taken > 0);
-    assert!(peak <= LEAST_MEMORY_MB * 1_000_000, "{peak} bytes");
+    for body_bytes in [BODY_BYTES, 1] {
+        let platform = Platform::start();
+        let mut dispatcher = new_dispatcher(LEAST_MEMORY_MB, &platform, &[draining_endpoint(7)]);
+        dispatcher.config["limits"]["disk_mb"] = 200.into();
+        dispatcher.config["settings"]["limits"]["open_cap"] = 50_000.into();
+        dispatcher.start();
+        let mut client = dispatcher.connect();
+        let body = vec![b'b'; body_bytes];
+        let mut submit = |number| client.submit("safe", &format!("m{number}"), 7, 19_000, &body).status();
+        let count = if body_bytes == 1 { 20_000 } else { 1000 };
+        let statuses: Vec<u16> = (0..count).map(&mut submit).collect();
+        let taken = statuses.iter().filter(|status| **status == 202).count();
+        let peak = peak_bytes(dispatcher.process_id().expect("a process"));
+        println!("{taken} messages of {body_bytes} bytes taken on, peak {:.1} MB", peak as f64 / 1e6);
+        assert!(statuses.iter().all(|status| [202, 503].contains(status)));
+        assert!(taken > 0);
+        assert!(peak <= LEAST_MEMORY_MB * 1_000_000, "{peak} bytes");
+    }
 }
 
 /// Guards against two processes of an upgrade that each use the whole of the memory limit that they share.
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -404,6 +404,11 @@
         self.pending.is_empty()
     }
 
+    /// Number of messages and notices that have not ended.
+    pub fn entry_count(&self) -> usize {
+        self.index.len()
+    }
+
     /// Upper bound on the bytes that all open messages and notices need in the files.
     pub fn live_bytes(&self) -> u64 {
         self.usage().max_live_bytes
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,6 +1,6 @@
 //! The configuration: one JSON file and a few environment variables, checked once at startup.
 
-use crate::memory_plan::MemoryPlan;
+use crate::memory_plan::{MemoryDemand, MemoryPlan};
 use fawnspoke_cluster::config::FleetConfig;
 use fawnspoke_cluster::runtime;
 use fawnspoke_control::{override_file, server};
@@ -48,7 +48,7 @@
     pub memory_mb: f64,
     pub sockets: usize,
     pub disk_mb: f64,
-    /// Descriptors and disk space that other parts of the process use.
+    /// What other parts of the process use.
     #[serde(skip)]
     pub reserved: Reserved,
 }
@@ -58,6 +58,8 @@
 pub struct Reserved {
     pub descriptors: usize,
     pub disk_bytes: u64,
+    /// Calls in flight that the settings allow; their connections need memory.
+    pub call_slots: usize,
 }
 
 impl Limits {
@@ -81,8 +83,15 @@
 
     /// How the memory is divided.
     pub fn memory_plan(&self) -> MemoryPlan {
-        let max_connections = self.sockets.saturating_sub(self.used_descriptors()) / 2;
-        MemoryPlan::new((self.memory_mb * 1e6) as u64, (self.disk_mb * 1e6) as u64, max_connections)
+        let free_descriptors = self.sockets.saturating_sub(self.used_descriptors());
+        let client_connections = free_descriptors / 2;
+        MemoryPlan::new(&MemoryDemand {
+            limit: (self.memory_mb * 1e6) as u64,
+            disk: (self.disk_mb * 1e6) as u64,
+            client_connections,
+            endpoint_connections: free_descriptors - client_connections,
+            slots: self.reserved.call_slots,
+        })
     }
 
     /// Maximum number of client connections: half of the descriptors, and no more than the memory has room for.
@@ -98,18 +107,20 @@
         ((self.max_clients() as f64 * Limits::IDLE_CLIENT_SHARE) as usize).max(1)
     }
 
-    /// Maximum number of concurrent calls: the connections that clients leave free.
+    /// Maximum number of concurrent calls: the connections that clients leave free, and no more than the memory has room
+    /// for.
     fn max_calls(&self) -> usize {
-        self.sockets.saturating_sub(self.used_descriptors() + self.max_clients()).max(1)
+        let free_descriptors = self.sockets.saturating_sub(self.used_descriptors() + self.max_clients());
+        free_descriptors.min(self.memory_plan().max_endpoint_connections).max(1)
     }
 
     fn used_descriptors(&self) -> usize {
         Limits::OWN_DESCRIPTORS + self.reserved.descriptors
     }
 
-    /// Bytes that the journal may use on disk.
+    /// Bytes that the journal may use on disk: its files count as memory.
     pub fn journal_bytes(&self) -> u64 {
-        ((self.disk_mb * 1e6) as u64).saturating_sub(self.reserved.disk_bytes)
+        self.memory_plan().files.saturating_sub(self.reserved.disk_bytes)
     }
 
     /// Maximum number of idle connections to endpoints: what this many calls leave free.
@@ -278,8 +289,10 @@
             raw.limits.reserved = Reserved {
                 descriptors: server::max_descriptors(raw.limits.max_control_callers()),
                 disk_bytes: override_file::MAX_DISK_BYTES,
+                call_slots: 0,
             };
         }
+        raw.limits.reserved.call_slots = raw.settings.family_info.call_slots;
         let fleet = fleet.map(|path| FleetConfig::load(path, &raw.name)).transpose()?;
         if let Some(fleet_config) = &fleet {
             raw.limits.reserved.descriptors += runtime::max_descriptors(fleet_config, &raw.name);
--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -3,10 +3,12 @@
 use crate::Node;
 use crate::client_closes::CloseReason;
 use crate::client_connection::ClientConnection;
+use crate::log;
+use crate::memory_plan::MESSAGE_OVERHEAD_BYTES;
 use crate::size_limits::MAX_BODY_BYTES;
 use crate::stream::Unread;
 use fawnspoke_control::metrics;
-use fawnspoke_journal::{AcceptedMessage, FinalOutcome, UnixMicros};
+use fawnspoke_journal::{AcceptedMessage, FinalOutcome, Journal, UnixMicros};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
@@ -124,6 +126,11 @@
     if journal.open_messages() >= node.config.settings.max_messages {
         return reject(node, class, destination_id);
     }
+    let message_bytes = journal_memory(&journal) + memory_of(&submission);
+    if message_bytes > node.config.limits.memory_plan().messages {
+        log::info_limited(format_args!("message {}: rejected, no memory for it", submission.id));
+        return reject(node, class, destination_id);
+    }
     let now = node.now();
     let message = Message {
         id: MessageId(u64::MAX),
@@ -165,6 +172,16 @@
     }
 }
 
+/// Memory of the messages and notices that the journal holds, in bytes.
+pub fn journal_memory(journal: &Journal) -> u64 {
+    journal.live_bytes() + journal.entry_count() as u64 * MESSAGE_OVERHEAD_BYTES
+}
+
+/// Memory that a message takes once it is accepted, in bytes.
+fn memory_of(message: &AcceptedMessage) -> u64 {
+    message.body.len() as u64 + MESSAGE_OVERHEAD_BYTES
+}
+
 /// Rejects a message. Submitting it again is harmless; the response suggests when, as estimated by the
 /// decision core.
 fn reject(node: &Node, class: usize, destination_id: DestinationId) -> TextResponse {
