Of a response's body only the results of a batch are kept

With 400 calls whose responses stopped after 120,000 bytes a process used 86.4 MB at a limit of 32.

Cause: the body of each response was kept up to 128 KiB, though only a batch's says anything; the task of each connection held a buffer of 4 KiB that is needed once hyper has ended.

Change: a body is read up to 128 KiB as before, and kept only for a batch, up to 512 bytes a message. A longer batch response counts as incomplete, as one over 128 KiB did.

--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -24,8 +24,10 @@
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 use waydoor::{EndpointId, Event, MessageId, Outcome, RateLimitReport, Seconds};
 
-/// Longest response body: twice the longest request body, since a batch response reports on several messages.
+/// Longest response body that is read. Only the results of a batch are kept of it.
 const MAX_RESPONSE_BYTES: usize = 128 * 1024;
+/// Longest line with the result of one message of a batch: its id, a word and the line's end.
+const MAX_RESULT_LINE_BYTES: usize = 512;
 /// Time to read bytes that have already arrived.
 const BUFFERED_READ_TIMEOUT: Duration = Duration::from_millis(5);
 
@@ -351,7 +353,7 @@
             }
         };
         let outcome = match result {
-            Ok(Ok(head)) => return Ok(read_body(node, endpoint, conn, head, deadline, ids.len() > 1).await),
+            Ok(Ok(head)) => return Ok(read_body(node, endpoint, conn, head, deadline, ids.len()).await),
             Ok(Err(mut error)) => match error.take_message() {
                 // The peer closed a pooled connection before a byte was written, so sending again is no repeat.
                 Some(unsent) if pool_use.connection_reused => {
@@ -406,12 +408,14 @@
 }
 
 /// Reads the body of a response and returns the connection to the pool if the response is complete. Waits no longer
-/// than the deadline of the call, when the outcomes of its messages are due. `body_reports`: the body of a response
-/// with 200 has the outcomes of a batch.
+/// than the deadline of the call, when the outcomes of its messages are due. The body of a response with 200 has the
+/// outcomes of a batch, if there are several messages.
 async fn read_body(
     node: &Node, endpoint: EndpointId, connection: Connection, response: Response<Incoming>,
-    deadline: Instant, body_reports: bool,
+    deadline: Instant, message_count: usize,
 ) -> EndpointResponse {
+    let body_reports = message_count > 1;
+    let max_kept_bytes = if body_reports { message_count * MAX_RESULT_LINE_BYTES } else { 0 };
     let (head, body) = response.into_parts();
     // If the head has all the information, a body that did not arrive with it is not worth a slot.
     let limit = if body_reports || head.status != StatusCode::OK {
@@ -422,7 +426,7 @@
     let now = Instant::now();
     let deadline = (now + limit).min(deadline.max(now + BUFFERED_READ_TIMEOUT));
     let bytes = RefCell::default();
-    let mut collected = pin!(collect_body(body, &bytes));
+    let mut collected = pin!(collect_body(body, &bytes, max_kept_bytes));
     let mut completed = timeout_at(deadline.min(now + BUFFERED_READ_TIMEOUT), collected.as_mut()).await;
     if completed.is_err() {
         // Retry-After counts from when it was sent, so it is reported before the body is complete.
@@ -442,16 +446,19 @@
     EndpointResponse { status: head.status, headers: head.headers, body, connection_kept }
 }
 
-/// Reads a body into `bytes`; whether it is complete and not too long.
-async fn collect_body(mut body: Incoming, bytes: &RefCell<Vec<u8>>) -> bool {
+/// Reads a body, and keeps up to `max_kept_bytes` of it in `bytes`; whether it is complete and not too long.
+async fn collect_body(mut body: Incoming, bytes: &RefCell<Vec<u8>>, max_kept_bytes: usize) -> bool {
+    let mut length = 0;
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else { return false };
         let Ok(data) = frame.into_data() else { continue };
-        let mut bytes = bytes.borrow_mut();
-        if bytes.len() + data.len() > MAX_RESPONSE_BYTES {
+        length += data.len();
+        if length > MAX_RESPONSE_BYTES || max_kept_bytes > 0 && length > max_kept_bytes {
             return false;
         }
-        bytes.extend_from_slice(&data);
+        if max_kept_bytes > 0 {
+            bytes.borrow_mut().extend_from_slice(&data);
+        }
     }
     true
 }
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -360,7 +360,8 @@
 /// Observes what still arrives once hyper reads no more: it stops at the first byte that belongs to no request, and the
 /// responses to earlier requests may follow.
 async fn observe_rest(mut stream: SharedStream, monitor: &ResponseMonitor) {
-    let mut buffer = [0; READ_BUFFER_BYTES];
+    // On the heap: each connection would hold an array as part of its task from the start.
+    let mut buffer = vec![0; READ_BUFFER_BYTES];
     while let Ok(length @ 1..) = stream.read(&mut buffer).await {
         monitor.observe(&buffer[..length]);
     }
