--- a/crates/fawnspoke/tests/memory_limit/main.rs
+++ b/crates/fawnspoke/tests/memory_limit/main.rs
@@ -1,6 +1,12 @@
 //! Crowds of clients whose requests stay incomplete, beside clients with small requests, where memory is short.
 
+mod crowd;
+mod process_memory;
+mod soak;
+
+use crowd::{BODY_BYTES, Part, head, hold};
 use fawnspoke_lab::blocking::{Dispatcher, Endpoint, Platform, Reply, draining_endpoint};
+use process_memory::{peak_bytes, resident_bytes};
 use serde_json::Value;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -17,10 +23,6 @@
 const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
 const CROWD_THREADS: usize = 4;
-const FIRST_REQUEST: &[u8] = b"GET /health/live HTTP/1.1\r\nHost: service.internal\r\n\r\n";
-const BODY_BYTES: usize = 64 * 1024;
-/// What the program's own code takes of the memory where it is compiled with optimisation.
-const OPTIMISED_CODE_BYTES: u64 = 8_000_000;
 
 /// Keeps the tests of this file apart: each needs most of the machine.
 fn run_alone() -> MutexGuard<'static, ()> {
@@ -37,109 +39,6 @@
     dispatcher
 }
 
-/// Whether the peer of a non-blocking connection has left it open. What it has sent is read into `received`.
-fn is_open(connection: &mut impl Read, received: &mut Vec<u8>) -> bool {
-    let mut buffer = [0; 512];
-    loop {
-        match connection.read(&mut buffer) {
-            Err(error) if error.kind() == ErrorKind::WouldBlock => return true,
-            Ok(length) if length > 0 => received.extend_from_slice(&buffer[..length]),
-            _ => return false,
-        }
-    }
-}
-
-/// What each client of a crowd sends before it stops.
-#[derive(Clone, Copy, Debug)]
-enum Part {
-    /// A head and half of the longest body.
-    HalfBody,
-    /// A head with 50 short fields, and all but a piece of the longest body.
-    ShortFields,
-    /// A head with 56 fields of 230 bytes, and all but a byte of the longest body.
-    LongFields,
-    /// 3,000 fields without an end of the head.
-    EndlessHead,
-    /// A complete request that is no message, and then as `ShortFields`.
-    SecondRequest,
-}
-
-fn head(id: &str, fields: &str, body_bytes: usize) -> String {
-    format!(
-        "POST /keyed HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: {id}\r\nRequest-Class: keyed\r\n\
-         Idempotency-Key: {id}\r\nRequest-Timeout-Ms: 1000\r\nX-Consignee: dest=7\r\n{fields}\
-         Content-Length: {body_bytes}\r\n\r\n"
-    )
-}
-
-fn request(part: Part, id: &str) -> Vec<u8> {
-    let fields = |count: usize, length: usize| -> String {
-        (0..count).map(|number| format!("x-{number:04}: {}\r\n", "v".repeat(length))).collect()
-    };
-    let (head, body_bytes) = match part {
-        Part::HalfBody => (head(id, "", BODY_BYTES), BODY_BYTES / 2),
-        Part::ShortFields => (head(id, &fields(50, 1), BODY_BYTES), 65_000),
-        Part::LongFields => (head(id, &fields(56, 220), BODY_BYTES), BODY_BYTES - 1),
-        Part::EndlessHead => (format!("POST /keyed HTTP/1.1\r\n{}", fields(3000, 1)), 0),
-        Part::SecondRequest => {
-            let second = request(Part::ShortFields, &format!("{id}s"));
-            return [FIRST_REQUEST, &second].concat();
-        }
-    };
-    [head.as_bytes(), &vec![b'b'; body_bytes]].concat()
-}
-
-/// A client of a crowd.
-struct CrowdClient {
-    stream: TcpStream,
-    /// What it sends before it waits for a response; empty if it does not wait.
-    first: usize,
-    bytes: Vec<u8>,
-    sent: usize,
-    answered: bool,
-}
-
-impl CrowdClient {
-    fn connect(address: SocketAddr, part: Part, id: &str) -> Option<CrowdClient> {
-        let stream = TcpStream::connect_timeout(&address, Duration::from_millis(200)).ok()?;
-        stream.set_nonblocking(true).expect("a socket");
-        let bytes = request(part, id);
-        let first = if matches!(part, Part::SecondRequest) { FIRST_REQUEST.len() } else { bytes.len() };
-        Some(CrowdClient { stream, first, bytes, sent: 0, answered: false })
-    }
-
-    /// Writes and reads what it can; false once the dispatcher has closed.
-    fn step(&mut self) -> bool {
-        let end = if self.answered { self.bytes.len() } else { self.first };
-        match self.stream.write(&self.bytes[self.sent..end]) {
-            Ok(length) => self.sent += length,
-            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-            Err(_) => return false,
-        }
-        let mut received = Vec::new();
-        let open = is_open(&mut self.stream, &mut received);
-        self.answered |= received.starts_with(b"HTTP/1.1 200");
-        open
-    }
-}
-
-/// Keeps `count` clients connected that stop within their requests; each that is closed connects again.
-fn hold(address: SocketAddr, part: Part, count: usize, ids: &AtomicUsize, stop: &AtomicBool) {
-    let connect = || {
-        let number = ids.fetch_add(1, Ordering::SeqCst);
-        CrowdClient::connect(address, part, &format!("crowd{number}"))
-    };
-    let mut clients: Vec<Option<CrowdClient>> = (0..count).map(|_| connect()).collect();
-    while !stop.load(Ordering::SeqCst) {
-        for client in &mut clients {
-            if !client.as_mut().is_some_and(CrowdClient::step) {
-                *client = connect();
-            }
-        }
-        thread::sleep(POLL_INTERVAL);
-    }
-}
-
 /// Submits small messages, one after another: `on_one_connection`, or each on a new one. Returns how long each took to be
 /// answered, if it was.
 fn submit_small(
@@ -160,7 +59,7 @@
 }
 
 fn submit_once(address: SocketAddr, kept: &mut Option<TcpStream>, id: &str) -> Option<()> {
-    let text = format!("{}x", head(id, "", 1));
+    let text = format!("{}x", head("keyed", id, "", 1));
     let is_new = kept.is_none();
     let mut stream = match kept.take() {
         Some(stream) => stream,
@@ -198,29 +97,6 @@
     crowd_connections: usize,
 }
 
-/// The memory that the process has used at most. The program's own code is larger without optimisation: then what an
-/// optimised one has of it takes its place.
-fn peak_bytes(process_id: u32) -> u64 {
-    memory_bytes(process_id, "VmHWM:")
-}
-
-/// As [`peak_bytes`], the memory that it uses now. A process that has ended uses none.
-fn resident_bytes(process_id: u32) -> u64 {
-    memory_bytes(process_id, "VmRSS:")
-}
-
-fn memory_bytes(process_id: u32, name: &str) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{process_id}/status")).unwrap_or_default();
-    let field = |name: &str| {
-        let line = status.lines().find_map(|line| line.strip_prefix(name))?;
-        Some(line.trim().trim_end_matches(" kB").parse::<u64>().expect("a number") * 1024)
-    };
-    match (field(name), field("RssFile:")) {
-        (Some(memory), Some(code)) if cfg!(debug_assertions) => memory - code + OPTIMISED_CODE_BYTES,
-        (memory, _) => memory.unwrap_or(0),
-    }
-}
-
 fn play(memory_mb: u64, part: Part, crowd: usize, length: Duration) -> Measured {
     let (endpoint, platform) = (Endpoint::start(|_, _| Reply::status(200)), Platform::start());
     let mut dispatcher = new_dispatcher(memory_mb, &platform, &[endpoint.list_entry("e", 7, "up")]);
