A list is read entry by entry, and its buffer is not kept

A list of 3.9 MB whose entries are no endpoints took a process to 54 MB (debug, code counted as 8 MB).

Cause: the entries of a list were kept as parsed JSON values of 32 bytes and more each, and the stream's buffer kept the capacity of the longest list for good.

--- a/crates/fawnspoke/tests/memory_limit/main.rs
+++ b/crates/fawnspoke/tests/memory_limit/main.rs
@@ -5,7 +5,7 @@
 mod soak;
 
 use crowd::{BODY_BYTES, Part, head, hold};
-use fawnspoke_lab::blocking::{Dispatcher, Endpoint, Platform, Reply, draining_endpoint};
+use fawnspoke_lab::blocking::{Dispatcher, Endpoint, Platform, Reply, draining_endpoint, eventually};
 use process_memory::{peak_bytes, resident_bytes};
 use serde_json::Value;
 use std::io::{ErrorKind, Read, Write};
@@ -214,6 +214,23 @@
     }
 }
 
+/// Guards against a list whose entries take many times the bytes in which they arrive.
+#[test]
+fn a_long_list_stays_within_the_memory_limit() {
+    let _alone = run_alone();
+    let (endpoint, platform) = (Endpoint::start(|_, _| Reply::status(200)), Platform::start());
+    let mut dispatcher = new_dispatcher(LEAST_MEMORY_MB, &platform, &[draining_endpoint(7)]);
+    dispatcher.start();
+    let entries = "[],".repeat(1_300_000);
+    platform.push_line(&format!("{{\"seq\":2,\"whole\":false,\"hosts\":[{entries}[]]}}"));
+    platform.push_changes(3, &[endpoint.list_entry("e", 7, "up")]);
+    dispatcher.submit_once_listed("safe", "m1", 7);
+    eventually("the call", || endpoint.message_ids() == ["m1"]);
+    let peak = peak_bytes(dispatcher.process_id().expect("a process"));
+    println!("a list of 3.9 MB: peak {:.1} MB", peak as f64 / 1e6);
+    assert!(peak <= LEAST_MEMORY_MB * 1_000_000, "{peak} bytes");
+}
+
 /// Guards against two processes of an upgrade that each use the whole of the memory limit that they share.
 #[test]
 fn both_processes_of_an_upgrade_stay_within_the_memory_limit() {
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -2,9 +2,11 @@
 
 use crate::config::Config;
 use crate::log;
-use serde::{Deserialize, Serialize};
-use serde_json::Value;
+use serde::de::{SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer, Serialize};
+use serde_json::value::RawValue;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::fmt;
 use std::net::SocketAddr;
 use waydoor::{DestinationId, EndpointEntry, EndpointId, EndpointState, Event};
 
@@ -79,7 +81,8 @@
     pub seq: u64,
     /// Whether endpoints that are not in `hosts` are gone.
     whole: bool,
-    hosts: Vec<Value>,
+    #[serde(deserialize_with = "parse_hosts")]
+    hosts: Vec<Host>,
 }
 
 /// An entry of the list.
@@ -99,6 +102,33 @@
     rate: f64,
 }
 
+/// Reads the entries of a list one by one, and skips those that are invalid: of an entry that is not one only the text is
+/// kept in memory.
+fn parse_hosts<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<Host>, D::Error> {
+    struct Hosts;
+
+    impl<'de> Visitor<'de> for Hosts {
+        type Value = Vec<Host>;
+
+        fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+            formatter.write_str("an array of entries")
+        }
+
+        fn visit_seq<A: SeqAccess<'de>>(self, mut entries: A) -> Result<Vec<Host>, A::Error> {
+            let mut hosts = Vec::new();
+            while let Some(entry) = entries.next_element::<&RawValue>()? {
+                match serde_json::from_str(entry.get()) {
+                    Ok(host) => hosts.push(host),
+                    Err(error) => log::info_limited(format_args!("discovery: entry skipped: {error}")),
+                }
+            }
+            Ok(hosts)
+        }
+    }
+
+    deserializer.deserialize_seq(Hosts)
+}
+
 #[derive(Clone, Copy, Deserialize, PartialEq)]
 #[serde(rename_all = "snake_case")]
 enum Health {
@@ -212,14 +242,7 @@
         let mut entries = Vec::new();
         let mut listed_ids = Vec::new();
         let previous = self.endpoints.clone();
-        for value in list.hosts {
-            let host = match Host::deserialize(&value) {
-                Ok(host) => host,
-                Err(error) => {
-                    log::info_limited(format_args!("discovery: entry skipped: {error}"));
-                    continue;
-                }
-            };
+        for host in list.hosts {
             let Some(kind) = kinds.iter().position(|kind| *kind == host.kind) else {
                 log::info_limited(format_args!(
                     "discovery: entry skipped: {} has an unknown class",
@@ -310,6 +333,11 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use serde_json::{Value, json};
+
+    fn parse(list: &Value) -> List {
+        serde_json::from_str(&list.to_string()).unwrap()
+    }
 
     /// Name, port, destination and health.
     type HostFixture<'a> = (&'a str, u16, u32, &'a str);
@@ -321,8 +349,8 @@
                 serde_json::json!({"host": host, "dial": format!("127.0.0.1:{port}"), "site": "a",
                     "class": "k", "block": block, "health": health, "share": 1.0})
             });
-            let list = List { seq: i as u64, whole: *whole, hosts: hosts.collect() };
-            directory.apply(list, &["k".into()], &["a".into()], &|_| false).0
+            let list = json!({"seq": i, "whole": whole, "hosts": hosts.collect::<Vec<_>>()});
+            directory.apply(parse(&list), &["k".into()], &["a".into()], &|_| false).0
         });
         let events = events.collect();
         (directory, events)
@@ -349,6 +377,15 @@
         }
     }
 
+    #[test]
+    fn an_invalid_entry_is_skipped() {
+        let valid = json!({"host": "one", "dial": "127.0.0.1:1", "site": "a", "class": "k", "block": 7,
+            "health": "up", "share": 1.0});
+        let list = json!({"seq": 1, "whole": true, "hosts": [[], {}, valid, 5, {"host": "two"}]});
+        assert_eq!(parse(&list).hosts.len(), 1);
+        assert!(serde_json::from_str::<List>("{\"seq\":1,\"whole\":true,\"hosts\":{}}").is_err());
+    }
+
     #[test]
     fn a_host_with_a_new_destination_is_a_new_endpoint() {
         let (directory, events) =
@@ -369,8 +406,8 @@
         assert_eq!((directory.ids_by_name.len(), directory.endpoints.len()), (10, 10));
         let gone = serde_json::json!({"host": "host-199", "dial": "127.0.0.1:9", "site": "a", "class": "k",
             "block": 7, "health": "removed", "share": 1.0});
-        let list = List { seq: 300, whole: false, hosts: vec![gone] };
-        let (_, unusable) = directory.apply(list, &["k".into()], &["a".into()], &|_| false);
+        let list = json!({"seq": 300, "whole": false, "hosts": [gone]});
+        let (_, unusable) = directory.apply(parse(&list), &["k".into()], &["a".into()], &|_| false);
         assert_eq!((directory.ids_by_name.len(), directory.endpoints.len(), unusable.len()), (9, 9, 1));
     }
 }
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -219,6 +219,10 @@
             consumed = values.byte_offset();
         }
         self.buffer.drain(..consumed);
+        // A long list comes once; its buffer is not kept for the short ones that follow.
+        if self.buffer.len() <= MAX_REPARSED_BYTES {
+            self.buffer.shrink_to(MAX_REPARSED_BYTES);
+        }
         if consumed > 0 || self.buffer.trim_ascii_start().is_empty() {
             self.complete_by = None;
         }
