A caller at a member's address may announce no more than a hello

Cause: up to 64 callers at a time were allowed packets of 1 MiB before their hello was read: a bound in callers instead of bytes.

Change: 16 KiB until the other side is known as a member, 1 MiB from then on.

--- a/crates/cluster/src/connections.rs
+++ b/crates/cluster/src/connections.rs
@@ -39,6 +39,8 @@
     AdmissionLimits { max_callers: 64, min_time: Duration::from_millis(50) };
 /// Maximum number of accepted connections that have not completed their hello, with the one that is being accepted.
 pub const MAX_PENDING_CONNECTIONS: usize = PENDING_LIMITS.max_callers + 1;
+/// Longest hello. A caller that is not known yet can take no more memory than that.
+const MAX_HELLO_BYTES: usize = 16 << 10;
 /// A connection on which nothing arrives for this many lease terms is closed.
 const READ_TIMEOUT_TERMS: f64 = 4.0;
 
@@ -144,10 +146,11 @@
     hello: Rc<RefCell<Option<Hello>>>,
 }
 
+/// Frames packets up to the length of a hello: anybody may have connected.
 fn frame_packets(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
     // Frames are small, and the other side waits for them.
     let _ = stream.set_nodelay(true);
-    LengthDelimitedCodec::builder().max_frame_length(MAX_PACKET_BYTES).new_framed(stream)
+    LengthDelimitedCodec::builder().max_frame_length(MAX_HELLO_BYTES).new_framed(stream)
 }
 
 impl Connections {
@@ -318,9 +321,10 @@
 
     /// Sends and receives frames until either side closes the connection.
     async fn exchange_frames(
-        &self, id: MemberId, own_id: MemberId, framed: Framed<TcpStream, LengthDelimitedCodec>,
+        &self, id: MemberId, own_id: MemberId, mut framed: Framed<TcpStream, LengthDelimitedCodec>,
         connection: &Connection, mut packets: Receiver<QueuedPacket>,
     ) {
+        framed.codec_mut().set_max_frame_length(MAX_PACKET_BYTES);
         let _guard = ClosedGuard { connections: self.clone(), id, number: connection.number };
         let (mut sink, mut source) = framed.split::<Bytes>();
         let read_timeout = Duration::from_secs_f64(READ_TIMEOUT_TERMS * self.config.term_s);
--- a/crates/fawnspoke/tests/fleet/callers.rs
+++ b/crates/fawnspoke/tests/fleet/callers.rs
@@ -115,3 +115,34 @@
     // Fewer than may be pending.
     join_beside_callers(fleet, 20);
 }
+
+/// Guards against callers that take as much memory as members may before it is known whether they are one.
+#[test]
+fn callers_that_announce_a_long_hello_cost_little_memory() {
+    const CALLERS: usize = 60;
+    const ANNOUNCED_BYTES: u32 = 1_000_000;
+    const MAX_GROWTH_KB: u64 = 8_000;
+    let fleet = start_voter();
+    let voter = &fleet.members.dispatchers[0];
+    let address = member_address(voter);
+    let resident_kb = || fawnspoke_lab::process::resident_kb(voter.process_id().expect("a process"));
+    let before = resident_kb().expect("a running process");
+    let bytes = [&ANNOUNCED_BYTES.to_be_bytes()[..], &vec![b'x'; 900_000]].concat();
+    let mut most = before;
+    for _ in 0..5 {
+        thread::scope(|scope| {
+            for _ in 0..CALLERS {
+                scope.spawn(|| {
+                    let mut stream = TcpStream::connect(address).expect("a connection");
+                    stream.set_write_timeout(Some(Duration::from_millis(300))).expect("a socket");
+                    let _ = stream.write_all(&bytes);
+                    thread::sleep(Duration::from_millis(300));
+                });
+            }
+            thread::sleep(Duration::from_millis(250));
+            most = most.max(resident_kb().expect("a running process"));
+        });
+    }
+    println!("{before} kB before, {most} kB beside {CALLERS} callers");
+    assert!(most <= before + MAX_GROWTH_KB, "{before} kB before, {most} kB");
+}
