What the old process says of its endpoints is not used where they are numbered anew

After an upgrade with other settings a message for one destination was written to a connection that had been opened to another endpoint, which had stood at the same address before.

The old process passes its idle connections on by its own numbers, and only number and address were compared. Waits, probes' ends and surplus responses that followed were applied to another endpoint in the same way. Class: an identity by number or address that another process gave.

Change: idle connections and completions are ignored unless the state that numbers the endpoints was handed over. Calls are aborted in such an upgrade, and it is a restart in all else, which ends waits.

--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -280,6 +280,8 @@
     let stream =
         descriptor.and_then(|descriptor| TcpStream::from_std(std::net::TcpStream::from(descriptor)).ok());
     match (frame, stream) {
+        // The numbers of its endpoints are another process's: a new process that starts from the journal numbers them anew.
+        (SenderFrame::IdleConnection { .. } | SenderFrame::CallCompleted(_), _) if !node.adopted_state => {}
         (SenderFrame::Client { partial_request, waited_ms }, Some(stream)) => {
             if let Err(error) = receive_client(node, stream, partial_request, waited_ms).await {
                 log::info_limited(format_args!("handover: client connection: {error}"));
