Floods of small, invalid and ever new requests beside small messages are played

Change: memory_limit::floods plays seven kinds with four clients at full speed for 3 s each, on the clients' and the control port, at 32 MB. No change of the program.

--- a/crates/fawnspoke/tests/memory_limit/main.rs
+++ b/crates/fawnspoke/tests/memory_limit/main.rs
@@ -1,6 +1,7 @@
 //! Crowds of clients whose requests stay incomplete, beside clients with small requests, where memory is short.
 
 mod crowd;
+mod floods;
 mod process_memory;
 mod soak;
 
