In a crowd the connections to close are found once in 10 ms, not for each new client

Cause: each new connection at the limit looked at all connections four times, to count idle ones and to find the one to close. A profile of the debug build shows a full core, most of it in these loops; fewer connections were freed than callers came back, and the listener's queue grew to 0.5 s.

Change: the candidates are found and sorted once, and used for 10 ms, each checked again before it is closed; idle connections and those being closed are counted as they change.

--- a/crates/node/src/client_connection.rs
+++ b/crates/node/src/client_connection.rs
@@ -7,6 +7,7 @@
 use crate::transfer::Transfer;
 use hyper::body::Bytes;
 use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -18,6 +19,9 @@
 const ABANDONED_RESPONSE: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
+/// The number of idle connections, which each connection keeps up to date.
+pub type IdleCount = Rc<Cell<usize>>;
+
 /// A client connection.
 pub struct ClientConnection {
     pub stream: SharedStream,
@@ -51,11 +55,21 @@
     /// Whether that is for another client, which waits for its place.
     evicted: Cell<bool>,
     pub close_requested: Notify,
+    idle_count: IdleCount,
+    /// Whether it is part of that count.
+    counts_as_idle: Cell<bool>,
+}
+
+impl Drop for ClientConnection {
+    fn drop(&mut self) {
+        self.closing.set(true);
+        self.update_idle_count();
+    }
 }
 
 impl ClientConnection {
     /// A new connection, on which a request is expected.
-    pub fn new(stream: SharedStream) -> ClientConnection {
+    pub fn new(stream: SharedStream, idle_count: IdleCount) -> ClientConnection {
         let now = Instant::now();
         ClientConnection {
             stream,
@@ -74,16 +88,34 @@
             closing: Cell::new(false),
             evicted: Cell::new(false),
             close_requested: Notify::new(),
+            idle_count,
+            counts_as_idle: Cell::new(false),
         }
     }
 
     /// A connection of the previous process, which has awaited the rest of a request since `request_since`.
-    pub fn adopted(stream: SharedStream, request_since: Option<Instant>) -> ClientConnection {
-        let client = ClientConnection::new(stream);
-        client.request_since.set(request_since);
+    pub fn adopted(
+        stream: SharedStream, idle_count: IdleCount, request_since: Option<Instant>,
+    ) -> ClientConnection {
+        let client = ClientConnection::new(stream, idle_count);
+        client.set_request_since(request_since);
         client
     }
 
+    fn set_request_since(&self, request_since: Option<Instant>) {
+        self.request_since.set(request_since);
+        self.update_idle_count();
+    }
+
+    fn update_idle_count(&self) {
+        let is_idle = self.is_idle();
+        match (self.counts_as_idle.replace(is_idle), is_idle) {
+            (false, true) => self.idle_count.set(self.idle_count.get() + 1),
+            (true, false) => self.idle_count.set(self.idle_count.get() - 1),
+            _ => {}
+        }
+    }
+
     /// What has arrived after the request. Clients send one request at a time: if more follows, the request's length is
     /// wrong, or it hides another request. The end of the input may be a half close: only writing the response shows
     /// whether the client is gone.
@@ -118,6 +150,7 @@
     /// Decides to close it.
     pub fn close(&self) {
         self.closing.set(true);
+        self.update_idle_count();
         self.close_requested.notify_one();
     }
 
@@ -185,7 +218,7 @@
             self.response_started.set(false);
         }
         self.last_active_at.set(now);
-        self.request_since.set(self.request_since.get().or(Some(now)));
+        self.set_request_since(self.request_since.get().or(Some(now)));
         request.receive(bytes);
     }
 
@@ -205,7 +238,7 @@
         self.last_response.set(is_last);
         self.is_answered.set(true);
         self.last_active_at.set(Instant::now());
-        self.request_since.set(None);
+        self.set_request_since(None);
     }
 
     /// Whether the request has its response, which may not be written yet.
@@ -234,7 +267,7 @@
         request.finish_request();
         if !request.is_empty() {
             self.response_started.set(false);
-            self.request_since.set(Some(Instant::now()));
+            self.set_request_since(Some(Instant::now()));
         }
         self.lease.take();
     }
--- a/crates/node/src/client_connections.rs
+++ b/crates/node/src/client_connections.rs
@@ -2,12 +2,11 @@
 //! for the memory that its request holds.
 
 use crate::client_closes::{CloseCounters, CloseReason};
-use crate::client_connection::ClientConnection;
+use crate::client_connection::{ClientConnection, IdleCount};
 use crate::request_memory::RequestMemory;
-use crate::stream::Unread;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
-use std::rc::Rc;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::sync::{Notify, Semaphore};
 use tokio::task::yield_now;
@@ -15,6 +14,8 @@
 
 /// A client whose request is expected or arrives keeps its connection and memory for this long, while others wait for them.
 const MIN_REQUEST_TIME: Duration = Duration::from_millis(100);
+/// How long the connections that may be closed are known without another look at all connections.
+const QUEUE_VALIDITY: Duration = Duration::from_millis(10);
 /// Delay before another attempt to close a connection where all have unread input.
 const READ_DELAY: Duration = Duration::from_millis(1);
 /// Requests that are answered at a time. Each has the buffers of the HTTP library.
@@ -30,6 +31,10 @@
     pub memory: RequestMemory,
     /// Limits the requests that are answered at a time.
     pub responses: Semaphore,
+    idle_count: IdleCount,
+    /// Connections that are being closed for another client.
+    evicting: Cell<usize>,
+    eviction_queue: RefCell<EvictionQueue>,
     /// Notified when a connection has ended or become idle.
     changed: Notify,
 }
@@ -45,6 +50,87 @@
     Nothing,
 }
 
+/// Why a connection may be closed for another client.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Candidacy {
+    /// It is idle, and was last active then.
+    Idle(Instant),
+    /// Its request has been expected or incomplete since then.
+    Waiting(Instant),
+}
+
+impl Candidacy {
+    /// The current one of a connection, if it has one.
+    fn of(client: &ClientConnection) -> Option<Candidacy> {
+        if client.is_closing() {
+            return None;
+        }
+        Some(match client.request_since() {
+            Some(since) => Candidacy::Waiting(since),
+            None => Candidacy::Idle(client.last_active_at()),
+        })
+    }
+}
+
+/// The connections that may be closed for another client, the next one first. Finding them takes a look at all
+/// connections, and in a crowd each new connection needs one, so the result is used for a moment.
+#[derive(Default)]
+struct EvictionQueue {
+    found_at: Option<Instant>,
+    candidates: VecDeque<(Candidacy, Weak<ClientConnection>)>,
+}
+
+impl EvictionQueue {
+    /// Looks at all connections: idle ones come first, then those of the larger group, whose request is expected or arrives.
+    fn find(open: &BTreeMap<u64, Rc<ClientConnection>>, now: Instant) -> EvictionQueue {
+        let (mut idle, mut arriving, mut expected) = (Vec::new(), Vec::new(), Vec::new());
+        for client in open.values() {
+            match Candidacy::of(client) {
+                Some(Candidacy::Idle(since)) => idle.push((since, client)),
+                Some(Candidacy::Waiting(since)) if client.has_unanswered_request() => {
+                    arriving.push((since, client))
+                }
+                Some(Candidacy::Waiting(since)) => expected.push((since, client)),
+                None => {}
+            }
+        }
+        let mut waiting = if arriving.len() > expected.len() { arriving } else { expected };
+        idle.sort_by_key(|(since, _)| *since);
+        waiting.sort_by_key(|(since, _)| *since);
+        let idle = idle.into_iter().map(|(since, client)| (Candidacy::Idle(since), Rc::downgrade(client)));
+        let waiting =
+            waiting.into_iter().map(|(since, client)| (Candidacy::Waiting(since), Rc::downgrade(client)));
+        EvictionQueue { found_at: Some(now), candidates: idle.chain(waiting).collect() }
+    }
+
+    fn is_current(&self, now: Instant) -> bool {
+        self.found_at.is_some_and(|at| at + QUEUE_VALIDITY > now)
+    }
+
+    /// Takes the next connection that may be closed now.
+    fn next(&mut self, now: Instant) -> Result<(CloseReason, Rc<ClientConnection>), Eviction> {
+        while let Some((candidacy, client)) = self.candidates.pop_front() {
+            let Some(client) = client.upgrade().filter(|client| Candidacy::of(client) == Some(candidacy))
+            else {
+                continue;
+            };
+            let reason = match candidacy {
+                Candidacy::Idle(_) => CloseReason::IdleDisplaced,
+                Candidacy::Waiting(since) if since + MIN_REQUEST_TIME > now => {
+                    self.candidates.push_front((candidacy, Rc::downgrade(&client)));
+                    return Err(Eviction::NotBefore(since + MIN_REQUEST_TIME));
+                }
+                Candidacy::Waiting(_) => CloseReason::Displaced,
+            };
+            // Closing it would lose what is read in the next turn.
+            if client.is_read_up() {
+                return Ok((reason, client));
+            }
+        }
+        Err(Eviction::Nothing)
+    }
+}
+
 impl ClientConnections {
     /// Without connections; with this memory for requests, in bytes.
     pub fn new(request_bytes: u64) -> ClientConnections {
@@ -54,6 +140,9 @@
             closes: CloseCounters::default(),
             memory: RequestMemory::new(request_bytes),
             responses: Semaphore::new(MAX_RESPONSES),
+            idle_count: IdleCount::default(),
+            evicting: Cell::new(0),
+            eviction_queue: RefCell::default(),
             changed: Notify::new(),
         }
     }
@@ -68,7 +157,10 @@
 
     /// Removes a connection that has ended.
     pub fn remove(&self, number: u64) {
-        self.open.borrow_mut().remove(&number);
+        let removed = self.open.borrow_mut().remove(&number);
+        if removed.is_some_and(|client| client.is_evicted()) {
+            self.evicting.set(self.evicting.get() - 1);
+        }
         self.connection_changed();
     }
 
@@ -99,21 +191,24 @@
         self.open.borrow().values().filter(|client| client.is_awaiting_response()).count()
     }
 
-    /// Number of connections on which no request is expected or in progress.
-    pub fn idle_count(&self) -> usize {
-        self.open.borrow().values().filter(|client| client.is_idle()).count()
+    /// The number of idle connections, for new ones.
+    pub fn idle_count(&self) -> IdleCount {
+        self.idle_count.clone()
     }
 
-    /// Closes the idle connection that has been silent for the longest, and returns it.
-    pub fn close_idle(&self) -> Option<Rc<ClientConnection>> {
+    /// Closes the idle connection that has been silent for the longest, if there are more than `max_idle`.
+    pub fn limit_idle(&self, max_idle: usize) {
+        if self.idle_count.get() <= max_idle {
+            return;
+        }
         let open = self.open.borrow();
         let mut idle: Vec<&Rc<ClientConnection>> = open.values().filter(|client| client.is_idle()).collect();
         idle.sort_by_key(|client| client.last_active_at());
         // Closing it would lose a request that has not been read yet.
-        let oldest = idle.into_iter().find(|client| client.stream.unread() != Unread::Bytes)?;
-        self.closes.add(CloseReason::IdleDisplaced);
-        oldest.close();
-        Some(oldest.clone())
+        if let Some(oldest) = idle.into_iter().find(|client| client.is_read_up()) {
+            self.closes.add(CloseReason::IdleDisplaced);
+            oldest.close();
+        }
     }
 
     /// Closes a connection for another client: an idle one, or else one of the larger group, those whose request is
@@ -124,33 +219,30 @@
     }
 
     fn evict_connection(&self, now: Instant) -> Eviction {
-        if self.open.borrow().values().any(|client| client.is_evicted()) {
+        if self.evicting.get() > 0 {
             return Eviction::InProgress;
         }
-        if let Some(client) = self.close_idle() {
-            client.evict();
-            return Eviction::InProgress;
+        let mut queue = self.eviction_queue.borrow_mut();
+        let mut next = Err(Eviction::Nothing);
+        if queue.is_current(now) {
+            next = queue.next(now);
         }
-        let open = self.open.borrow();
-        let waiting = open.values().filter(|client| !client.is_closing());
-        let waiting = waiting.filter_map(|client| Some((client.request_since()?, client)));
-        let (arriving, expected): (Vec<_>, Vec<_>) =
-            waiting.partition(|(_, client)| client.has_unanswered_request());
-        let mut larger_group = if arriving.len() > expected.len() { arriving } else { expected };
-        larger_group.sort_by_key(|(since, _)| *since);
-        for (since, client) in larger_group {
-            let evictable_at = since + MIN_REQUEST_TIME;
-            if evictable_at > now {
-                return Eviction::NotBefore(evictable_at);
-            }
-            if client.is_read_up() {
-                self.closes.add(CloseReason::Displaced);
+        if matches!(next, Err(Eviction::Nothing)) {
+            *queue = EvictionQueue::find(&self.open.borrow(), now);
+            next = queue.next(now);
+        }
+        match next {
+            Ok((reason, client)) => {
+                self.closes.add(reason);
+                self.evicting.set(self.evicting.get() + 1);
                 client.evict();
-                return Eviction::InProgress;
+                Eviction::InProgress
             }
+            // By then another connection may have become idle.
+            Err(Eviction::NotBefore(at)) => Eviction::NotBefore(at.min(now + QUEUE_VALIDITY)),
+            // What has arrived on all of them is read in the next turn.
+            Err(_) => Eviction::NotBefore(now + READ_DELAY),
         }
-        // What has arrived on all of them is read in the next turn.
-        Eviction::NotBefore(now + READ_DELAY)
     }
 
     /// Waits until no more connections are open than are allowed, and closes some for that. New clients wait in the
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -50,13 +50,12 @@
         if accepted.as_ref().is_err_and(is_out_of_descriptors) {
             node.clients.evict(Instant::now());
         }
-        if node.clients.idle_count() > max_idle {
-            node.clients.close_idle();
-        }
+        node.clients.limit_idle(max_idle);
         match accepted {
             Ok(stream) => {
                 // It counts from here on: more connections may be accepted before its task has run.
-                let (number, client) = node.clients.add(ClientConnection::new(stream));
+                let client = ClientConnection::new(stream, node.clients.idle_count());
+                let (number, client) = node.clients.add(client);
                 spawn_local(serve_connection(node.clone(), number, client, Vec::new()));
                 node.clients.make_room(max_connections).await;
             }
@@ -78,7 +77,8 @@
     node: &Rc<Node>, stream: TcpStream, partial_request: Vec<u8>, waited_ms: Option<u32>,
 ) -> io::Result<()> {
     let request_since = waited_ms.and_then(|ms| Instant::now().checked_sub(Duration::from_millis(ms.into())));
-    let client = ClientConnection::adopted(SharedStream::new(stream)?, request_since);
+    let stream = SharedStream::new(stream)?;
+    let client = ClientConnection::adopted(stream, node.clients.idle_count(), request_since);
     let (number, client) = node.clients.add(client);
     spawn_local(serve_connection(node.clone(), number, client, partial_request));
     // The previous process had as many connections as are allowed, and this one may have accepted others already.
