--- a/crates/fawnspoke/tests/sockets/departures.rs
+++ b/crates/fawnspoke/tests/sockets/departures.rs
@@ -13,15 +13,18 @@
 
 const READ_TIMEOUT: Duration = Duration::from_millis(450);
 const CLIENTS: u64 = 4;
+/// A body that is read in many pieces.
+const LONG_BODY_BYTES: usize = 60_000;
 /// Time between two upgrades; the old process is told to end when the new one is ready.
 const UPGRADE_INTERVAL: Duration = Duration::from_millis(300);
 const UPGRADES: usize = 6;
 
-fn request(id: &str) -> String {
-    format!(
+fn request(id: &str, body_bytes: usize) -> String {
+    let head = format!(
         "POST /unsafe HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: {id}\r\nRequest-Class: unsafe\r\n\
-         Request-Timeout-Ms: 9000\r\nX-Consignee: dest=7\r\nContent-Length: 1\r\n\r\nx"
-    )
+         Request-Timeout-Ms: 9000\r\nX-Consignee: dest=7\r\nContent-Length: {body_bytes}\r\n\r\n"
+    );
+    head + &"x".repeat(body_bytes)
 }
 
 fn connect(address: SocketAddr) -> TcpStream {
@@ -37,9 +40,8 @@
 }
 
 /// Sends a message and leaves in one of several ways, before the answer or right behind it.
-fn send_and_leave(address: SocketAddr, id: &str, rng: &mut fastrand::Rng) {
+fn send_and_leave(address: SocketAddr, text: &str, rng: &mut fastrand::Rng) {
     let mut stream = connect(address);
-    let text = request(id);
     let _ = match rng.u32(..5) {
         0 => stream.write_all(format!("{text}{text}").as_bytes()),
         1 => stream.write_all(&text.as_bytes()[..text.len() - 1]),
@@ -54,12 +56,12 @@
 }
 
 /// Sends a message until it is accepted, or reported as failed.
-fn send_until_accepted(address: SocketAddr, id: &str, until: Instant) {
+fn send_until_accepted(address: SocketAddr, text: &str, until: Instant) {
     while Instant::now() < until {
         let Ok(mut stream) = TcpStream::connect(address) else { continue };
         stream.set_read_timeout(Some(READ_TIMEOUT)).expect("a socket");
         let mut response = [0; 512];
-        let read = stream.write_all(request(id).as_bytes()).and_then(|()| stream.read(&mut response));
+        let read = stream.write_all(text.as_bytes()).and_then(|()| stream.read(&mut response));
         if read.is_ok() && (response.starts_with(b"HTTP/1.1 202") || response.starts_with(b"HTTP/1.1 409")) {
             return;
         }
@@ -72,7 +74,7 @@
 }
 
 /// Clients leave and send their messages again, while `disturb` runs; each message runs at most once.
-fn play(seed: u64, disturb: impl FnOnce(&mut Dispatcher)) {
+fn play(seed: u64, body_bytes: usize, disturb: impl FnOnce(&mut Dispatcher)) {
     let (endpoint, platform) = (Endpoint::start(|_, _| Reply::status(200)), Platform::start());
     let mut dispatcher = Dispatcher::new(&platform, &[endpoint.list_entry("e", 7, "up")]);
     let address = free_address();
@@ -86,8 +88,9 @@
             let mut count = 0;
             while !stop.load(Ordering::SeqCst) {
                 let id = format!("left{client}-{count}");
-                send_and_leave(address, &id, &mut rng);
-                send_until_accepted(address, &id, Instant::now() + Duration::from_secs(2));
+                let text = request(&id, body_bytes);
+                send_and_leave(address, &text, &mut rng);
+                send_until_accepted(address, &text, Instant::now() + Duration::from_secs(2));
                 count += 1;
             }
             count
@@ -113,14 +116,14 @@
 /// Guards against a message that runs again because its client left before the answer and sent it once more.
 #[test]
 fn an_id_that_comes_again_after_its_client_left_runs_once() {
-    play(1, |_| thread::sleep(Duration::from_secs(3)));
+    play(1, 1, |_| thread::sleep(Duration::from_secs(3)));
 }
 
 /// The same at the other process of an upgrade.
 #[test]
 fn an_id_that_comes_again_at_the_other_process_of_an_upgrade_runs_once() {
-    for seed in 2..5 {
-        play(seed, |dispatcher| {
+    for (seed, body_bytes) in [(2, 1), (3, 1), (4, LONG_BODY_BYTES), (5, LONG_BODY_BYTES)] {
+        play(seed, body_bytes, |dispatcher| {
             let mut old_processes = Vec::new();
             for _ in 0..UPGRADES {
                 thread::sleep(UPGRADE_INTERVAL);
@@ -143,10 +146,10 @@
     let dispatcher = Dispatcher::started(&platform, &[endpoint.list_entry("e", 7, "up")]);
     let address = dispatcher.client_address();
     for round in 0..40 {
-        let text: String = (0..50).map(|number| request(&format!("r{round}-{number}"))).collect();
+        let text: String = (0..50).map(|number| request(&format!("r{round}-{number}"), 1)).collect();
         let mut stream = connect(address);
         // The pieces end within a request, at its end, or behind it.
-        let cut = [text.len(), 300, request("r0-0").len(), 4096][round % 4].min(text.len());
+        let cut = [text.len(), 300, request("r0-0", 1).len(), 4096][round % 4].min(text.len());
         let _ = stream.write_all(&text.as_bytes()[..cut]);
         thread::sleep(Duration::from_micros(500 * (round as u64 % 3)));
         let _ = stream.write_all(&text.as_bytes()[cut..]);
--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -5,6 +5,7 @@
 use crate::client_connection::ClientConnection;
 use crate::log;
 use crate::memory_plan::MESSAGE_OVERHEAD_BYTES;
+use crate::serving::Phase;
 use crate::size_limits::MAX_BODY_BYTES;
 use crate::stream::Unread;
 use fawnspoke_control::metrics;
@@ -83,6 +84,11 @@
         Ok(None) => return respond(StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB\n"),
         Err(error) => return respond(StatusCode::BAD_REQUEST, format!("body: {error}\n")),
     };
+    // A hand-over may have begun while the body was read. If this process then owns the journal no more, the other one gets
+    // the request.
+    if node.serving_state.phase() != Phase::Serving {
+        node.serving_state.wait_for(|phase| phase == Phase::Serving).await;
+    }
     let trailing = client.trailing_input();
     let Some(body) = client.body(length).filter(|_| trailing != Unread::Bytes) else {
         return respond(StatusCode::BAD_REQUEST, "one request at a time, as long as it says\n");
