Few connections are given to each client of a crowd for a shorter time

Cause: each client keeps its connection for 0.1 s while others wait, however few connections there are: at 115 of them a queue of 800 takes 0.7 s.

Change: below 400 connections the time is shorter in proportion, 20 ms at the least.

--- a/crates/fawnspoke/tests/memory_limit/main.rs
+++ b/crates/fawnspoke/tests/memory_limit/main.rs
@@ -19,6 +19,8 @@
 
 /// Least memory that a dispatcher is given, in megabytes of 10^6 bytes.
 const LEAST_MEMORY_MB: u64 = 32;
+/// The least memory whose shares stay within the limit.
+const LEAST_DIVIDED_MEMORY_MB: u64 = 22;
 /// A client waits this long for its response (protocol page); on sockets each limit is 50 ms longer.
 const RESPONSE_LIMIT: Duration = Duration::from_millis(450);
 const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
@@ -153,6 +155,7 @@
     {
         check(LEAST_MEMORY_MB, part, 900);
     }
+    check(LEAST_DIVIDED_MEMORY_MB, Part::ShortFields, 900);
 }
 
 /// Waits until the figure of `memory` has been read for `length`, and returns its highest value.
--- a/crates/node/src/client_connections.rs
+++ b/crates/node/src/client_connections.rs
@@ -12,8 +12,13 @@
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, sleep_until};
 
-/// A client whose request is expected or arrives keeps its connection and memory for this long, while others wait for them.
+/// A client whose request is expected or arrives keeps its connection and memory for this long, while others wait for them,
+/// where there are [`FULL_TIME_CONNECTIONS`] or more. With fewer connections the time is shorter in proportion, or a crowd's
+/// queue would take longer than a client waits.
 const MIN_REQUEST_TIME: Duration = Duration::from_millis(100);
+const FULL_TIME_CONNECTIONS: usize = 400;
+/// The shortest such time: a request that is written at once has arrived by then.
+const LEAST_REQUEST_TIME: Duration = Duration::from_millis(20);
 /// How long the connections that may be closed are known without another look at all connections.
 const QUEUE_VALIDITY: Duration = Duration::from_millis(10);
 /// Delay before another attempt to close a connection where all have unread input.
@@ -31,6 +36,8 @@
     pub memory: RequestMemory,
     /// Limits the requests that are answered at a time.
     pub responses: Semaphore,
+    /// How long a client keeps its connection and memory while others wait for them.
+    min_request_time: Duration,
     idle_count: IdleCount,
     /// Connections that are being closed for another client.
     evicting: Cell<usize>,
@@ -50,6 +57,12 @@
     Nothing,
 }
 
+/// How long a client keeps its connection and memory while others wait for them.
+fn min_request_time(max_connections: usize) -> Duration {
+    let share = max_connections.min(FULL_TIME_CONNECTIONS) as f64 / FULL_TIME_CONNECTIONS as f64;
+    MIN_REQUEST_TIME.mul_f64(share).max(LEAST_REQUEST_TIME)
+}
+
 /// Why a connection may be closed for another client.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Candidacy {
@@ -108,7 +121,9 @@
     }
 
     /// Takes the next connection that may be closed now.
-    fn next(&mut self, now: Instant) -> Result<(CloseReason, Rc<ClientConnection>), Eviction> {
+    fn next(
+        &mut self, now: Instant, min_request_time: Duration,
+    ) -> Result<(CloseReason, Rc<ClientConnection>), Eviction> {
         while let Some((candidacy, client)) = self.candidates.pop_front() {
             let Some(client) = client.upgrade().filter(|client| Candidacy::of(client) == Some(candidacy))
             else {
@@ -116,9 +131,9 @@
             };
             let reason = match candidacy {
                 Candidacy::Idle(_) => CloseReason::IdleDisplaced,
-                Candidacy::Waiting(since) if since + MIN_REQUEST_TIME > now => {
+                Candidacy::Waiting(since) if since + min_request_time > now => {
                     self.candidates.push_front((candidacy, Rc::downgrade(&client)));
-                    return Err(Eviction::NotBefore(since + MIN_REQUEST_TIME));
+                    return Err(Eviction::NotBefore(since + min_request_time));
                 }
                 Candidacy::Waiting(_) => CloseReason::Displaced,
             };
@@ -132,14 +147,15 @@
 }
 
 impl ClientConnections {
-    /// Without connections; with this memory for requests, in bytes.
-    pub fn new(request_bytes: u64) -> ClientConnections {
+    /// Without connections, of which `max_connections` are allowed; with this memory for requests, in bytes.
+    pub fn new(max_connections: usize, request_bytes: u64) -> ClientConnections {
         ClientConnections {
             open: RefCell::default(),
             next_number: Cell::new(0),
             closes: CloseCounters::default(),
             memory: RequestMemory::new(request_bytes),
             responses: Semaphore::new(MAX_RESPONSES),
+            min_request_time: min_request_time(max_connections),
             idle_count: IdleCount::default(),
             evicting: Cell::new(0),
             eviction_queue: RefCell::default(),
@@ -213,7 +229,7 @@
 
     /// Closes a connection for another client: an idle one, or else one of the larger group, those whose request is
     /// expected or those whose request arrives; of these the one that has waited for the longest, once that is
-    /// [`MIN_REQUEST_TIME`]. So many clients that send nothing displace none in the middle of a request, and the reverse.
+    /// `min_request_time`. So many clients that send nothing displace none in the middle of a request, and the reverse.
     pub fn evict(&self, now: Instant) {
         self.evict_connection(now);
     }
@@ -225,11 +241,11 @@
         let mut queue = self.eviction_queue.borrow_mut();
         let mut next = Err(Eviction::Nothing);
         if queue.is_current(now) {
-            next = queue.next(now);
+            next = queue.next(now, self.min_request_time);
         }
         if matches!(next, Err(Eviction::Nothing)) {
             *queue = EvictionQueue::find(&self.open.borrow(), now);
-            next = queue.next(now);
+            next = queue.next(now, self.min_request_time);
         }
         match next {
             Ok((reason, client)) => {
@@ -267,7 +283,7 @@
         let holders = open.values().filter(|client| client.holds_memory_for_rest());
         let holders = holders.filter_map(|client| Some((client.request_since()?, client)));
         let Some((since, client)) = holders.min_by_key(|(since, _)| *since) else { return Eviction::Nothing };
-        let evictable_at = since + MIN_REQUEST_TIME;
+        let evictable_at = since + self.min_request_time;
         if evictable_at > now {
             return Eviction::NotBefore(evictable_at);
         }
@@ -291,3 +307,19 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_crowd_of_900_is_through_the_queue_before_a_client_gives_up() {
+        const RESPONSE_LIMIT: Duration = Duration::from_millis(400);
+        for max_connections in 60..900 {
+            let turns = 900f64 / max_connections as f64;
+            assert!(min_request_time(max_connections).mul_f64(turns) <= RESPONSE_LIMIT, "{max_connections}");
+        }
+        assert_eq!(min_request_time(434), MIN_REQUEST_TIME);
+        assert_eq!(min_request_time(1), LEAST_REQUEST_TIME);
+    }
+}
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -197,7 +197,7 @@
         discovery_address: watch::Sender::new(config.discovery_address),
         journal_failing_since: Cell::new(None),
         unacknowledged: RefCell::default(),
-        clients: ClientConnections::new(config.limits.memory_plan().requests),
+        clients: ClientConnections::new(config.limits.max_clients(), config.limits.memory_plan().requests),
         process_memory: Cell::default(),
         calls_in_flight: Cell::new(0),
         calls_with_connection: Cell::new(0),
