A long list of the start has a share of the memory, and is not kept parsed

Change: known is taken out of the kept document and dropped once it is applied; endpoints beyond 1,000 in it are subtracted from the memory that is divided, 1,280 bytes each and process.

--- a/crates/fawnspoke/tests/memory_limit/crowd.rs
+++ b/crates/fawnspoke/tests/memory_limit/crowd.rs
@@ -1,11 +1,15 @@
 //! Crowds of clients that stop within their requests and connect again when they are closed.
 
-use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use socket2::{Domain, Socket, Type};
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
 
+/// The address of the dispatchers of these tests.
+pub const DISPATCHER_ADDRESS: Ipv4Addr = Ipv4Addr::new(127, 66, 0, 1);
+const CROWD_ADDRESS: Ipv4Addr = Ipv4Addr::new(127, 66, 0, 2);
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
 const FIRST_REQUEST: &[u8] = b"GET /health/live HTTP/1.1\r\nHost: service.internal\r\n\r\n";
 /// Longest body that the protocol allows.
@@ -64,6 +68,15 @@
     [head.as_bytes(), &vec![b'b'; body_bytes]].concat()
 }
 
+/// Connects from another address than the tests that run beside or after a crowd: the kernel remembers for a while how fast
+/// an address answers, and which ports were in use.
+fn connect_from(source: Ipv4Addr, address: SocketAddr, timeout: Duration) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.bind(&SocketAddr::from((source, 0)).into())?;
+    socket.connect_timeout(&address.into(), timeout)?;
+    Ok(socket.into())
+}
+
 /// A client of a crowd.
 struct CrowdClient {
     stream: TcpStream,
@@ -76,7 +89,7 @@
 
 impl CrowdClient {
     fn connect(address: SocketAddr, part: Part, id: &str) -> Option<CrowdClient> {
-        let stream = TcpStream::connect_timeout(&address, Duration::from_millis(200)).ok()?;
+        let stream = connect_from(CROWD_ADDRESS, address, Duration::from_millis(200)).ok()?;
         stream.set_nonblocking(true).expect("a socket");
         let bytes = request(part, id);
         let first = if matches!(part, Part::SecondRequest) { FIRST_REQUEST.len() } else { bytes.len() };
--- a/crates/fawnspoke/tests/memory_limit/main.rs
+++ b/crates/fawnspoke/tests/memory_limit/main.rs
@@ -5,7 +5,7 @@
 mod process_memory;
 mod soak;
 
-use crowd::{BODY_BYTES, Part, head, hold};
+use crowd::{BODY_BYTES, DISPATCHER_ADDRESS, Part, head, hold};
 use fawnspoke_lab::blocking::{Dispatcher, Endpoint, Platform, Reply, draining_endpoint, eventually};
 use process_memory::{peak_bytes, resident_bytes};
 use serde_json::Value;
@@ -39,6 +39,7 @@
     let parent_dir = Path::new(env!("CARGO_TARGET_TMPDIR"));
     let mut dispatcher = Dispatcher::new(program, parent_dir, platform, known);
     dispatcher.config["limits"]["memory_mb"] = memory_mb.into();
+    dispatcher.config["listen"] = SocketAddr::from((DISPATCHER_ADDRESS, 0)).to_string().into();
     dispatcher
 }
 
@@ -87,7 +88,7 @@
 
 /// An unused address outside the range from which outgoing connections get their ports.
 fn unused_address() -> SocketAddr {
-    let addresses = (20_000..32_000).map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    let addresses = (20_000..32_000).map(|port| SocketAddr::from((DISPATCHER_ADDRESS, port)));
     addresses.into_iter().find(|address| TcpListener::bind(address).is_ok()).expect("an unused port")
 }
 
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -25,8 +25,10 @@
     pub fleet: Option<FleetConfig>,
     pub seed: u64,
     pub limits: Limits,
-    /// The file as it was read; its `known` is a list of endpoints in discovery's format.
+    /// The file as it was read, without `known`.
     pub document: Value,
+    /// The list of endpoints that the file has as `known`, in discovery's format. Taken out at the start.
+    pub known: String,
     /// The settings of the decision core.
     pub settings: Settings,
     pub classes: Vec<String>,
@@ -60,6 +62,8 @@
     pub disk_bytes: u64,
     /// Calls in flight that the settings allow; their connections need memory.
     pub call_slots: usize,
+    /// Endpoints of the list that the file has as `known`.
+    pub listed_endpoints: usize,
 }
 
 impl Limits {
@@ -91,6 +95,7 @@
             client_connections,
             endpoint_connections: free_descriptors - client_connections,
             slots: self.reserved.call_slots,
+            listed_endpoints: self.reserved.listed_endpoints,
         })
     }
 
@@ -289,10 +294,15 @@
             raw.limits.reserved = Reserved {
                 descriptors: server::max_descriptors(raw.limits.max_control_callers()),
                 disk_bytes: override_file::MAX_DISK_BYTES,
-                call_slots: 0,
+                ..Reserved::default()
             };
         }
         raw.limits.reserved.call_slots = raw.settings.family_info.call_slots;
+        let mut document: Value = serde_json::from_slice(text).map_err(|error| error.to_string())?;
+        // Parsed, the list of a large fleet would take several megabytes for as long as the process runs.
+        let known = document.as_object_mut().and_then(|document| document.remove("known"));
+        let hosts = known.as_ref().and_then(|known| known["hosts"].as_array());
+        raw.limits.reserved.listed_endpoints = hosts.map_or(0, Vec::len);
         let fleet = fleet.map(|path| FleetConfig::load(path, &raw.name)).transpose()?;
         if let Some(fleet_config) = &fleet {
             raw.limits.reserved.descriptors += runtime::max_descriptors(fleet_config, &raw.name);
@@ -421,7 +431,8 @@
             fleet,
             seed,
             limits: raw.limits,
-            document: serde_json::from_slice(text).map_err(|error| error.to_string())?,
+            document,
+            known: known.map_or_else(String::new, |known| known.to_string()),
             settings,
             classes: raw_settings.grades.into_iter().map(|class| class.name).collect(),
             kinds: raw_settings.kinds,
@@ -439,9 +450,7 @@
     pub fn differences(&self, other: &Config) -> Vec<String> {
         let mut keys = Vec::new();
         collect_differences("", &self.document, &other.document, &mut keys);
-        keys.retain(|key| {
-            !["control", "discovery", "seed"].contains(&key.as_str()) && !key.starts_with("known.")
-        });
+        keys.retain(|key| !["control", "discovery", "seed"].contains(&key.as_str()));
         keys
     }
 }
--- a/crates/node/src/memory_plan.rs
+++ b/crates/node/src/memory_plan.rs
@@ -3,8 +3,11 @@
 
 use std::fmt;
 
-/// The program itself: code, runtime, threads, the decision core, the list of a usual fleet.
+/// The program itself: code, runtime, threads, the decision core, and a list of up to [`USUAL_ENDPOINTS`].
 const PROGRAM_BYTES: u64 = 8_000_000;
+const USUAL_ENDPOINTS: usize = 1000;
+/// What each further listed endpoint costs in the directory and the decision core.
+const ENDPOINT_BYTES: u64 = 1280;
 /// During an upgrade two processes share the limit.
 const PROCESSES: u64 = 2;
 /// Of what is left, connections to endpoints get what the slots of the settings need up to the first share, and what the
@@ -47,7 +50,9 @@
     pub files: u64,
     /// Number of connections to endpoints that find room.
     pub max_endpoint_connections: usize,
-    /// Whether the limit is too small for the least shares, so that the process may pass it.
+    /// The least limit that is enough for the least shares.
+    pub least: u64,
+    /// Whether the limit is less than that, so that the process may pass it.
     pub is_too_small: bool,
 }
 
@@ -64,13 +69,23 @@
     pub endpoint_connections: usize,
     /// Calls in flight at a time.
     pub slots: usize,
+    /// Endpoints in the list of the configuration.
+    pub listed_endpoints: usize,
+}
+
+impl MemoryDemand {
+    /// What one process takes before it holds anything.
+    fn program_bytes(&self) -> u64 {
+        let further = self.listed_endpoints.saturating_sub(USUAL_ENDPOINTS) as u64;
+        PROGRAM_BYTES.saturating_add(further.saturating_mul(ENDPOINT_BYTES))
+    }
 }
 
 impl MemoryPlan {
     /// Divides the limit.
     pub fn new(demand: &MemoryDemand) -> MemoryPlan {
         let percent = |bytes: u64, share: u64| bytes / 100 * share;
-        let without_programs = demand.limit.saturating_sub(PROCESSES * PROGRAM_BYTES);
+        let without_programs = demand.limit.saturating_sub(demand.program_bytes().saturating_mul(PROCESSES));
         let divisible = without_programs.max(MIN_DIVISIBLE_BYTES);
         let files = demand.disk.min(percent(divisible, FILES_PERCENT));
         let rest = divisible - files;
@@ -91,6 +106,7 @@
             messages: percent(shared, MESSAGES_PERCENT),
             files,
             max_endpoint_connections: (endpoints / ENDPOINT_CONNECTION_BYTES) as usize,
+            least: demand.program_bytes().saturating_mul(PROCESSES).saturating_add(MIN_DIVISIBLE_BYTES),
             is_too_small: without_programs < MIN_DIVISIBLE_BYTES,
         }
     }
@@ -111,7 +127,7 @@
             megabytes(self.files),
         )?;
         if self.is_too_small {
-            let least = megabytes(PROCESSES * PROGRAM_BYTES + MIN_DIVISIBLE_BYTES);
+            let least = megabytes(self.least);
             write!(
                 formatter,
                 "; limits.memory_mb: may be exceeded during an upgrade, at least {least:.1} expected"
@@ -133,6 +149,7 @@
             client_connections: 434,
             endpoint_connections: 570,
             slots: 100,
+            listed_endpoints: 25,
         }
     }
 
@@ -167,6 +184,7 @@
                 client_connections: usize::MAX,
                 endpoint_connections: usize::MAX,
                 slots: usize::MAX,
+                listed_endpoints: usize::MAX,
             };
             assert!(MemoryPlan::new(&demand).max_client_connections > 0);
         }
@@ -181,6 +199,15 @@
         assert_eq!(plan.files, 3_000_000);
     }
 
+    #[test]
+    fn a_long_list_leaves_less_to_divide() {
+        let long = MemoryPlan::new(&MemoryDemand { listed_endpoints: 3200, ..demand(32) });
+        let usual = MemoryPlan::new(&demand(32));
+        assert!(!long.is_too_small && long.max_client_connections >= 100, "{long}");
+        let list = PROCESSES * 2200 * ENDPOINT_BYTES;
+        assert!(most(&long) + list <= long.limit && long.messages < usual.messages, "{long}");
+    }
+
     #[test]
     fn enough_memory_leaves_the_limits_to_the_descriptors() {
         let plan = MemoryPlan::new(&demand(192));
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -129,8 +129,9 @@
 ///
 /// # Errors
 /// One line that says why it could not start.
-pub async fn run(config: Config, mut signals: Signals) -> Result<ExitAction, String> {
+pub async fn run(mut config: Config, mut signals: Signals) -> Result<ExitAction, String> {
     let metrics = Arc::new(Metrics::new(&config.classes));
+    let known = std::mem::take(&mut config.known);
     let (control_sender, control_requests) = unbounded_channel();
     if let Some(control_address) = config.control_address {
         // The control port answers from now on, also while the journal is read.
@@ -218,9 +219,10 @@
         config,
     });
     if !adopted_state {
-        let result = discovery::apply_list(&node, node.config.document["known"].to_string().as_bytes());
+        let result = discovery::apply_list(&node, known.as_bytes());
         result.unwrap_or_else(|error| log::info_limited(format_args!("known: ignored: {error}")));
     }
+    drop(known);
     node.fleet.start_member(&node.config);
     node.restore_from_journal();
     // The decision core gets the list and the restored messages before the first client is served.
