Half a 410 or 504 ends its message at once

Cause: the end of a call with a status other than 200 was recorded 0.3 s after its first byte if its body stayed incomplete. A kill within that time forgot it.

Change: as with 200, a body that did not arrive with the head of a 410 or 504 to a single message is not waited for.

--- a/crates/fawnspoke/tests/sockets/calls_after_end.rs
+++ b/crates/fawnspoke/tests/sockets/calls_after_end.rs
@@ -69,6 +69,21 @@
     }
 }
 
+#[test]
+fn a_message_answered_by_half_a_410_is_not_called_again_after_a_kill() {
+    for status_line in ["410 Gone", "504 Gateway Timeout"] {
+        let half = format!("HTTP/1.1 {status_line}\r\nContent-Length: 9\r\n\r\nhalf");
+        let (endpoint, _platform, mut dispatcher) = start("single", move |_| Script::respond(half.clone()));
+        assert_eq!(dispatcher.submit("safe", "ended", 7), 202);
+        eventually("the response", || endpoint.answered() == 1);
+        thread::sleep(Duration::from_millis(100));
+        dispatcher.kill();
+        dispatcher.start();
+        thread::sleep(RETRY_TIME);
+        assert_eq!(calls_of(&endpoint, "ended").len(), 1, "{status_line}");
+    }
+}
+
 #[test]
 fn a_message_named_spent_in_a_batch_is_ended_by_a_notice_and_not_called_again() {
     let (endpoint, platform) = (
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -417,8 +417,9 @@
     let body_reports = message_count > 1;
     let max_kept_bytes = if body_reports { message_count * MAX_RESULT_LINE_BYTES } else { 0 };
     let (head, body) = response.into_parts();
-    // If the head has all the information, a body that did not arrive with it is not worth a slot.
-    let limit = if body_reports || head.status != StatusCode::OK {
+    // If the head ends the message, a body that did not arrive with it is not worth a slot, and the end is recorded before a
+    // kill may come.
+    let limit = if body_reports || !fawnspoke_pairing::ends_message(head.status) {
         RESPONSE_COMPLETION_TIMEOUT
     } else {
         BUFFERED_READ_TIMEOUT
