--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -417,6 +417,7 @@
                 + f"Content-Length: {len(body)}\r\nX-Consignee: dest={destination}\r\n\r\n")
         self.test.record.add(f"client: {identifier} {class_name} to destination {destination} at "
                              f"{self.dispatcher.name}, {timeout_ms} ms")
+        writer = None
         try:
             reader, writer = await self.connection()
             writer.write(head.encode() + body)
@@ -431,6 +432,8 @@
                 self.idle.append((reader, writer))
         except (OSError, asyncio.TimeoutError) as error:
             message["error"] = repr(error)
+            if writer is not None:
+                writer.close()
         self.test.record.add(f"client: {identifier} answered {message['status'] or message.get('error')}")
         return identifier, message["status"]
 
