--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -7,6 +7,7 @@
 use crate::calls::CallEnd;
 use crate::connection::SurplusResponse;
 use crate::handover::{self, HandoverRequest, HandoverResult};
+use crate::loop_delay::LoopDelay;
 use crate::resource_log::ResourceLog;
 use crate::transfer::Transfer;
 use crate::{Node, compaction, connection_pool, control, log, panics, unproven};
@@ -147,6 +148,7 @@
     let mut stop_requested_at = None;
     let mut traffic_logged_at = 0.0;
     let mut resource_log = ResourceLog::default();
+    let mut loop_delay = LoopDelay::default();
     let mut actions = Vec::new();
     loop {
         let wake_at = timer.map_or(sweep_at, |(_, due): (u32, Seconds)| due.min(sweep_at));
@@ -161,7 +163,9 @@
         };
         // All inputs of a tick are handled together.
         let next_tick = (node.started_at.elapsed().as_nanos() / tick.as_nanos() + 1) * tick.as_nanos();
-        sleep_until((node.started_at + Duration::from_nanos(next_tick as u64)).into()).await;
+        let tick_due_at = node.started_at + Duration::from_nanos(next_tick as u64);
+        sleep_until(tick_due_at.into()).await;
+        loop_delay.record(tick_due_at.elapsed());
         if let Some(takeover) = takeover {
             let stopping = stop_requested_at.is_some();
             std::iter::from_fn(|| inputs.try_recv().ok())
@@ -217,6 +221,7 @@
             node.traffic.take_line(now, ages).inspect(|line| log::info_limited(line));
             drop(journal);
             resource_log.take_line(&node, now).inspect(|line| log::info(line));
+            loop_delay.take_line(now).inspect(|line| log::info(line));
         }
         let is_sweep_due = now >= sweep_at;
         if is_sweep_due || node.unproven.take_requested_check() {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -28,6 +28,7 @@
 mod handover;
 mod journaling;
 mod log;
+mod loop_delay;
 mod memory_plan;
 mod panics;
 mod process_memory;
