Bound the interim responses of a call, and what a connection reads in one turn

Cause: hyper skips interim responses for as long as there are bytes, 128 reads in one turn of a connection's task, and all connections share one thread. Besides, such a call ended only at its own time-out.

Change: a connection reads 16 KiB in one turn of its task; what follows hyper's end, one read. More than 64 KiB of interim responses end the call as a broken connection does: the message may have run, and the failure counts against the endpoint, so that retries don't follow at once. An interim response in two pieces no longer starts the 0.3 s that a final response has.

Why it works: one turn is bounded whatever a peer writes, and a flooding call in bytes as well.

--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -345,9 +345,13 @@
                 result = sending.as_mut() => break Ok(result),
                 // The deadline of a response that has begun is earlier.
                 () = monitor.first_byte.notified() => {}
-                // If this process was stalled, a response may have arrived in time without being read yet: give it a
-                // moment before the call counts as timed out.
                 () = sleep_until(monitor.response_deadline(deadline, is_single)) => {
+                    // What had begun was an interim response.
+                    if Instant::now() < monitor.response_deadline(deadline, is_single) {
+                        continue;
+                    }
+                    // If this process was stalled, a response may have arrived in time without being read yet: give
+                    // it a moment before the call counts as timed out.
                     break timeout(BUFFERED_READ_TIMEOUT, sending).await
                 }
             }
@@ -381,9 +385,16 @@
             });
         }
         // An endpoint that dies while responding also leaves a partial response, but then its connection closes.
-        if has_started && !monitor.peer_closed.get() {
+        let is_endless = monitor.has_excess_interim();
+        if has_started && !is_endless && !monitor.peer_closed.get() {
             return Err(Outcome::MalformedResponse);
         }
+        // Counts as a failed connection: a retry at once would meet the same.
+        if is_endless {
+            log::info_limited(format_args!(
+                "call to {address}: too many interim responses; connection closed"
+            ));
+        }
         // A host that vanished leaves all its connections open and silent. A host that closes idle connections closes
         // the oldest first, so only older ones are suspect.
         let since = if outcome == Outcome::TimedOut { sent_at } else { conn.idle_since };
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -13,6 +13,7 @@
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
+use std::future::{Future, poll_fn};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -24,12 +25,18 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::task::{AbortHandle, spawn_local};
+use tokio::task::{AbortHandle, spawn_local, yield_now};
 use tokio::time::Instant;
 use waydoor::{EndpointId, Event};
 
 /// Most bytes of the head of a response.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Most bytes of the interim (1xx) responses to a request. A server may send a few; an endpoint that sends nothing else
+/// occupies a slot and the thread.
+const MAX_INTERIM_BYTES: usize = 64 * 1024;
+/// Bytes after which a connection reads no more in this turn of its task, however much has arrived: all connections
+/// share one thread. One read, of up to `MAX_HEAD_BYTES`, may go beyond it.
+const READ_BYTES_PER_TURN: usize = 16 * 1024;
 /// Bytes that are read at a time once hyper reads no more.
 const READ_BUFFER_BYTES: usize = 4096;
 /// Reads of what has arrived on a connection that is being closed.
@@ -102,6 +109,8 @@
     pub write_failed: Cell<bool>,
     /// Bytes were written since the last flush.
     unflushed: Cell<bool>,
+    /// Bytes that were read in this turn of the connection's task.
+    read_in_turn: Cell<usize>,
     /// The metrics that count the messages of the current request once it is written, and their number.
     pub relay_count: RefCell<Option<(Arc<Metrics>, u64)>>,
 }
@@ -208,6 +217,21 @@
         }
     }
 
+    /// Whether more interim responses to the request have arrived than a server has reason to send.
+    pub fn has_excess_interim(&self) -> bool {
+        self.head.borrow().interim_bytes() > MAX_INTERIM_BYTES
+    }
+
+    /// A new turn of the connection's task begins.
+    fn begin_turn(&self) {
+        self.read_in_turn.set(0);
+    }
+
+    /// Whether the connection has read its share of this turn.
+    fn is_turn_used_up(&self) -> bool {
+        self.read_in_turn.get() >= READ_BYTES_PER_TURN
+    }
+
     /// Reads the responses that have arrived on a connection that is being closed, for the waits in them: nobody else
     /// reads them any more.
     fn observe_unread(&self, stream: &SharedStream) {
@@ -243,11 +267,22 @@
     fn poll_read(
         mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.monitor.is_turn_used_up() {
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
         let bytes = &buf.filled()[before..];
+        self.monitor.read_in_turn.set(self.monitor.read_in_turn.get() + bytes.len());
         self.monitor.observe(bytes);
         self.monitor.peer_closed.set(read.is_ready() && bytes.is_empty());
+        if self.monitor.has_excess_interim() {
+            return Poll::Ready(Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "too many interim responses",
+            )));
+        }
         read
     }
 }
@@ -364,6 +399,8 @@
     let mut buffer = vec![0; READ_BUFFER_BYTES];
     while let Ok(length @ 1..) = stream.read(&mut buffer).await {
         monitor.observe(&buffer[..length]);
+        // Other connections take their turn, however much has arrived on this one.
+        yield_now().await;
     }
 }
 
@@ -381,12 +418,17 @@
     let monitored = MonitoredStream { stream: stream.clone(), monitor: monitor.clone() };
     let mut builder = Builder::new();
     builder.max_buf_size(MAX_HEAD_BYTES).max_headers(MAX_HEADERS);
-    let (sender, http) = builder.handshake(TokioIo::new(monitored)).await.map_err(io::Error::other)?;
-    let (rest, rest_monitor) = (stream.clone(), monitor.clone());
+    let (sender, mut http) = builder.handshake(TokioIo::new(monitored)).await.map_err(io::Error::other)?;
+    let (rest, driver_monitor) = (stream.clone(), monitor.clone());
     let driver = spawn_local(async move {
+        let run_turn = |cx: &mut Context<'_>| {
+            driver_monitor.begin_turn();
+            Pin::new(&mut http).poll(cx)
+        };
         // The sender reports the end of the connection.
-        let _ = http.await;
-        observe_rest(rest, &rest_monitor).await;
+        let _ = poll_fn(run_turn).await;
+        drop(http);
+        observe_rest(rest, &driver_monitor).await;
     });
     Ok(Connection {
         sender,
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -158,6 +158,10 @@
     /// Lines completed so far.
     line_count: usize,
     is_complete: bool,
+    /// Bytes of the 1xx responses before the head.
+    interim_bytes: usize,
+    /// Bytes of the head so far, with empty lines before it.
+    head_bytes: usize,
     /// Bytes after the head.
     bytes_after: usize,
 }
@@ -171,11 +175,15 @@
                 return;
             }
             bytes = rest;
+            self.head_bytes += 1;
             match byte {
                 // Empty lines before the first line are part of the head.
                 b'\n' if self.line_bytes == 0 && self.line_count == 0 => {}
                 b'\n' if self.line_bytes == 0 => match self.status() {
-                    Some(status) if status.is_informational() => *self = HeadScanner::default(),
+                    Some(status) if status.is_informational() => {
+                        let interim_bytes = self.interim_bytes + self.head_bytes;
+                        *self = HeadScanner { interim_bytes, ..HeadScanner::default() };
+                    }
                     _ => self.is_complete = true,
                 },
                 b'\n' => (self.line_bytes, self.line_count) = (0, self.line_count + 1),
@@ -203,6 +211,11 @@
         self.line_bytes > 0 || self.line_count > 0
     }
 
+    /// Bytes of the 1xx responses that came before the head.
+    pub fn interim_bytes(&self) -> usize {
+        self.interim_bytes
+    }
+
     /// How many bytes followed the head; none while the head is incomplete.
     pub fn bytes_after_head(&self) -> Option<usize> {
         self.is_complete.then_some(self.bytes_after)
