Bound the body of the platform's response to notices

Cause: `discovery::post` collected the whole body of the response in memory, for up to 1 s. Callers saw nothing so far; a process passes its memory limit.

Change: a body of more than 16 KiB fails the request like any other error; its notices are repeated. A 204 has no body.

--- a/crates/fawnspoke/tests/sockets/flooding_peers.rs
+++ b/crates/fawnspoke/tests/sockets/flooding_peers.rs
@@ -92,6 +92,34 @@
     assert!(longest_delivery(&dispatcher, &endpoint) <= MAX_DELAY);
 }
 
+/// Guards against a response to notices whose body has no end: all of it was kept in memory.
+#[test]
+fn an_endless_response_to_notices_delays_no_delivery_and_takes_no_memory() {
+    let (endpoint, platform) = (Endpoint::start(|_, _| Reply::status(200)), ManualEndpoint::start());
+    let mut dispatcher =
+        Dispatcher::new(&Platform::start(), &[endpoint.list_entry("e", 7, "up"), draining_endpoint(8)]);
+    dispatcher.config["discovery"] = platform.address.to_string().into();
+    dispatcher.start();
+    assert_eq!(dispatcher.connect().submit("safe", "m", 8, 300, b"x").status(), 202);
+    thread::spawn(move || {
+        loop {
+            let mut peer = platform.accept_within(Duration::from_secs(600)).expect("a connection");
+            let is_notice = peer.read_request().is_some_and(|request| request.contains("/status"));
+            let head = if is_notice { "HTTP/1.1 500 No\r\nContent-Length: 9000000000\r\n\r\n" } else { "" };
+            if is_notice && peer.try_write(head.as_bytes()).is_ok() {
+                flood(peer, vec![b'x'; 65536]);
+            }
+        }
+    });
+    assert!(longest_delivery(&dispatcher, &endpoint) <= MAX_DELAY);
+    let status =
+        std::fs::read_to_string(format!("/proc/{}/status", dispatcher.process_id().unwrap())).unwrap();
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap().trim();
+    let peak_kb: u64 = peak.trim_end_matches(" kB").parse().unwrap();
+    println!("peak memory {peak_kb} kB");
+    assert!(peak_kb < 32_000, "{peak_kb} kB");
+}
+
 /// Guards against clients that write requests as fast as they are read.
 #[test]
 fn pipelined_requests_of_clients_delay_no_delivery() {
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -5,7 +5,7 @@
 use crate::directory::List;
 use crate::{Node, control, log};
 use fawnspoke_journal::Notice;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Bytes;
 use hyper::{Method, Request, StatusCode};
 use serde_json::value::RawValue;
@@ -34,6 +34,8 @@
 /// Delay before notices that are not journaled yet are checked again.
 const UNRECORDED_RETRY_DELAY: Duration = Duration::from_millis(20);
 const MAX_NOTICES_PER_REQUEST: usize = 64;
+/// Longest body of a response to notices; it has none by the protocol.
+const MAX_NOTICE_RESPONSE_BYTES: usize = 16 << 10;
 
 /// Applies a list in discovery's format.
 ///
@@ -340,6 +342,8 @@
     connection.monitor.begin_request();
     let response = timeout_at(deadline, connection.sender.send_request(request)).await??;
     let status = response.status();
-    timeout_at(deadline, response.into_body().collect()).await??;
+    // A response that ends an acknowledgement has no body, and nothing of another one is used.
+    let body = Limited::new(response.into_body(), MAX_NOTICE_RESPONSE_BYTES);
+    timeout_at(deadline, body.collect()).await?.map_err(|error| error.to_string())?;
     Ok(status)
 }
