Hold calls by a list that its silent agent has not confirmed, past the grace of a drain

Cause: `known`, the list of an earlier process, was used without a confirmation; nothing told the decision core that it may be outdated. Evidence: the calls end with the first line of a watch, and all late ones are new attempts.

Change: where lists are pushed, a new process calls by the list it begins with until the grace of a drain (safety.stop_sending_within, 0.5 s without it) less 0.25 s is over. Then calls are held until the agent answers; held messages go out at a backlog's pace. The same after SIGHUP with a new address, 4 s and the grace later. An upgrade goes on as the old process did.

Floods run in a binary of their own: beside them sockets' soaks failed on a full machine.

--- a/crates/fawnspoke/tests/sockets/flooding_peers.rs
+++ b/crates/fawnspoke/tests/floods/flooding_peers.rs
@@ -1,6 +1,7 @@
 //! Peers that write as fast as they are read: none of them may keep the dispatcher's thread from other messages.
 
 use crate::manual_endpoint::{ManualEndpoint, Peer};
+use crate::run_alone;
 use crate::support::*;
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -43,6 +44,8 @@
         (Endpoint::start(|_, _| Reply::status(200)), ManualEndpoint::start(), Platform::start());
     let mut dispatcher = Dispatcher::new(&platform, &[endpoint.list_entry("e", 7, "up")]);
     dispatcher.config["discovery"] = discovery.address.to_string().into();
+    // The watch tells nothing, and the list of an earlier process serves for so long.
+    dispatcher.config["settings"]["safety"]["stop_sending_within"] = 600.0.into();
     dispatcher.start();
     thread::spawn(move || {
         loop {
@@ -62,6 +65,7 @@
 /// Guards against a watch whose head is preceded by interim responses without end.
 #[test]
 fn a_watch_of_interim_responses_delays_no_delivery() {
+    let _running = run_alone();
     let interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n".repeat(600);
     let (endpoint, dispatcher) = start_with_flooding_watch(b"", interim.into_bytes());
     assert!(longest_delivery(&dispatcher, &endpoint) <= MAX_DELAY);
@@ -70,6 +74,7 @@
 /// Guards against heartbeats of a watch as fast as they are read.
 #[test]
 fn a_watch_of_heartbeats_delays_no_delivery() {
+    let _running = run_alone();
     let (endpoint, dispatcher) =
         start_with_flooding_watch(CHUNKED_HEAD, chunk("\n").repeat(4000).into_bytes());
     assert!(longest_delivery(&dispatcher, &endpoint) <= MAX_DELAY);
@@ -78,6 +83,7 @@
 /// Guards against lists of a watch as fast as they are read, each of which is applied.
 #[test]
 fn a_watch_of_lists_delays_no_delivery() {
+    let _running = run_alone();
     let lists = "{\"seq\":2,\"whole\":false,\"hosts\":[]}\n".repeat(400);
     let (endpoint, dispatcher) = start_with_flooding_watch(CHUNKED_HEAD, chunk(&lists).into_bytes());
     assert!(longest_delivery(&dispatcher, &endpoint) <= MAX_DELAY);
@@ -86,6 +92,7 @@
 /// Guards against one line of a watch without end.
 #[test]
 fn a_watch_of_one_endless_line_delays_no_delivery() {
+    let _running = run_alone();
     let hosts = "{\"host\":\"x\"},".repeat(1000);
     let first = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1d\r\n{\"seq\":2,\"whole\":true,\"hosts\":\r\n1\r\n[\r\n";
     let (endpoint, dispatcher) = start_with_flooding_watch(first, chunk(&hosts).into_bytes());
@@ -95,10 +102,13 @@
 /// Guards against a response to notices whose body has no end: all of it was kept in memory.
 #[test]
 fn an_endless_response_to_notices_delays_no_delivery_and_takes_no_memory() {
+    let _running = run_alone();
     let (endpoint, platform) = (Endpoint::start(|_, _| Reply::status(200)), ManualEndpoint::start());
     let mut dispatcher =
         Dispatcher::new(&Platform::start(), &[endpoint.list_entry("e", 7, "up"), draining_endpoint(8)]);
     dispatcher.config["discovery"] = platform.address.to_string().into();
+    // The watch is not answered, and the list of an earlier process serves for so long.
+    dispatcher.config["settings"]["safety"]["stop_sending_within"] = 600.0.into();
     dispatcher.start();
     assert_eq!(dispatcher.connect().submit("safe", "m", 8, 300, b"x").status(), 202);
     thread::spawn(move || {
@@ -123,6 +133,7 @@
 /// Guards against clients that write requests as fast as they are read.
 #[test]
 fn pipelined_requests_of_clients_delay_no_delivery() {
+    let _running = run_alone();
     let (endpoint, platform) = (Endpoint::start(|_, _| Reply::status(200)), Platform::start());
     let dispatcher = Dispatcher::started(&platform, &[endpoint.list_entry("e", 7, "up")]);
     let (stop, address) = (Arc::new(AtomicBool::new(false)), dispatcher.client_address());
--- a/crates/fawnspoke/tests/sockets/interim_responses.rs
+++ b/crates/fawnspoke/tests/floods/interim_responses.rs
@@ -2,6 +2,7 @@
 //! other messages no time.
 
 use crate::manual_endpoint::ManualEndpoint;
+use crate::run_alone;
 use crate::support::*;
 use std::collections::BTreeMap;
 use std::thread;
@@ -68,6 +69,7 @@
 /// Guards against interim responses without end that keep the thread busy: notices came up to 2 s late (review/6).
 #[test]
 fn endless_interim_responses_delay_no_notice() {
+    let _running = run_alone();
     let (_sound, spoilt, platform, dispatcher) = start_beside_flood("");
     let latest = latest_notice_delay(&platform, &dispatcher);
     println!("latest notice {latest:?} after its message's time; {:?}", loop_delays(&dispatcher));
@@ -83,6 +85,7 @@
 /// Guards against retries at once, which use up all attempts of a message while its endpoint is in trouble for a moment.
 #[test]
 fn a_message_outlasts_endless_interim_responses_of_its_endpoint() {
+    let _running = run_alone();
     let started_at = Instant::now();
     let endpoint = Endpoint::start(move |_, _| match started_at.elapsed() < Duration::from_secs(3) {
         true => endless(""),
@@ -100,6 +103,7 @@
 #[test]
 #[ignore = "a measurement"]
 fn measure_many_endless_calls_at_once() {
+    let _running = run_alone();
     const CALLS: usize = 200;
     let spoilt = Endpoint::start(|_, _| endless(""));
     let platform = Platform::start();
@@ -121,6 +125,7 @@
 /// Guards against a call that lasts for as long as interim responses arrive: it held its slot until its own time-out.
 #[test]
 fn endless_interim_responses_end_their_call() {
+    let _running = run_alone();
     let endpoint = Endpoint::start(|_, request| match request.header("request-id") {
         Some("bad") => endless(""),
         _ => Reply::status(200),
@@ -140,6 +145,7 @@
 /// Guards against a bound that ordinary interim responses reach, and against doubt about their connection.
 #[test]
 fn a_few_interim_responses_cost_nothing() {
+    let _running = run_alone();
     let response =
         format!("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n{}", INTERIM_RESPONSE.repeat(8));
     let response = response + OK_RESPONSE;
@@ -164,6 +170,7 @@
 /// Guards against an interim response in two pieces being taken for the final one: the call was given up 0.3 s later.
 #[test]
 fn an_interim_response_in_two_pieces_does_not_shorten_its_call() {
+    let _running = run_alone();
     let (endpoint, platform) = (ManualEndpoint::start(), Platform::start());
     let dispatcher = Dispatcher::started(&platform, &[endpoint.list_entry("e", 7)]);
     assert_eq!(dispatcher.submit("unsafe", "m1", 7), 202);
@@ -182,6 +189,7 @@
 /// Guards against interim responses behind a final one, which belong to no request and were read without a pause.
 #[test]
 fn interim_responses_behind_a_final_one_delay_no_delivery() {
+    let _running = run_alone();
     let (sound, _spoilt, platform, dispatcher) = start_beside_flood(OK_RESPONSE);
     let mut client = dispatcher.connect();
     let mut longest = Duration::ZERO;
--- a/crates/fawnspoke/tests/sockets/calls_after_end/price.rs
+++ b/crates/fawnspoke/tests/sockets/calls_after_end/price.rs
@@ -49,6 +49,8 @@
     });
     let mut dispatcher = Dispatcher::new(&Platform::start(), &entries);
     dispatcher.config["discovery"] = platform.address.to_string().into();
+    // The platform answers no watch, and the list of an earlier process serves for so long.
+    dispatcher.config["settings"]["safety"]["stop_sending_within"] = 600.0.into();
     dispatcher.config["settings"]["family_info"]["call_slots"] = 64.into();
     dispatcher.config["settings"]["limits"]["open_cap"] = 2000.into();
     dispatcher.start();
--- a/crates/fawnspoke/tests/sockets/misplaced_responses/soak.rs
+++ b/crates/fawnspoke/tests/sockets/misplaced_responses/soak.rs
@@ -259,6 +259,8 @@
     let address = free_address();
     dispatcher.config["listen"] = address.to_string().into();
     dispatcher.config["discovery"] = platform.address.to_string().into();
+    // The platform answers no watch, and the list of an earlier process serves for so long.
+    dispatcher.config["settings"]["safety"]["stop_sending_within"] = 600.0.into();
     dispatcher.config["settings"]["grades"][1]["repeat_window"] = KEY_WINDOW.as_secs_f64().into();
     dispatcher.start();
     let (accepted, stop) = (Arc::new(Mutex::new(Vec::new())), Arc::new(AtomicBool::new(false)));
--- a/crates/fawnspoke/tests/sockets/watch.rs
+++ b/crates/fawnspoke/tests/sockets/watch.rs
@@ -22,6 +22,8 @@
     let (discovery, platform) = (ManualEndpoint::start(), Platform::start());
     let mut dispatcher = Dispatcher::new(&platform, known);
     dispatcher.config["discovery"] = discovery.address.to_string().into();
+    // Some watches bring no valid list, and the list of an earlier process serves for so long.
+    dispatcher.config["settings"]["safety"]["stop_sending_within"] = 600.0.into();
     dispatcher.start();
     let mut watch = discovery.accept();
     assert!(watch.read_request().is_some_and(|request| request.contains("stream=1&index=1 ")));
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -38,6 +38,8 @@
     /// Events within this interval are handled together.
     pub tick_seconds: f64,
     pub connect_timeout_seconds: f64,
+    /// An endpoint that drains or is gone may get calls for this long after this dispatcher was told.
+    pub drain_grace_seconds: f64,
     pub max_retry_after_seconds: f64,
     /// The fields of a load report that hold an endpoint's rate limit and what is left of it, if
     /// answers carry reports.
@@ -241,10 +243,13 @@
     cold_share: f64,
     fall: f64,
     must_ask_in: Option<f64>,
+    stop_sending_within: Option<f64>,
     tip_multiple: f64,
 }
 
 const MIN_TICK_SECONDS: f64 = 1e-4;
+/// The shortest grace of a drain that deployments have.
+const DEFAULT_DRAIN_GRACE_SECONDS: f64 = 0.5;
 const MIN_CONNECT_TIMEOUT_SECONDS: f64 = 1e-3;
 
 /// Settings of the decision core whose keys in the file have another name.
@@ -403,6 +408,14 @@
                 ));
             }
         }
+        let drain_grace_seconds =
+            raw_settings.safety.stop_sending_within.unwrap_or(DEFAULT_DRAIN_GRACE_SECONDS);
+        if !(0.0..3600.0).contains(&drain_grace_seconds) {
+            return Err(
+                "settings.safety.stop_sending_within: must be a number of seconds, at least 0 and under 3600"
+                    .into(),
+            );
+        }
         if raw_settings.limits.max_retry_after.is_some_and(|seconds| seconds < 0.0) {
             return Err("settings.limits.max_retry_after: must be a number of seconds, 0 or more".into());
         }
@@ -440,6 +453,7 @@
             tenants: raw_settings.orgs.into_iter().map(|tenant| tenant.name).collect(),
             tick_seconds: raw_settings.tick,
             connect_timeout_seconds: raw_settings.limits.connect_timeout,
+            drain_grace_seconds,
             max_retry_after_seconds: raw_settings.limits.max_retry_after.unwrap_or(f64::INFINITY),
             report_fields: is_reported("x1").then_some(("x1", is_reported("x0").then_some("x0"))),
         })
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
-use waydoor::{DiscoveryMode, Event};
+use waydoor::{DiscoveryMode, Event, Seconds};
 
 /// A watch that is silent for more than two heartbeats is broken, even if its connection looks
 /// intact.
@@ -34,6 +34,14 @@
 const MAX_VALUE_BYTES: usize = 4 << 20;
 /// An incomplete value that is shorter is parsed again with each chunk that arrives.
 const MAX_REPARSED_BYTES: usize = 64 << 10;
+/// A watch whose head has arrived brings what its source has to tell at once. If nothing has come after this time, there
+/// is nothing.
+const FIRST_LINE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Part of a drain's grace in which no call begins any more: the process may be held up between its decision and the first
+/// byte.
+const HOLD_MARGIN_SECONDS: Seconds = 0.25;
+/// After SIGHUP a change that the new address has counts as told this much later.
+const NEW_ADDRESS_SECONDS: Seconds = 4.0;
 /// Delay before notices that are not journaled yet are checked again.
 const UNRECORDED_RETRY_DELAY: Duration = Duration::from_millis(20);
 const MAX_NOTICES_PER_REQUEST: usize = 64;
@@ -62,6 +70,20 @@
     Ok(seq)
 }
 
+/// Reports that the list may be outdated: what its source has counts as told at `told_at`, whether or not it answers. A
+/// list that is requested has another rule: its requests are repeated in time.
+fn list_unconfirmed(node: &Node, told_at: Seconds) {
+    if !is_list_on_request(node) {
+        let hold_from = told_at + (node.config.drain_grace_seconds - HOLD_MARGIN_SECONDS).max(0.0);
+        node.send_event(Event::ListUnconfirmed { hold_from });
+    }
+}
+
+/// Reports that this process begins with the list of an earlier one.
+pub fn process_started(node: &Node, started_at: std::time::Instant) {
+    list_unconfirmed(node, node.now() - started_at.elapsed().as_secs_f64());
+}
+
 fn parse_list(value: &[u8]) -> Result<List, BoxError> {
     serde_json::from_slice(value).map_err(|error| format!("invalid list: {error}").into())
 }
@@ -85,6 +107,7 @@
 
 async fn watch_loop(node: Rc<Node>) {
     let mut address_changes = node.discovery_address.subscribe();
+    let mut last_address = *address_changes.borrow();
     let mut backoff = INITIAL_BACKOFF;
     let on_request = is_list_on_request(&node);
     if on_request {
@@ -92,6 +115,9 @@
     }
     loop {
         let (address, seq) = (*address_changes.borrow_and_update(), node.directory.borrow().seq());
+        if std::mem::replace(&mut last_address, address) != address {
+            list_unconfirmed(&node, node.now() + NEW_ADDRESS_SECONDS);
+        }
         let started_at = Instant::now();
         tokio::select! {
             result = run_watch(&node, address, seq) => {
@@ -167,17 +193,26 @@
     let mut stream = JsonValueStream::default();
     // Another watch may begin with a lower version.
     let mut watch_seq = 0;
+    let mut first_line_due_at = Some(Instant::now() + FIRST_LINE_TIMEOUT);
     loop {
         // A value that has begun must be completed soon; between two values the heartbeat interval applies.
         let deadline = stream.complete_by.unwrap_or_else(|| Instant::now() + WATCH_TIMEOUT);
-        let Ok(frame) = timeout_at(deadline, body.frame()).await else { return Ok("silent".into()) };
+        let due_at = first_line_due_at.map_or(deadline, |due_at| due_at.min(deadline));
+        let frame = timeout_at(due_at, body.frame()).await;
+        if let (Err(_), Some(_)) = (&frame, first_line_due_at.take()) {
+            node.send_event(Event::ListConfirmed);
+            continue;
+        }
+        let Ok(frame) = frame else { return Ok("silent".into()) };
         let Some(frame) = frame else { return Ok("closed".into()) };
         let Ok(data) = frame?.into_data() else { continue };
         let has_content = stream.push(&data, |value| {
             watch_seq = apply_watch_line(node, value, watch_seq)?;
+            node.send_event(Event::ListConfirmed);
             Ok(())
         })?;
         if !has_content {
+            node.send_event(Event::ListConfirmed);
             node.send_event(Event::ListKeepAlive);
             node.fleet.watch_alive(node.directory.borrow().seq());
         }
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -130,6 +130,7 @@
 /// # Errors
 /// One line that says why it could not start.
 pub async fn run(mut config: Config, mut signals: Signals) -> Result<ExitAction, String> {
+    let process_started_at = Instant::now();
     let metrics = Arc::new(Metrics::new(&config.classes));
     let known = std::mem::take(&mut config.known);
     let (control_sender, control_requests) = unbounded_channel();
@@ -221,6 +222,7 @@
     if !adopted_state {
         let result = discovery::apply_list(&node, known.as_bytes());
         result.unwrap_or_else(|error| log::info_limited(format_args!("known: ignored: {error}")));
+        discovery::process_started(&node, process_started_at);
     }
     drop(known);
     node.fleet.start_member(&node.config);
--- a/crates/waydoor/src/interface.rs
+++ b/crates/waydoor/src/interface.rs
@@ -473,6 +473,14 @@
     ListFailed,
     /// The subscription is alive; the list has not changed.
     ListKeepAlive,
+    /// The list may be outdated, and its source does not tell. From `hold_from` on nothing is sent until
+    /// [`Event::ListConfirmed`].
+    ListUnconfirmed {
+        /// By when each change that the list lacks has to be heeded.
+        hold_from: Seconds,
+    },
+    /// The source of the list has told all that it has.
+    ListConfirmed,
     /// The timer with this token fired.
     TimerFired(u32),
     /// A probe ended.
--- a/crates/waydoor/src/policy.rs
+++ b/crates/waydoor/src/policy.rs
@@ -12,6 +12,7 @@
 mod endpoint_list;
 mod health_log;
 pub(crate) mod journaling;
+pub(crate) mod list_confirmation;
 mod outage;
 mod outage_record;
 mod overload;
@@ -75,6 +76,8 @@
             Event::ListSnapshot(entries) => self.apply_list(now, entries, true),
             Event::ListFailed => self.subscription_failed(now),
             Event::ListKeepAlive => self.subscription_confirmed(now),
+            Event::ListUnconfirmed { hold_from } => self.list_unconfirmed(hold_from),
+            Event::ListConfirmed => self.list_confirmed(now),
             Event::TimerFired(token) => self.timer = self.timer.filter(|(set, _)| *set != token),
             Event::ProbeEnded { endpoint, outcome, latency, rate_limit_report } => {
                 self.record_outcome(now, endpoint, outcome, latency, rate_limit_report, true);
--- a/crates/waydoor/src/policy/attempts.rs
+++ b/crates/waydoor/src/policy/attempts.rs
@@ -265,8 +265,8 @@
     /// Whether a call may still start, now that its connection is open: retry-after, ends and deadlines may
     /// have changed meanwhile.
     pub fn may_start_call(&self, now: Seconds, endpoint: EndpointId, ids: &[MessageId]) -> bool {
-        let must_wait =
-            self.limited_target(endpoint).is_some_and(|target| target.backoff.retry_after_until > now);
+        let must_wait = self.list_confirmation.holds_calls(now)
+            || self.limited_target(endpoint).is_some_and(|target| target.backoff.retry_after_until > now);
         let in_time = |state: &MessageState| {
             !state.done && now < state.message.deadline.min(self.key_expires_at(state))
         };
--- a/crates/waydoor/src/policy/scheduling.rs
+++ b/crates/waydoor/src/policy/scheduling.rs
@@ -77,7 +77,7 @@
 
     /// Gives free slots to the queued messages of highest priority that may be sent.
     pub(super) fn send_queued(&mut self, now: Seconds, actions: &mut Vec<Action>, wake_at: &mut Seconds) {
-        if self.calls.len() >= self.settings.max_concurrent_calls {
+        if self.holds_calls(now) || self.calls.len() >= self.settings.max_concurrent_calls {
             return;
         }
         let (mut candidates, mut open_destinations) = (Vec::new(), 0);
--- a/crates/waydoor/src/state.rs
+++ b/crates/waydoor/src/state.rs
@@ -4,6 +4,7 @@
 use crate::interface::*;
 use crate::policy::DEFAULT_LATENCY_SECONDS;
 use crate::policy::journaling::JournalHealth;
+use crate::policy::list_confirmation::ListConfirmation;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -496,6 +497,9 @@
     #[serde(default)]
     #[serde(rename = "storage")]
     pub(crate) journal: JournalHealth,
+    /// Whether the list may be used for calls.
+    #[serde(default)]
+    pub(crate) list_confirmation: ListConfirmation,
 }
 
 impl Dispatcher {
@@ -543,6 +547,7 @@
             log_lines: Vec::new(),
             log_line_count: 0,
             shutdown_at: f64::INFINITY,
+            list_confirmation: ListConfirmation::default(),
         }
     }
 
