Log how long discovery is not asked after a watch has ended, and who set that time

Change: the line at the end of a watch tells after what time discovery is asked again and whether the fleet set it; one more line tells that a watch was answered, and after what time.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -114,6 +114,7 @@
         node.resubscribe.notified().await;
     }
     loop {
+        let mut ended_by = None;
         let (address, seq) = (*address_changes.borrow_and_update(), node.directory.borrow().seq());
         if std::mem::replace(&mut last_address, address) != address {
             list_unconfirmed(&node, node.now() + NEW_ADDRESS_SECONDS);
@@ -121,7 +122,7 @@
         let started_at = Instant::now();
         tokio::select! {
             result = run_watch(&node, address, seq) => {
-                log::info_limited(format_args!("discovery: watch ended: {}", result.unwrap_or_else(|error| error.to_string())));
+                ended_by = Some(result.unwrap_or_else(|error| error.to_string()));
                 node.send_event(Event::ListFailed);
                 node.fleet.list_failed();
             }
@@ -137,6 +138,9 @@
             }
         }
         if on_request {
+            if let Some(reason) = ended_by {
+                log::info_limited(format_args!("discovery: watch ended: {reason}"));
+            }
             // The service at a new address is not known to be overloaded, so it is contacted at once.
             tokio::select! {
                 () = node.resubscribe.notified() => {}
@@ -150,7 +154,14 @@
         backoff = if successful { INITIAL_BACKOFF } else { (backoff * 2).min(MAX_BACKOFF) };
         // A new address is tried at once, and so is the current one if another dispatcher has had an
         // answer from it.
-        let pause = node.fleet.discovery_interval().map_or(backoff, |interval| interval.max(backoff));
+        let deferral = node.fleet.discovery_interval();
+        let pause = deferral.map_or(backoff, |interval| interval.max(backoff));
+        log::info_limited(format_args!(
+            "discovery: watch ended: {}; asked again after {:.3} s{}",
+            ended_by.as_deref().unwrap_or("requested anew"),
+            pause.as_secs_f64(),
+            if deferral.is_some() { ", which the fleet set" } else { "" },
+        ));
         tokio::select! {
             _ = timeout(pause, address_changes.wait_for(|current| *current != address)) => {}
             () = node.resubscribe.notified() => {}
@@ -189,6 +200,10 @@
     if response.status() != StatusCode::OK {
         return Ok(format!("answered {}", response.status()));
     }
+    log::info_limited(format_args!(
+        "discovery: answered a watch after {:.3} s",
+        started_at.elapsed().as_secs_f64()
+    ));
     let mut body = response.into_body();
     let mut stream = JsonValueStream::default();
     // Another watch may begin with a lower version.
