Node: notices and the splitting of JSON streams leave the discovery module

Need: discovery.rs held three jobs in 412 lines: the watch on the list, the delivery of notices, and the splitter of a stream into JSON values.

No behaviour changes.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,39 +1,27 @@
-//! Client of the platform: receives the list of endpoints from its discovery service, and sends
-//! notices to it.
+//! Receives the list of endpoints from the platform's discovery service.
 
 use crate::connection;
 use crate::directory::List;
+use crate::json_stream::JsonValueStream;
 use crate::{Node, control, log};
-use fawnspoke_journal::Notice;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Bytes;
-use hyper::{Method, Request, StatusCode};
-use serde_json::value::RawValue;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, StatusCode};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 use waydoor::{DiscoveryMode, Event, Seconds};
 
 /// A watch that is silent for more than two heartbeats is broken, even if its connection looks
 /// intact.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(4500);
-/// Discovery, through the agent on this machine, and the platform's receiver of notices answer at once
-/// or are down.
+/// Discovery, through the agent on this machine, answers at once or is down.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// A discovery service that all dispatchers share works through their requests in turn. One that is given up early still
 /// costs it its work, and is sent again; one that was lost is missed for as long.
 const QUEUED_RESPONSE_TIMEOUT: Duration = Duration::from_millis(2500);
-/// A request with notices that is not answered within this time is repeated: a notice is overdue 0.3 s
-/// after its message's deadline. Each failure doubles the time, up to `RESPONSE_TIMEOUT`. Repeated
-/// notices do no harm.
-const FIRST_NOTICE_TIMEOUT: Duration = Duration::from_millis(200);
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
-/// Longest value that can be a list.
-const MAX_VALUE_BYTES: usize = 4 << 20;
-/// An incomplete value that is shorter is parsed again with each chunk that arrives.
-const MAX_REPARSED_BYTES: usize = 64 << 10;
 /// A watch whose head has arrived brings what its source has to tell at once. If nothing has come after this time, there
 /// is nothing.
 const FIRST_LINE_TIMEOUT: Duration = Duration::from_millis(100);
@@ -42,11 +30,6 @@
 const HOLD_MARGIN_SECONDS: Seconds = 0.25;
 /// After SIGHUP a change that the new address has counts as told this much later.
 const NEW_ADDRESS_SECONDS: Seconds = 4.0;
-/// Delay before notices that are not journaled yet are checked again.
-const UNRECORDED_RETRY_DELAY: Duration = Duration::from_millis(20);
-const MAX_NOTICES_PER_REQUEST: usize = 64;
-/// Longest body of a response to notices; it has none by the protocol.
-const MAX_NOTICE_RESPONSE_BYTES: usize = 16 << 10;
 
 /// Applies a list in discovery's format.
 ///
@@ -233,179 +216,3 @@
         }
     }
 }
-
-/// Whether a parse error may be due to input that has not arrived yet. The parser reports a number that
-/// ends after its decimal point as invalid, not as incomplete, at the very end of the input.
-fn is_incomplete(input: &[u8], error: &serde_json::Error) -> bool {
-    let last_line = input.rsplit(|byte| *byte == b'\n').next().map_or(0, <[u8]>::len);
-    let lines = input.split(|byte| *byte == b'\n').count();
-    error.is_eof() || (error.line(), error.column()) == (lines, last_line)
-}
-
-/// A stream of JSON values with any white space between and in them.
-#[derive(Default)]
-struct JsonValueStream {
-    buffer: Vec<u8>,
-    /// Length of the buffer when its value was last found incomplete.
-    parsed_length: usize,
-    /// A value that has begun must be complete by then, or the stream is broken.
-    complete_by: Option<Instant>,
-}
-
-impl JsonValueStream {
-    /// Adds what has arrived and passes on each complete value. Returns whether the buffer held
-    /// anything but white space.
-    fn push(
-        &mut self, data: &[u8], mut handle: impl FnMut(&[u8]) -> Result<(), BoxError>,
-    ) -> Result<bool, BoxError> {
-        self.buffer.extend_from_slice(data);
-        let has_content = !self.buffer.trim_ascii_start().is_empty();
-        // A long value that arrives in many chunks is not parsed again for each of them.
-        let ends_with_brace = self.buffer.trim_ascii_end().ends_with(b"}");
-        if self.parsed_length > MAX_REPARSED_BYTES
-            && !ends_with_brace
-            && self.buffer.len() < 2 * self.parsed_length
-        {
-            return self.check_size(has_content);
-        }
-        let mut values = serde_json::Deserializer::from_slice(&self.buffer).into_iter::<&RawValue>();
-        let mut consumed = 0;
-        loop {
-            match values.next() {
-                Some(Ok(value)) => handle(value.get().as_bytes())?,
-                Some(Err(error)) if is_incomplete(&self.buffer, &error) => break,
-                Some(Err(error)) => return Err(error.into()),
-                None => {
-                    consumed = self.buffer.len();
-                    break;
-                }
-            }
-            consumed = values.byte_offset();
-        }
-        self.buffer.drain(..consumed);
-        // A long list comes once; its buffer is not kept for the short ones that follow.
-        if self.buffer.len() <= MAX_REPARSED_BYTES {
-            self.buffer.shrink_to(MAX_REPARSED_BYTES);
-        }
-        if consumed > 0 || self.buffer.trim_ascii_start().is_empty() {
-            self.complete_by = None;
-        }
-        self.parsed_length = self.buffer.len();
-        self.check_size(has_content)
-    }
-
-    fn check_size(&mut self, has_content: bool) -> Result<bool, BoxError> {
-        if self.buffer.len() > MAX_VALUE_BYTES {
-            return Err("value exceeds the size limit".into());
-        }
-        match self.buffer.trim_ascii_start().is_empty() {
-            true => self.buffer.clear(),
-            false => self.complete_by = self.complete_by.or_else(|| Some(Instant::now() + RESPONSE_TIMEOUT)),
-        }
-        Ok(has_content)
-    }
-}
-
-/// Sends notices to the platform until it has acknowledged each.
-pub async fn deliver_notices(node: Rc<Node>) {
-    node.serving_state.run_while_serving(|| delivery_loop(node.clone())).await;
-}
-
-async fn delivery_loop(node: Rc<Node>) {
-    let mut address_changes = node.discovery_address.subscribe();
-    let mut backoff = INITIAL_BACKOFF;
-    let mut batch_limit = MAX_NOTICES_PER_REQUEST;
-    let mut response_timeout = FIRST_NOTICE_TIMEOUT;
-    let mut has_failed = false;
-    loop {
-        let is_held = |number| node.unproven.contains(number);
-        let due = node.journal.borrow().due_notices(node.unix_now(), batch_limit, is_held);
-        if due.is_empty() {
-            // A notice must be journaled before it is sent, so one that is not is checked again soon.
-            let unrecorded = node.journal.borrow().pending_notices().any(|number| !is_held(number));
-            if unrecorded {
-                sleep(UNRECORDED_RETRY_DELAY).await;
-            } else {
-                node.notice_due.notified().await;
-            }
-            continue;
-        }
-        let address = *address_changes.borrow_and_update();
-        let response = tokio::select! {
-            response = post(address, &due, response_timeout) => response,
-            // Notices that the old address has received already do no harm at the new one.
-            _ = address_changes.changed() => {
-                (backoff, response_timeout) = (INITIAL_BACKOFF, FIRST_NOTICE_TIMEOUT);
-                continue;
-            }
-        };
-        match response {
-            Ok(StatusCode::NO_CONTENT) => {
-                has_failed = false;
-                (backoff, batch_limit, response_timeout) =
-                    (INITIAL_BACKOFF, MAX_NOTICES_PER_REQUEST, FIRST_NOTICE_TIMEOUT);
-                for (number, ..) in due {
-                    node.observe_journal_write(node.journal.borrow_mut().close(number));
-                }
-                continue;
-            }
-            // A notice that cannot be parsed must not block the others.
-            Ok(StatusCode::BAD_REQUEST) if due.len() > 1 => {
-                batch_limit = 1;
-                continue;
-            }
-            Ok(StatusCode::BAD_REQUEST) => {
-                log::info_limited(format_args!(
-                    "notice for {}: the platform cannot parse it; dropped",
-                    due[0].1
-                ));
-                node.observe_journal_write(node.journal.borrow_mut().close(due[0].0));
-                continue;
-            }
-            Ok(status) => log::info_limited(format_args!("notices: platform answered {status}")),
-            Err(error) => {
-                log::info_limited(format_args!("notices: {error}"));
-                response_timeout = (response_timeout * 2).min(RESPONSE_TIMEOUT);
-                // After a pause as well, the notices would be overdue.
-                if !std::mem::replace(&mut has_failed, true) {
-                    continue;
-                }
-            }
-        }
-        let _ = timeout(backoff, address_changes.wait_for(|current| *current != address)).await;
-        backoff = (backoff * 2).min(MAX_BACKOFF);
-    }
-}
-
-/// Sends one request with notices. Its connection carries no other request: a late copy of an earlier response would
-/// be taken for the acknowledgement.
-async fn post(
-    address: SocketAddr, notices: &[(u64, String, Notice)], response_timeout: Duration,
-) -> Result<StatusCode, BoxError> {
-    let mut lines = Vec::new();
-    for (_, id, notice) in notices {
-        let line = match notice {
-            Notice::GivenUp => serde_json::json!({"message": id, "outcome": "given_up"}),
-            Notice::HandedBack { retry_in_ms } => {
-                serde_json::json!({"message": id, "outcome": "handed_back", "retry_in_ms": retry_in_ms})
-            }
-        };
-        serde_json::to_writer(&mut lines, &line)?;
-        lines.push(b'\n');
-    }
-    let deadline = Instant::now() + response_timeout;
-    let mut connection = timeout_at(deadline, connection::connect(address, None)).await??;
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri("/status")
-        .header("Host", address.to_string())
-        .header("Connection", "close")
-        .body(Full::new(Bytes::from(lines)))?;
-    connection.monitor.begin_request();
-    let response = timeout_at(deadline, connection.sender.send_request(request)).await??;
-    let status = response.status();
-    // A response that ends an acknowledgement has no body, and nothing of another one is used.
-    let body = Limited::new(response.into_body(), MAX_NOTICE_RESPONSE_BYTES);
-    timeout_at(deadline, body.collect()).await?.map_err(|error| error.to_string())?;
-    Ok(status)
-}
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -10,7 +10,7 @@
 use crate::fleet::{self, FleetConstraints};
 use crate::retry::{self, Retry};
 use crate::serving::ServingState;
-use crate::{Node, client_listener, clock, control, discovery, handover, log, takeover, traffic};
+use crate::{Node, client_listener, clock, control, discovery, handover, log, notices, takeover, traffic};
 use fawnspoke_control::metrics::Metrics;
 use fawnspoke_control::server;
 use fawnspoke_journal::compaction::{self, Limits};
@@ -234,7 +234,7 @@
     }
     node.handover_socket.open();
     spawn_local(discovery::watch_list(node.clone()));
-    spawn_local(discovery::deliver_notices(node.clone()));
+    spawn_local(notices::deliver_notices(node.clone()));
     // Clients are served once all journaled messages are restored; this does not wait for discovery.
     spawn_local(clients::serve(node.clone()));
     spawn_local(clients::reclaim_memory(node.clone()));
