Ask a discovery agent again at once whenever no watch is open

Cause: after a watch that failed the dispatcher paused for 0.1 s, doubled up to 1 s, without a request out. What the agent has when it answers again counts as told at once; an agent that answers in the pause is not asked before its end. Related: a connect whose SYN was dropped waits a second for the next one; error statuses, redirects, malformed lists and refused connects led to the same pause, and after a sound watch that was closed the first pause was 0.2 s.

Change: the next request begins 0.1 s after the last one began, or at once if that is over: a request is out nearly all the time, and a silent agent gets one each 2 s. Connects to the agent are repeated each 0.1 s. 0.1 s and the hold-up of 0.15 s fit into the shortest grace of a customer, 0.4 s. A shared discovery service is asked as before. The log tells each reason once a second at most, and how long an outage was.

--- a/crates/fawnspoke/tests/sockets/main.rs
+++ b/crates/fawnspoke/tests/sockets/main.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests of the dispatcher as a process on loopback sockets, against the lab's stand-ins.
 //! Tests wait for conditions with a long timeout, so that they pass on a busy machine.
 
+mod agent_outages;
 mod calls_after_end;
 mod churn;
 mod client_callers;
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -385,6 +385,11 @@
     wrap_stream(stream, address, Instant::now(), endpoint, ResponsePairing::default()).await
 }
 
+/// Makes a [`Connection`] of a stream to discovery that has just been opened.
+pub async fn for_discovery(stream: TcpStream, address: SocketAddr) -> io::Result<Connection> {
+    wrap_stream(stream, address, Instant::now(), None, ResponsePairing::default()).await
+}
+
 /// Makes a [`Connection`] of a stream that another process opened and that has been idle since `idle_since`.
 pub async fn adopt(
     stream: TcpStream, address: SocketAddr, idle_since: Instant, endpoint: EndpointConnection,
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,14 +1,19 @@
 //! Receives the list of endpoints from the platform's discovery service.
 
-use crate::connection;
+use crate::connection::{self, Connection};
 use crate::directory::List;
 use crate::json_stream::JsonValueStream;
+use crate::watch_outage::WatchOutage;
 use crate::{Node, control, log};
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
+use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout, timeout_at};
 use waydoor::{DiscoveryMode, Event, Seconds};
 
@@ -20,8 +25,9 @@
 /// A discovery service that all dispatchers share works through their requests in turn. One that is given up early still
 /// costs it its work, and is sent again; one that was lost is missed for as long.
 const QUEUED_RESPONSE_TIMEOUT: Duration = Duration::from_millis(2500);
-const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
-const MAX_BACKOFF: Duration = Duration::from_secs(1);
+/// Shortest time from the begin of a request for a pushed list to the begin of the next one. With the time for which the
+/// process may be held up it has to fit into the grace of a drain.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
 /// A watch whose head has arrived brings what its source has to tell at once. If nothing has come after this time, there
 /// is nothing.
 const FIRST_LINE_TIMEOUT: Duration = Duration::from_millis(100);
@@ -85,73 +91,69 @@
 /// Watches the list for as long as the process runs. If all dispatchers share one discovery
 /// service, a watch is only started when the decision core requests it.
 pub async fn watch_list(node: Rc<Node>) {
-    node.serving_state.run_while_serving(|| watch_loop(node.clone())).await;
+    match is_list_on_request(&node) {
+        true => node.serving_state.run_while_serving(|| watch_on_request(node.clone())).await,
+        false => node.serving_state.run_while_serving(|| watch_pushed(node.clone())).await,
+    }
 }
 
-async fn watch_loop(node: Rc<Node>) {
+/// Watches a list that is pushed. Whenever no watch is open, a request for one is out, but for `REQUEST_INTERVAL` at most:
+/// what the agent has counts as told as soon as it answers again.
+async fn watch_pushed(node: Rc<Node>) {
     let mut address_changes = node.discovery_address.subscribe();
-    let mut last_address = *address_changes.borrow();
-    let mut backoff = INITIAL_BACKOFF;
-    let on_request = is_list_on_request(&node);
-    if on_request {
-        node.resubscribe.notified().await;
-    }
+    let mut address = *address_changes.borrow_and_update();
+    let mut outage = WatchOutage::default();
     loop {
-        let mut ended_by = None;
-        let (address, seq) = (*address_changes.borrow_and_update(), node.directory.borrow().seq());
-        if std::mem::replace(&mut last_address, address) != address {
-            list_unconfirmed(&node, node.now() + NEW_ADDRESS_SECONDS);
+        let next_request_at = Instant::now() + REQUEST_INTERVAL;
+        tokio::select! {
+            reason = run_watch(&node, address, &mut outage) => watch_ended(&node, &mut outage, &reason),
+            // Another dispatcher has a list that this watch has not brought.
+            () = node.resubscribe.notified() => {}
+            _ = address_changes.changed() => {}
         }
-        let started_at = Instant::now();
+        let next_request_at = node
+            .fleet
+            .discovery_interval()
+            .map_or(next_request_at, |interval| next_request_at.max(Instant::now() + interval));
+        // A new address is tried at once.
         tokio::select! {
-            result = run_watch(&node, address, seq) => {
-                ended_by = Some(result.unwrap_or_else(|error| error.to_string()));
-                node.send_event(Event::ListFailed);
-                node.fleet.list_failed();
-            }
-            () = node.resubscribe.notified() => {
-                if on_request {
-                    continue;
-                }
-            }
-            // The sender lives as long as the node.
-            _ = address_changes.changed() => {
-                backoff = INITIAL_BACKOFF;
-                continue;
-            }
+            _ = timeout_at(next_request_at, address_changes.wait_for(|current| *current != address)) => {}
+            () = node.resubscribe.notified() => {}
         }
-        if on_request {
-            if let Some(reason) = ended_by {
-                log::info_limited(format_args!("discovery: watch ended: {reason}"));
-            }
-            // The service at a new address is not known to be overloaded, so it is contacted at once.
-            tokio::select! {
-                () = node.resubscribe.notified() => {}
-                _ = address_changes.changed() => {}
-            }
-            continue;
+        let previous = std::mem::replace(&mut address, *address_changes.borrow_and_update());
+        if previous != address {
+            list_unconfirmed(&node, node.now() + NEW_ADDRESS_SECONDS);
         }
-        // A watch that delivered a list or lasted for a while was successful, so the next one begins
-        // after a short delay.
-        let successful = node.directory.borrow().seq() != seq || started_at.elapsed() >= WATCH_TIMEOUT;
-        backoff = if successful { INITIAL_BACKOFF } else { (backoff * 2).min(MAX_BACKOFF) };
-        // A new address is tried at once, and so is the current one if another dispatcher has had an
-        // answer from it.
-        let deferral = node.fleet.discovery_interval();
-        let pause = deferral.map_or(backoff, |interval| interval.max(backoff));
-        log::info_limited(format_args!(
-            "discovery: watch ended: {}; asked again after {:.3} s{}",
-            ended_by.as_deref().unwrap_or("requested anew"),
-            pause.as_secs_f64(),
-            if deferral.is_some() { ", which the fleet set" } else { "" },
-        ));
+    }
+}
+
+/// Watches the list of a service that all dispatchers share, from each request of the decision core on.
+async fn watch_on_request(node: Rc<Node>) {
+    let mut address_changes = node.discovery_address.subscribe();
+    let mut outage = WatchOutage::default();
+    node.resubscribe.notified().await;
+    loop {
+        let address = *address_changes.borrow_and_update();
+        tokio::select! {
+            reason = run_watch(&node, address, &mut outage) => watch_ended(&node, &mut outage, &reason),
+            () = node.resubscribe.notified() => continue,
+            _ = address_changes.changed() => continue,
+        }
+        // The service at a new address is not known to be overloaded, so it is contacted at once.
         tokio::select! {
-            _ = timeout(pause, address_changes.wait_for(|current| *current != address)) => {}
             () = node.resubscribe.notified() => {}
+            _ = address_changes.changed() => {}
         }
     }
 }
 
+/// Reports that a watch has ended, or that none could be opened.
+fn watch_ended(node: &Node, outage: &mut WatchOutage, reason: &str) {
+    outage.failed(Instant::now(), reason).into_iter().for_each(log::info_limited);
+    node.send_event(Event::ListFailed);
+    node.fleet.list_failed();
+}
+
 /// Whether the list must be requested from a discovery service that all dispatchers share.
 fn is_list_on_request(node: &Node) -> bool {
     node.config.settings.discovery_mode != DiscoveryMode::Pushed
@@ -160,34 +162,68 @@
 /// An error that ends a watch or a request.
 pub type BoxError = Box<dyn std::error::Error>;
 
-/// How long to wait for the connection of a watch, and for the response, both from the begin of the connect.
-fn request_timeouts(node: &Node) -> (Duration, Duration) {
-    match is_list_on_request(node) {
-        // A connect that gets no answer tells no more than a response that does not come.
-        true => (QUEUED_RESPONSE_TIMEOUT, QUEUED_RESPONSE_TIMEOUT),
-        false => (RESPONSE_TIMEOUT, 2 * RESPONSE_TIMEOUT),
-    }
+/// Runs one watch, from connecting to its end, and returns why it ended.
+async fn run_watch(node: &Node, address: SocketAddr, outage: &mut WatchOutage) -> String {
+    let watch = async {
+        let response = request_watch(node, address).await?;
+        outage.answered(Instant::now()).into_iter().for_each(log::info_limited);
+        follow_watch(node, response).await
+    };
+    watch.await.unwrap_or_else(|error| error.to_string())
 }
 
-/// Runs one watch, from connecting to its end, and returns why it ended.
-async fn run_watch(node: &Node, address: SocketAddr, seq: u64) -> Result<String, BoxError> {
-    let (connect_timeout, response_timeout) = request_timeouts(node);
-    let started_at = Instant::now();
-    let mut connection = timeout(connect_timeout, connection::connect(address, None)).await??;
+/// Requests a watch of what changes after the current list.
+async fn request_watch(node: &Node, address: SocketAddr) -> Result<WatchResponse, BoxError> {
+    // A connect that gets no answer from a shared service tells no more than a response that does not come.
+    let (connect_timeout, response_timeout) = match is_list_on_request(node) {
+        true => (QUEUED_RESPONSE_TIMEOUT, QUEUED_RESPONSE_TIMEOUT),
+        false => (RESPONSE_TIMEOUT, 2 * RESPONSE_TIMEOUT),
+    };
+    let response_due_at = Instant::now() + response_timeout;
+    let stream = match is_list_on_request(node) {
+        true => timeout(connect_timeout, TcpStream::connect(address)).await??,
+        false => timeout(connect_timeout, connect_repeatedly(address)).await??,
+    };
+    let mut connection = connection::for_discovery(stream, address).await?;
+    let seq = node.directory.borrow().seq();
     let request = Request::get(format!("/registry/instances?stream=1&index={seq}"))
         .header("Host", address.to_string())
         .body(Full::default())?;
     connection.monitor.begin_request();
-    let response_due_at = started_at + response_timeout;
     let response = timeout_at(response_due_at, connection.sender.send_request(request)).await??;
     if response.status() != StatusCode::OK {
-        return Ok(format!("answered {}", response.status()));
+        return Err(format!("answered {}", response.status()).into());
+    }
+    Ok(WatchResponse { body: response.into_body(), _connection: connection })
+}
+
+/// Connects to the agent. Another connect is begun at each interval: the system repeats a SYN that was dropped only after
+/// a second. Two are out at most.
+async fn connect_repeatedly(address: SocketAddr) -> io::Result<TcpStream> {
+    let mut first = pin!(TcpStream::connect(address));
+    if let Ok(connected) = timeout(REQUEST_INTERVAL, &mut first).await {
+        return connected;
     }
-    log::info_limited(format_args!(
-        "discovery: answered a watch after {:.3} s",
-        started_at.elapsed().as_secs_f64()
-    ));
-    let mut body = response.into_body();
+    loop {
+        tokio::select! {
+            connected = &mut first => return connected,
+            connected = timeout(REQUEST_INTERVAL, TcpStream::connect(address)) => {
+                if let Ok(connected) = connected {
+                    return connected;
+                }
+            }
+        }
+    }
+}
+
+/// The response to a request for a watch, which lasts until its connection ends.
+struct WatchResponse {
+    body: Incoming,
+    _connection: Connection,
+}
+
+/// Applies what a watch brings until it ends; returns why it ended.
+async fn follow_watch(node: &Node, mut watch: WatchResponse) -> Result<String, BoxError> {
     let mut stream = JsonValueStream::default();
     // Another watch may begin with a lower version.
     let mut watch_seq = 0;
@@ -196,7 +232,7 @@
         // A value that has begun must be completed soon; between two values the heartbeat interval applies.
         let deadline = stream.complete_by.unwrap_or_else(|| Instant::now() + WATCH_TIMEOUT);
         let due_at = first_line_due_at.map_or(deadline, |due_at| due_at.min(deadline));
-        let frame = timeout_at(due_at, body.frame()).await;
+        let frame = timeout_at(due_at, watch.body.frame()).await;
         if let (Err(_), Some(_)) = (&frame, first_line_due_at.take()) {
             node.send_event(Event::ListConfirmed);
             continue;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -47,6 +47,7 @@
 mod traffic;
 mod transfer;
 mod unproven;
+mod watch_outage;
 
 use client_connections::ClientConnections;
 use clock::JournalClock;
