Fleet: no member waits for the holder of lists before it asks its own agent

Three dispatchers are one fleet; the holder of the duty lists is killed while discovery is down. The others sent calls to an endpoint that their agents had as draining: 40 late calls, the last 2.46 s after discovery was back; with hold_most_s = 20 515 late calls, the last 19.49 s.

Cause: a member that was not the holder paused for hold_most_s after each request without an answer. The pause was taken once; neither a new holder, an ended lease nor a returned agent ended it, and hold_most_s has nothing to do with a customer's grace.

Change: the polling rate leaves the duty, and with it the holder's keep-alive in the log. The duty stays: its holder announces a list, which makes others ask at once, and never later. An announcement that reaches a member with no watch open is left out: a request is out already. Where discovery is asked for, the rate never had an effect. In a mixed fleet an older member defers to a holder for hold_most_s after a grant, and no longer.

--- a/crates/fawnspoke/tests/fleet/main.rs
+++ b/crates/fawnspoke/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod duties;
 mod faults;
+mod lists;
 mod member_identity;
 mod trials;
 
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -286,6 +286,12 @@
         Config::read(&text, PathBuf::new(), None, None)
     }
 
+    /// Whether the list is pushed by an agent on this machine. If not, it is requested from a discovery service that all
+    /// dispatchers share.
+    pub fn is_list_pushed(&self) -> bool {
+        self.settings.discovery_mode == DiscoveryMode::Pushed
+    }
+
     /// `control_address`: from the environment, which is this process's own; the file may be shared
     /// with other dispatchers.
     fn read(
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout, timeout_at};
-use waydoor::{DiscoveryMode, Event, Seconds};
+use waydoor::{Event, Seconds};
 
 /// A watch that is silent for more than two heartbeats is broken, even if its connection looks
 /// intact.
@@ -62,7 +62,7 @@
 /// Reports that the list may be outdated: what its source has counts as told at `told_at`, whether or not it answers. A
 /// list that is requested has another rule: its requests are repeated in time.
 fn list_unconfirmed(node: &Node, told_at: Seconds) {
-    if !is_list_on_request(node) {
+    if node.config.is_list_pushed() {
         let hold_from = told_at + (node.config.drain_grace_seconds - HOLD_MARGIN_SECONDS).max(0.0);
         node.send_event(Event::ListUnconfirmed { hold_from });
     }
@@ -91,9 +91,9 @@
 /// Watches the list for as long as the process runs. If all dispatchers share one discovery
 /// service, a watch is only started when the decision core requests it.
 pub async fn watch_list(node: Rc<Node>) {
-    match is_list_on_request(&node) {
-        true => node.serving_state.run_while_serving(|| watch_on_request(node.clone())).await,
-        false => node.serving_state.run_while_serving(|| watch_pushed(node.clone())).await,
+    match node.config.is_list_pushed() {
+        true => node.serving_state.run_while_serving(|| watch_pushed(node.clone())).await,
+        false => node.serving_state.run_while_serving(|| watch_on_request(node.clone())).await,
     }
 }
 
@@ -111,15 +111,8 @@
             () = node.resubscribe.notified() => {}
             _ = address_changes.changed() => {}
         }
-        let next_request_at = node
-            .fleet
-            .discovery_interval()
-            .map_or(next_request_at, |interval| next_request_at.max(Instant::now() + interval));
         // A new address is tried at once.
-        tokio::select! {
-            _ = timeout_at(next_request_at, address_changes.wait_for(|current| *current != address)) => {}
-            () = node.resubscribe.notified() => {}
-        }
+        let _ = timeout_at(next_request_at, address_changes.wait_for(|current| *current != address)).await;
         let previous = std::mem::replace(&mut address, *address_changes.borrow_and_update());
         if previous != address {
             list_unconfirmed(&node, node.now() + NEW_ADDRESS_SECONDS);
@@ -154,11 +147,6 @@
     node.fleet.list_failed();
 }
 
-/// Whether the list must be requested from a discovery service that all dispatchers share.
-fn is_list_on_request(node: &Node) -> bool {
-    node.config.settings.discovery_mode != DiscoveryMode::Pushed
-}
-
 /// An error that ends a watch or a request.
 pub type BoxError = Box<dyn std::error::Error>;
 
@@ -174,23 +162,22 @@
 
 /// Requests a watch of what changes after the current list.
 async fn request_watch(node: &Node, address: SocketAddr) -> Result<WatchResponse, BoxError> {
-    // A connect that gets no answer from a shared service tells no more than a response that does not come.
-    let (connect_timeout, response_timeout) = match is_list_on_request(node) {
-        true => (QUEUED_RESPONSE_TIMEOUT, QUEUED_RESPONSE_TIMEOUT),
-        false => (RESPONSE_TIMEOUT, 2 * RESPONSE_TIMEOUT),
-    };
-    let response_due_at = Instant::now() + response_timeout;
-    let stream = match is_list_on_request(node) {
-        true => timeout(connect_timeout, TcpStream::connect(address)).await??,
-        false => timeout(connect_timeout, connect_repeatedly(address)).await??,
+    let requested_at = Instant::now();
+    let (connected, response_timeout) = match node.config.is_list_pushed() {
+        true => (timeout(RESPONSE_TIMEOUT, connect_repeatedly(address)).await, 2 * RESPONSE_TIMEOUT),
+        // A connect that gets no answer from a shared service tells no more than a response that does not come.
+        false => {
+            (timeout(QUEUED_RESPONSE_TIMEOUT, TcpStream::connect(address)).await, QUEUED_RESPONSE_TIMEOUT)
+        }
     };
-    let mut connection = connection::for_discovery(stream, address).await?;
+    let mut connection = connection::for_discovery(connected??, address).await?;
     let seq = node.directory.borrow().seq();
     let request = Request::get(format!("/registry/instances?stream=1&index={seq}"))
         .header("Host", address.to_string())
         .body(Full::default())?;
     connection.monitor.begin_request();
-    let response = timeout_at(response_due_at, connection.sender.send_request(request)).await??;
+    let response =
+        timeout_at(requested_at + response_timeout, connection.sender.send_request(request)).await??;
     if response.status() != StatusCode::OK {
         return Err(format!("answered {}", response.status()).into());
     }
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -1,7 +1,7 @@
 //! Connects the event loop to the fleet member's thread: reports calls, outages and lists to it, and
-//! applies the restrictions that it returns. A restriction delays attempts or requests to discovery,
-//! and expires unless it is renewed; the thread may also trigger a request to discovery. The event
-//! loop never waits for the thread.
+//! applies the restrictions that it returns. A restriction delays attempts, and expires unless it is
+//! renewed; the thread may also trigger a request to discovery, and never delays one. The event loop
+//! never waits for the thread.
 
 use crate::config::Config;
 use crate::serving::Phase;
@@ -9,7 +9,6 @@
 use fawnspoke_cluster::clock;
 use fawnspoke_cluster::runtime::{self, MemberHandle};
 use fawnspoke_duty::Seconds as BootSeconds;
-use fawnspoke_duty::discovery_polling::PollingRate;
 use fawnspoke_duty::duties::{Duties, DutyEvent, DutyReport, DutySettings};
 use fawnspoke_duty::lease_table::{DutyId, HolderUpdate};
 use fawnspoke_duty::trials::{DestinationReport, TrialPermission};
@@ -34,7 +33,6 @@
     outages: RefCell<BTreeMap<u32, TrialPermission>>,
     /// Destinations to which nothing is sent now.
     restricted: RefCell<BTreeSet<u32>>,
-    polling_rate: Cell<PollingRate>,
     list_seq: Cell<Option<u64>>,
     /// A restriction that is not renewed expires after this time.
     max_deferral_seconds: BootSeconds,
@@ -79,7 +77,6 @@
             updates: RefCell::new(Some(updates)),
             outages: RefCell::default(),
             restricted: RefCell::default(),
-            polling_rate: Cell::new(PollingRate::Normal),
             list_seq: Cell::new(None),
             max_deferral_seconds: config.fleet.as_ref().map_or(0.0, |fleet_config| fleet_config.hold_most_s),
             watch_ended: Cell::new(false),
@@ -197,16 +194,6 @@
         }
     }
 
-    /// The delay between requests to discovery, if it is increased because another member makes them.
-    pub fn discovery_interval(&self) -> Option<Duration> {
-        match self.polling_rate.get() {
-            PollingRate::Reduced(interval, until) if clock::now() < until => {
-                Some(Duration::from_secs_f64(interval))
-            }
-            _ => None,
-        }
-    }
-
     /// Applies restrictions that have begun or ended.
     pub fn refresh(&self, node: &Node) {
         if self.outages.borrow().is_empty() && self.restricted.borrow().is_empty() {
@@ -254,7 +241,6 @@
     /// Lifts all restrictions; returns the changed entries of the list.
     fn lift_all(&self, node: &Node) -> Vec<Vec<EndpointEntry>> {
         self.outages.borrow_mut().clear();
-        self.polling_rate.set(PollingRate::Normal);
         self.set_restricted(node, BTreeSet::new())
     }
 
@@ -312,7 +298,8 @@
                 }
                 constraints.refresh(&node);
             }
-            DutyEvent::PollingRate(rate) => constraints.polling_rate.set(rate),
+            // Where the list is pushed and no watch is open, it is being asked for already.
+            DutyEvent::PollDiscovery if node.config.is_list_pushed() && constraints.watch_ended.get() => {}
             DutyEvent::PollDiscovery => node.resubscribe.notify_one(),
             DutyEvent::Granted(duty, epoch, holder) => {
                 let holder_name = holder.map_or("nobody".into(), |id| format!("{id:016x}"));
