Hold calls when a watch closed and the agent is silent since

Cause: what the agent has counts as told, whether or not a watch is open. Between the close of a watch and a silence the agent may get a change that no request can ask for any more; the running process took its list for current all the same.

Change: a pushed watch that its peer closes makes the list unconfirmed from that moment, as the list of an earlier process is: calls are held once the grace of a drain less 0.25 s is over, until the agent has answered. A watch that falls silent has brought all, and holds nothing; an agent that refuses connects is not running and has nothing, so the hold ends. How a watch ended is a type now.

--- a/crates/fawnspoke/tests/sockets/agent_outages.rs
+++ b/crates/fawnspoke/tests/sockets/agent_outages.rs
@@ -1,7 +1,7 @@
 //! A dispatcher alone whose discovery agent does not answer for a while. What the agent has when it answers again counts as
 //! told, and then the grace of a drain runs, of any customer: whenever no watch is open, a request for one begins in time.
 
-use crate::manual_endpoint::ManualEndpoint;
+use crate::manual_endpoint::{ManualEndpoint, Peer};
 use crate::support::*;
 use std::net::TcpListener;
 use std::thread;
@@ -12,6 +12,10 @@
 const LATEST_REQUEST: Duration = Duration::from_millis(250);
 /// Calls begin up to this much later on sockets.
 const TOLERANCE: Duration = Duration::from_millis(50);
+/// The grace of a drain where the settings name none.
+const DEFAULT_GRACE: Duration = Duration::from_millis(500);
+/// The begin of a response to a request for a watch, with a heartbeat.
+const OPEN_WATCH: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n";
 /// Requests without an answer after which the pauses between them were at their longest.
 const REQUESTS_IN_OUTAGE: usize = 5;
 
@@ -109,7 +113,7 @@
     // A pause shows each time, a busy machine does not.
     for _ in 0..3 {
         assert!(watch.read_request().is_some());
-        watch.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+        watch.write(OPEN_WATCH);
         thread::sleep(Duration::from_millis(500));
         drop(watch);
         let ended_at = Instant::now();
@@ -146,3 +150,63 @@
     assert!(requested.is_some_and(|after| after <= LATEST_REQUEST), "asked after {requested:?}");
     assert!(dispatcher.is_running());
 }
+
+/// A dispatcher that has delivered a message while its watch is open.
+fn start_with_open_watch(agent: &ManualEndpoint, endpoint: &Endpoint) -> (Dispatcher, Peer) {
+    let mut dispatcher = Dispatcher::new(&Platform::start(), &[endpoint.list_entry("e", 7, "up")]);
+    dispatcher.config["discovery"] = agent.address.to_string().into();
+    dispatcher.start();
+    let mut watch = agent.accept();
+    assert!(watch.read_request().is_some());
+    watch.write(OPEN_WATCH);
+    assert_eq!(dispatcher.submit("safe", "first", 7), 202);
+    eventually("the first call", || endpoint.requests().len() == 1);
+    (dispatcher, watch)
+}
+
+/// Guards against calls by a list that lacks what the agent got when the watch closed: the agent fell silent in that moment,
+/// and a drain that it had was not heeded for as long as the silence lasted.
+#[test]
+fn a_watch_that_closes_before_the_agent_falls_silent_holds_calls_after_the_grace() {
+    let (agent, endpoint) = (ManualEndpoint::start(), Endpoint::start(|_, _| Reply::status(200)));
+    let (dispatcher, watch) = start_with_open_watch(&agent, &endpoint);
+    drop(watch);
+    thread::sleep(DEFAULT_GRACE + TOLERANCE);
+    let calls = endpoint.requests().len();
+    for number in 0..5 {
+        assert_eq!(dispatcher.submit("safe", &format!("held{number}"), 7), 202);
+        thread::sleep(Duration::from_millis(300));
+    }
+    assert_eq!(endpoint.requests().len(), calls, "calls by a list that may be outdated");
+    // The agent answers, and has nothing new. Requests that were given up meanwhile come first.
+    eventually("the held messages", || {
+        let mut watch = agent.accept();
+        watch.read_request().is_some() && watch.try_write(OPEN_WATCH).is_ok() && {
+            thread::sleep(Duration::from_secs(2));
+            endpoint.requests().len() == calls + 5
+        }
+    });
+}
+
+/// Guards against messages that wait without need: a watch that only falls silent has brought all that the agent had.
+#[test]
+fn an_agent_that_falls_silent_holds_no_calls() {
+    let (agent, endpoint) = (ManualEndpoint::start(), Endpoint::start(|_, _| Reply::status(200)));
+    let (dispatcher, _watch) = start_with_open_watch(&agent, &endpoint);
+    eventually("requests without an answer", || watch_ends(&dispatcher) >= 2);
+    assert_eq!(dispatcher.submit("safe", "second", 7), 202);
+    eventually("its call", || endpoint.message_ids().contains(&"second".to_string()));
+    assert!(!dispatcher.log_contains("list not confirmed"));
+}
+
+/// Guards against a dispatcher that delivers nothing for as long as its agent is not running.
+#[test]
+fn an_agent_that_ends_holds_no_calls() {
+    let (agent, endpoint) = (ManualEndpoint::start(), Endpoint::start(|_, _| Reply::status(200)));
+    let (dispatcher, watch) = start_with_open_watch(&agent, &endpoint);
+    drop((watch, agent));
+    eventually("a connect that is refused", || dispatcher.log_contains("Connection refused"));
+    thread::sleep(DEFAULT_GRACE);
+    assert_eq!(dispatcher.submit("safe", "second", 7), 202);
+    eventually("its call", || endpoint.message_ids().contains(&"second".to_string()));
+}
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -103,10 +104,14 @@
     let mut address_changes = node.discovery_address.subscribe();
     let mut address = *address_changes.borrow_and_update();
     let mut outage = WatchOutage::default();
+    let mut is_closed = false;
     loop {
         let next_request_at = Instant::now() + REQUEST_INTERVAL;
         tokio::select! {
-            reason = run_watch(&node, address, &mut outage) => watch_ended(&node, &mut outage, &reason),
+            end = run_watch(&node, address, &mut outage) => {
+                is_closed = check_closed(&node, &end, is_closed);
+                watch_ended(&node, &mut outage, &end);
+            }
             // Another dispatcher has a list that this watch has not brought.
             () = node.resubscribe.notified() => {}
             _ = address_changes.changed() => {}
@@ -115,11 +120,35 @@
         let _ = timeout_at(next_request_at, address_changes.wait_for(|current| *current != address)).await;
         let previous = std::mem::replace(&mut address, *address_changes.borrow_and_update());
         if previous != address {
+            is_closed = false;
             list_unconfirmed(&node, node.now() + NEW_ADDRESS_SECONDS);
         }
     }
 }
 
+/// What the agent gets once a watch has closed counts as told, also if it falls silent before it is asked again. An agent
+/// that is not running any more has nothing. `is_closed`: the watch before was closed, and no agent refused since. Returns
+/// whether that holds now.
+fn check_closed(node: &Node, end: &WatchEnd, is_closed: bool) -> bool {
+    match end {
+        WatchEnd::Closed(_) => {
+            list_unconfirmed(node, node.now());
+            true
+        }
+        WatchEnd::NotOpened(error) if is_closed && is_refused(error) => {
+            node.send_event(Event::ListConfirmed);
+            false
+        }
+        _ => is_closed,
+    }
+}
+
+/// Whether nothing listens at the address.
+fn is_refused(error: &BoxError) -> bool {
+    let error = error.downcast_ref::<io::Error>();
+    error.is_some_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 /// Watches the list of a service that all dispatchers share, from each request of the decision core on.
 async fn watch_on_request(node: Rc<Node>) {
     let mut address_changes = node.discovery_address.subscribe();
@@ -128,7 +157,7 @@
     loop {
         let address = *address_changes.borrow_and_update();
         tokio::select! {
-            reason = run_watch(&node, address, &mut outage) => watch_ended(&node, &mut outage, &reason),
+            end = run_watch(&node, address, &mut outage) => watch_ended(&node, &mut outage, &end),
             () = node.resubscribe.notified() => continue,
             _ = address_changes.changed() => continue,
         }
@@ -141,8 +170,8 @@
 }
 
 /// Reports that a watch has ended, or that none could be opened.
-fn watch_ended(node: &Node, outage: &mut WatchOutage, reason: &str) {
-    outage.failed(Instant::now(), reason).into_iter().for_each(log::info_limited);
+fn watch_ended(node: &Node, outage: &mut WatchOutage, end: &WatchEnd) {
+    outage.failed(Instant::now(), &end.to_string()).into_iter().for_each(log::info_limited);
     node.send_event(Event::ListFailed);
     node.fleet.list_failed();
 }
@@ -150,14 +179,38 @@
 /// An error that ends a watch or a request.
 pub type BoxError = Box<dyn std::error::Error>;
 
-/// Runs one watch, from connecting to its end, and returns why it ended.
-async fn run_watch(node: &Node, address: SocketAddr, outage: &mut WatchOutage) -> String {
-    let watch = async {
-        let response = request_watch(node, address).await?;
-        outage.answered(Instant::now()).into_iter().for_each(log::info_limited);
-        follow_watch(node, response).await
-    };
-    watch.await.unwrap_or_else(|error| error.to_string())
+/// How a watch, or a request for one, has ended.
+enum WatchEnd {
+    /// The request was not answered with a watch.
+    NotOpened(BoxError),
+    /// Nothing came for longer than a source that works is silent.
+    Silent,
+    /// The connection was closed or reset.
+    Closed(Option<hyper::Error>),
+    /// A list could not be read.
+    Malformed(BoxError),
+}
+
+impl fmt::Display for WatchEnd {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            WatchEnd::NotOpened(error) | WatchEnd::Malformed(error) => error.fmt(formatter),
+            WatchEnd::Silent => formatter.write_str("silent"),
+            WatchEnd::Closed(None) => formatter.write_str("closed"),
+            WatchEnd::Closed(Some(error)) => error.fmt(formatter),
+        }
+    }
+}
+
+/// Runs one watch, from connecting to its end.
+async fn run_watch(node: &Node, address: SocketAddr, outage: &mut WatchOutage) -> WatchEnd {
+    match request_watch(node, address).await {
+        Ok(response) => {
+            outage.answered(Instant::now()).into_iter().for_each(log::info_limited);
+            follow_watch(node, response).await
+        }
+        Err(error) => WatchEnd::NotOpened(error),
+    }
 }
 
 /// Requests a watch of what changes after the current list.
@@ -209,8 +262,8 @@
     _connection: Connection,
 }
 
-/// Applies what a watch brings until it ends; returns why it ended.
-async fn follow_watch(node: &Node, mut watch: WatchResponse) -> Result<String, BoxError> {
+/// Applies what a watch brings until it ends.
+async fn follow_watch(node: &Node, mut watch: WatchResponse) -> WatchEnd {
     let mut stream = JsonValueStream::default();
     // Another watch may begin with a lower version.
     let mut watch_seq = 0;
@@ -224,14 +277,22 @@
             node.send_event(Event::ListConfirmed);
             continue;
         }
-        let Ok(frame) = frame else { return Ok("silent".into()) };
-        let Some(frame) = frame else { return Ok("closed".into()) };
-        let Ok(data) = frame?.into_data() else { continue };
-        let has_content = stream.push(&data, |value| {
+        let Ok(frame) = frame else { return WatchEnd::Silent };
+        let frame = match frame {
+            Some(Ok(frame)) => frame,
+            Some(Err(error)) => return WatchEnd::Closed(Some(error)),
+            None => return WatchEnd::Closed(None),
+        };
+        let Ok(data) = frame.into_data() else { continue };
+        let pushed = stream.push(&data, |value| {
             watch_seq = apply_watch_line(node, value, watch_seq)?;
             node.send_event(Event::ListConfirmed);
             Ok(())
-        })?;
+        });
+        let has_content = match pushed {
+            Ok(has_content) => has_content,
+            Err(error) => return WatchEnd::Malformed(error),
+        };
         if !has_content {
             node.send_event(Event::ListConfirmed);
             node.send_event(Event::ListKeepAlive);
