--- a/crates/duty/src/duties.rs
+++ b/crates/duty/src/duties.rs
@@ -593,7 +593,7 @@
         let withdraw = Entry::Withdraw { duty: DutyId::DiscoveryPolling, member: 1 };
         let announcement =
             Entry::Update { duty: DutyId::DiscoveryPolling, epoch: 1, update: HolderUpdate::List(4) };
-        assert_eq!(member.decide(2.0).0, [withdraw.clone(), announcement]);
+        assert_eq!(member.decide(2.0).0, [withdraw, announcement]);
         member.apply_agreed(2.1, withdraw);
         for tick in 0..40 {
             let now = 2.5 + f64::from(tick);
