Node: no circle of imports between its modules any more

A connection reports what arrives beside responses as a typed ConnectionReport to a callback and knows the event loop no more. No behaviour changes.

--- a/crates/node/src/actions.rs
+++ b/crates/node/src/actions.rs
@@ -1,10 +1,11 @@
 //! Executes the actions of the decision core: starts calls and probes, journals how they end, ends messages
 //! undelivered.
 
+use crate::call::{Call, CallMessage};
 use crate::call_results::{MessageEnd, Resolution};
-use crate::calls::{self, Call, CallEnd, CallMessage, PoolUse};
+use crate::calls::{self, CallEnd, PoolUse};
 use crate::directory::ListedEndpoint;
-use crate::event_loop::Input;
+use crate::inputs::Input;
 use crate::serving::Phase;
 use crate::transfer::{Completion, Transfer};
 use crate::{Node, log, unproven};
@@ -164,7 +165,7 @@
                     .map_or(0.0, |destination| node.retry_after(destination) * 1000.0)
                     .ceil() as u64;
                 node.count_message_end(id.0, CountedOutcome::Throttled);
-                end_undelivered(node, id.0, Notice::HandedBack { retry_in_ms });
+                node.end_undelivered(id.0, Notice::HandedBack { retry_in_ms });
             }
             Action::Fail(id) => {
                 let destination = node.journal.borrow().get(id.0).map(|entry| entry.message.destination);
@@ -172,7 +173,7 @@
                     node.traffic.update(*destination, |counters| counters.given_up += 1)
                 });
                 node.count_message_end(id.0, CountedOutcome::Faulted);
-                end_undelivered(node, id.0, Notice::GivenUp);
+                node.end_undelivered(id.0, Notice::GivenUp);
             }
             Action::SetTimer { token, at } => *timer = Some((*token, *at)),
             Action::CancelAttempt { id, .. } => {
@@ -235,9 +236,3 @@
         spawn_local(run_call(node.clone(), call, now));
     }
 }
-
-/// Ends a message undelivered: journals the notice and wakes the task that sends it.
-pub fn end_undelivered(node: &Node, number: u64, notice: Notice) {
-    node.observe_journal_write(node.journal.borrow_mut().notice_due(number, notice));
-    node.notice_due.notify_one();
-}
--- a/crates/node/src/call_results.rs
+++ b/crates/node/src/call_results.rs
@@ -3,7 +3,7 @@
 //! On a connection that carried requests before, a response may be a copy of an earlier one. What follows from it has to be right
 //! in both cases: `docs/design/connections.md` has the table.
 
-use crate::calls::CallMessage;
+use crate::call::CallMessage;
 use fawnspoke_pairing::ResponseProof;
 use hyper::StatusCode;
 use serde::{Deserialize, Serialize};
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -4,12 +4,12 @@
 //! the outcome for each message. Above all the outcome says whether the message may have run at the endpoint, since
 //! that decides whether it may be sent again.
 
+use crate::call::{Call, CallMessage};
 use crate::call_results::{CallResponse, CallResult, MessageEnd, Resolution, ResponseBody};
 use crate::connection::{self, Connection, RESPONSE_COMPLETION_TIMEOUT, ResponseMonitor};
 use crate::connection_pool::idle_reuse_limit;
 use crate::serving::Phase;
 use crate::{Node, log};
-use fawnspoke_journal::AcceptedMessage;
 use fawnspoke_pairing::ResponseProof;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
@@ -31,28 +31,6 @@
 /// Time to read bytes that have already arrived.
 const BUFFERED_READ_TIMEOUT: Duration = Duration::from_millis(5);
 
-/// A message that a call carries.
-pub struct CallMessage {
-    /// Its number in the journal.
-    pub number: u64,
-    /// The number of the attempt, from 0.
-    pub attempt: u32,
-    pub content: AcceptedMessage,
-}
-
-/// A call that carries one message or a batch.
-pub struct Call {
-    pub endpoint: EndpointId,
-    pub address: SocketAddr,
-    pub destination: u32,
-    /// The endpoint's zone.
-    pub zone: u16,
-    pub messages: Vec<CallMessage>,
-    pub timeout: Seconds,
-    /// A message of the call must not be sent again once it may have run.
-    pub carries_unsafe: bool,
-}
-
 /// How a call ended.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct CallEnd {
--- a/crates/node/src/client_session.rs
+++ b/crates/node/src/client_session.rs
@@ -5,7 +5,7 @@
 
 use crate::client_closes::CloseReason;
 use crate::client_connection::ClientConnection;
-use crate::event_loop::Input;
+use crate::inputs::Input;
 use crate::serving::Phase;
 use crate::size_limits::{MAX_HEAD_BYTES, MAX_REQUEST_BYTES, MAX_REQUEST_HEADERS};
 use crate::stream::{SharedStream, Unread};
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -2,7 +2,6 @@
 //!
 //! hyper reports only that a request failed, so [`ResponseMonitor`] also watches the bytes of the connection.
 
-use crate::event_loop::Input;
 use crate::log;
 use crate::stream::{HeadScanner, SharedStream, Unread, WeakStream};
 use fawnspoke_control::metrics::Metrics;
@@ -24,10 +23,9 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::{AbortHandle, spawn_local, yield_now};
 use tokio::time::Instant;
-use waydoor::{EndpointId, Event};
+use waydoor::{EndpointId, Seconds};
 
 /// Most bytes of the head of a response.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
@@ -63,29 +61,39 @@
     pub head: ResponseHead,
 }
 
-/// Names a connection to an endpoint, and reports its surplus responses to the event loop.
+/// What an endpoint sent that is not the response to the current request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ConnectionReport {
+    Surplus(SurplusResponse),
+    /// The response asks for a wait, whichever request it belongs to.
+    RetryAfter {
+        endpoint: EndpointId,
+        delay: Seconds,
+    },
+}
+
+/// Names a connection to an endpoint, and reports what arrives there beside responses.
 pub struct EndpointConnection {
     pub endpoint: EndpointId,
     pub destination: u32,
     pub address: SocketAddr,
     /// The number of the connection in this process.
     pub number: u64,
-    pub inputs: UnboundedSender<Input>,
+    pub report: Rc<dyn Fn(ConnectionReport)>,
 }
 
 impl EndpointConnection {
     fn report(&self, requests: u64, head: ResponseHead) {
         let &EndpointConnection { endpoint, destination, address, number: connection, .. } = self;
         let surplus = SurplusResponse { endpoint, destination, address, connection, requests, head };
-        // The receiver, in the event loop, lives as long as the process.
-        let _ = self.inputs.send(Input::SurplusResponse(surplus));
+        (self.report)(ConnectionReport::Surplus(surplus));
     }
 
     /// Reports only the wait that a response asks for.
     fn report_wait(&self, head: ResponseHead) {
         let Some(delay) = head.retry_after else { return };
         let (endpoint, delay) = (self.endpoint, delay.as_secs_f64());
-        let _ = self.inputs.send(Input::Event(Event::RetryAfter { endpoint, delay }));
+        (self.report)(ConnectionReport::RetryAfter { endpoint, delay });
     }
 }
 
@@ -459,9 +467,10 @@
     async fn a_wait_that_arrives_before_its_connection_is_closed_is_reported() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let (inputs, mut received) = unbounded_channel();
+        let (reports, mut received) = unbounded_channel();
+        let report = Rc::new(move |report| reports.send(report).unwrap());
         let endpoint =
-            EndpointConnection { endpoint: EndpointId(1), destination: 7, address, number: 1, inputs };
+            EndpointConnection { endpoint: EndpointId(1), destination: 7, address, number: 1, report };
         let connect_then_close = async {
             let connection = connect(address, Some(endpoint)).await.unwrap();
             let (mut peer, _) = listener.accept().unwrap();
@@ -475,8 +484,8 @@
         };
         tokio::task::LocalSet::new().run_until(connect_then_close).await;
         let own = received.try_recv().unwrap();
-        assert!(matches!(own, Input::Event(Event::RetryAfter { delay: 0.5, .. })));
-        let Input::SurplusResponse(surplus) = received.try_recv().unwrap() else {
+        assert!(matches!(own, ConnectionReport::RetryAfter { delay: 0.5, .. }));
+        let ConnectionReport::Surplus(surplus) = received.try_recv().unwrap() else {
             panic!("not a surplus response")
         };
         assert_eq!(surplus.head.retry_after, Some(Duration::from_millis(700)));
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -2,6 +2,7 @@
 
 use crate::connection::{self, Connection};
 use crate::directory::List;
+use crate::error::BoxError;
 use crate::json_stream::JsonValueStream;
 use crate::watch_outage::WatchOutage;
 use crate::{Node, control, log};
@@ -176,9 +177,6 @@
     node.fleet.list_failed();
 }
 
-/// An error that ends a watch or a request.
-pub type BoxError = Box<dyn std::error::Error>;
-
 /// How a watch, or a request for one, has ended.
 enum WatchEnd {
     /// The request was not answered with a watch.
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -7,6 +7,7 @@
 use crate::calls::CallEnd;
 use crate::connection::SurplusResponse;
 use crate::handover::{self, HandoverRequest, HandoverResult};
+use crate::inputs::Input;
 use crate::loop_delay::LoopDelay;
 use crate::resource_log::ResourceLog;
 use crate::transfer::Transfer;
@@ -18,7 +19,7 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task::spawn_local;
 use tokio::time::sleep_until;
-use waydoor::{AttemptEnd, EndpointId, Event, MessageId, Seconds};
+use waydoor::{AttemptEnd, Event, MessageId, Seconds};
 
 /// Time from the stop signal until no call may be in flight any more.
 const CALLS_DEADLINE_SECONDS: Seconds = 3.0;
@@ -34,18 +35,6 @@
 /// Interval of the log line with traffic counters.
 const TRAFFIC_LINE_INTERVAL_SECONDS: Seconds = 1.0;
 
-/// An input of the event loop.
-pub enum Input {
-    /// An event for the decision core.
-    Event(Event),
-    /// The first byte of the 202 response for a message was written.
-    Accepted { number: u64 },
-    /// A call ended.
-    CallEnded { endpoint: EndpointId, sent_at: Seconds, end: CallEnd },
-    /// A response arrived that belongs to no request.
-    SurplusResponse(SurplusResponse),
-}
-
 /// Logs and counts a response that belongs to no request.
 fn record_surplus_response(node: &Node, surplus: &SurplusResponse) {
     let SurplusResponse { destination, address, connection, requests, head, .. } = surplus;
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -4,9 +4,10 @@
 use crate::connection::Connection;
 use crate::connection_pool::DistrustedEndpoint;
 use crate::directory::Directory;
-use crate::event_loop::Input;
+use crate::error::BoxError;
+use crate::inputs::Input;
+use crate::recovery::open_journal;
 use crate::serving::Phase;
-use crate::startup::open_journal;
 use crate::stream::SharedStream;
 use crate::transfer::{Completion, Transfer};
 use crate::{Node, log, requests, unproven};
@@ -412,8 +413,6 @@
     frames::decode(&packet).ok()
 }
 
-type BoxError = Box<dyn std::error::Error>;
-
 /// Opens the journal again and keeps the remembered outcomes of messages that ended in this process.
 fn reopen_journal(node: &Node) -> Result<(), OpenError> {
     let (mut journal, _) = open_journal(&node.config)?;
--- a/crates/node/src/journaling.rs
+++ b/crates/node/src/journaling.rs
@@ -1,10 +1,10 @@
 //! Connects the journal with the decision core: reports write errors, converts journaled messages to the core's form,
 //! and restores the state that an earlier process left.
 
-use crate::calls::CallMessage;
+use crate::call::CallMessage;
 use crate::{Node, log};
 use fawnspoke_control::metrics::CountedOutcome;
-use fawnspoke_journal::{AttemptStart, QuotaLevel, UNKNOWN_ZONE};
+use fawnspoke_journal::{AttemptStart, Notice, QuotaLevel, UNKNOWN_ZONE};
 use std::time::Instant;
 use waydoor::{DestinationId, Effect, Event, Message, MessageId, MessageProgress, Outcome, Seconds};
 
@@ -39,6 +39,12 @@
         self.config.settings.classes.get(index).map(|class| class.effect)
     }
 
+    /// Ends a message undelivered: journals the notice and wakes the task that sends it.
+    pub fn end_undelivered(&self, number: u64, notice: Notice) {
+        self.observe_journal_write(self.journal.borrow_mut().notice_due(number, notice));
+        self.notice_due.notify_one();
+    }
+
     /// Journals the start of a call before its first byte is sent, since the call may run from then on. If the write
     /// fails, only messages that are safe to repeat are sent.
     ///
--- a/crates/node/src/json_stream.rs
+++ b/crates/node/src/json_stream.rs
@@ -1,6 +1,6 @@
 //! Splits a stream of bytes into JSON values, however they arrive.
 
-use crate::discovery::BoxError;
+use crate::error::BoxError;
 use serde_json::value::RawValue;
 use std::time::Duration;
 use tokio::time::Instant;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 //! to the decision core and executes the resulting actions.
 
 mod actions;
+mod call;
 mod call_results;
 mod calls;
 mod client_closes;
@@ -23,9 +24,11 @@
 mod control;
 mod directory;
 mod discovery;
+mod error;
 mod event_loop;
 mod fleet;
 mod handover;
+mod inputs;
 mod journaling;
 mod json_stream;
 mod log;
@@ -34,6 +37,7 @@
 mod notices;
 mod panics;
 mod process_memory;
+mod recovery;
 mod request_buffer;
 mod request_memory;
 mod requests;
@@ -52,13 +56,14 @@
 use client_connections::ClientConnections;
 use clock::JournalClock;
 use config::Config;
-use connection::EndpointConnection;
+use connection::{ConnectionReport, EndpointConnection};
 use connection_pool::ConnectionPool;
 use directory::Directory;
-use event_loop::{ExitAction, Input};
+use event_loop::ExitAction;
 use fawnspoke_control::metrics::Metrics;
 use fawnspoke_handover::lock::Lock;
 use fawnspoke_journal::{Journal, UnixMicros};
+use inputs::Input;
 use rustix::io::Errno;
 use serving::ServingState;
 use startup::Signals;
@@ -179,7 +184,9 @@
         let number = self.opened_connections.get() + 1;
         self.opened_connections.set(number);
         let inputs = self.input_sender.clone();
-        EndpointConnection { endpoint, destination, address, number, inputs }
+        // The receiver, in the event loop, lives as long as the process.
+        let report = Rc::new(move |report: ConnectionReport| drop(inputs.send(report.into())));
+        EndpointConnection { endpoint, destination, address, number, report }
     }
 
     /// Queues an item for the process that has taken over.
--- a/crates/node/src/notices.rs
+++ b/crates/node/src/notices.rs
@@ -1,6 +1,6 @@
 //! Sends notices to the platform, which receives them at the address of its discovery service.
 
-use crate::discovery::BoxError;
+use crate::error::BoxError;
 use crate::{Node, connection, log};
 use fawnspoke_journal::Notice;
 use http_body_util::{BodyExt, Full, Limited};
--- a/crates/node/src/transfer.rs
+++ b/crates/node/src/transfer.rs
@@ -2,7 +2,7 @@
 
 use crate::calls::CallEnd;
 use crate::connection::{Connection, SurplusResponse};
-use crate::event_loop::Input;
+use crate::inputs::Input;
 use crate::stream::SharedStream;
 use fawnspoke_control::server::OverrideCommand;
 use fawnspoke_pairing::ResponseHead;
--- a/crates/node/src/unproven.rs
+++ b/crates/node/src/unproven.rs
@@ -5,7 +5,6 @@
 //! comes first), the notice is sent, which does no harm to a message that was delivered. It is never called again: its response
 //! may have been its own.
 
-use crate::actions::end_undelivered;
 use crate::calls::CallEnd;
 use crate::connection::ResponseMonitor;
 use crate::{Node, log};
@@ -102,7 +101,7 @@
 pub fn end_as_over(node: &Node, number: u64) {
     if node.journal.borrow().get(number).is_some() {
         node.count_message_end(number, CountedOutcome::Faulted);
-        end_undelivered(node, number, Notice::GivenUp);
+        node.end_undelivered(number, Notice::GivenUp);
     }
 }
 
