Discovery: an outage ends for the log when a watch brings something

Change: the outage ends with the first line, heartbeat or silence after the head that confirms the list; an asked discovery logs each failure as before.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -30,6 +30,8 @@
 /// Shortest time from the begin of a request for a pushed list to the begin of the next one. With the time for which the
 /// process may be held up it has to fit into the grace of a drain.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
+/// An agent that refuses connects fails a request each `REQUEST_INTERVAL`; the same reason is logged this often.
+const PUSHED_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// A watch whose head has arrived brings what its source has to tell at once. If nothing has come after this time, there
 /// is nothing.
 const FIRST_LINE_TIMEOUT: Duration = Duration::from_millis(100);
@@ -104,7 +106,7 @@
 async fn watch_pushed(node: Rc<Node>) {
     let mut address_changes = node.discovery_address.subscribe();
     let mut address = *address_changes.borrow_and_update();
-    let mut outage = WatchOutage::default();
+    let mut outage = WatchOutage::new(PUSHED_LOG_INTERVAL);
     let mut is_closed = false;
     loop {
         let next_request_at = Instant::now() + REQUEST_INTERVAL;
@@ -153,7 +155,7 @@
 /// Watches the list of a service that all dispatchers share, from each request of the decision core on.
 async fn watch_on_request(node: Rc<Node>) {
     let mut address_changes = node.discovery_address.subscribe();
-    let mut outage = WatchOutage::default();
+    let mut outage = WatchOutage::new(Duration::ZERO);
     node.resubscribe.notified().await;
     loop {
         let address = *address_changes.borrow_and_update();
@@ -203,10 +205,7 @@
 /// Runs one watch, from connecting to its end.
 async fn run_watch(node: &Node, address: SocketAddr, outage: &mut WatchOutage) -> WatchEnd {
     match request_watch(node, address).await {
-        Ok(response) => {
-            outage.answered(Instant::now()).into_iter().for_each(log::info_limited);
-            follow_watch(node, response).await
-        }
+        Ok(response) => follow_watch(node, response, outage).await,
         Err(error) => WatchEnd::NotOpened(error),
     }
 }
@@ -260,8 +259,14 @@
     _connection: Connection,
 }
 
+/// Reports that the source of the list has told all that it has.
+fn list_confirmed(node: &Node, outage: &mut WatchOutage) {
+    outage.answered(Instant::now()).into_iter().for_each(log::info_limited);
+    node.send_event(Event::ListConfirmed);
+}
+
 /// Applies what a watch brings until it ends.
-async fn follow_watch(node: &Node, mut watch: WatchResponse) -> WatchEnd {
+async fn follow_watch(node: &Node, mut watch: WatchResponse, outage: &mut WatchOutage) -> WatchEnd {
     let mut stream = JsonValueStream::default();
     // Another watch may begin with a lower version.
     let mut watch_seq = 0;
@@ -272,7 +277,7 @@
         let due_at = first_line_due_at.map_or(deadline, |due_at| due_at.min(deadline));
         let frame = timeout_at(due_at, watch.body.frame()).await;
         if let (Err(_), Some(_)) = (&frame, first_line_due_at.take()) {
-            node.send_event(Event::ListConfirmed);
+            list_confirmed(node, outage);
             continue;
         }
         let Ok(frame) = frame else { return WatchEnd::Silent };
@@ -284,7 +289,7 @@
         let Ok(data) = frame.into_data() else { continue };
         let pushed = stream.push(&data, |value| {
             watch_seq = apply_watch_line(node, value, watch_seq)?;
-            node.send_event(Event::ListConfirmed);
+            list_confirmed(node, outage);
             Ok(())
         });
         let has_content = match pushed {
@@ -292,7 +297,7 @@
             Err(error) => return WatchEnd::Malformed(error),
         };
         if !has_content {
-            node.send_event(Event::ListConfirmed);
+            list_confirmed(node, outage);
             node.send_event(Event::ListKeepAlive);
             node.fleet.watch_alive(node.directory.borrow().seq());
         }
