Read the memory of the process over one descriptor

With 128 callers and one that is being accepted, the test's bound is reached exactly; that file was one more. Near the limit of open files the figure could not be read at all.

Change: the file is opened at the start and read from its begin each second.

The test is as it was and passes; process_memory's test asserts that a later read shows growth.

--- a/crates/node/src/process_memory.rs
+++ b/crates/node/src/process_memory.rs
@@ -1,6 +1,7 @@
 //! The memory of this process as the kernel counts it.
 
-use std::fs;
+use std::fs::File;
+use std::io::{self, Read, Seek};
 
 const STATUS_PATH: &str = "/proc/self/status";
 const BYTES_PER_KB: u64 = 1024;
@@ -14,10 +15,34 @@
     pub peak: u64,
 }
 
-impl ProcessMemory {
+/// Reads the figures again and again over one descriptor: near the limit of open files another one may not be had.
+#[derive(Debug)]
+pub struct ProcessMemoryReader {
+    /// None while it could not be opened.
+    status: Option<File>,
+}
+
+impl Default for ProcessMemoryReader {
+    fn default() -> ProcessMemoryReader {
+        ProcessMemoryReader { status: File::open(STATUS_PATH).ok() }
+    }
+}
+
+impl ProcessMemoryReader {
     /// Reads the current figures.
-    pub fn read() -> ProcessMemory {
-        fs::read_to_string(STATUS_PATH).map_or_else(|_| ProcessMemory::default(), |text| parse(&text))
+    pub fn read(&mut self) -> ProcessMemory {
+        self.read_status().map_or_else(|_| ProcessMemory::default(), |text| parse(&text))
+    }
+
+    fn read_status(&mut self) -> io::Result<String> {
+        let file = match &mut self.status {
+            Some(file) => file,
+            none => none.insert(File::open(STATUS_PATH)?),
+        };
+        file.rewind()?;
+        let mut text = String::new();
+        file.read_to_string(&mut text)?;
+        Ok(text)
     }
 }
 
@@ -39,6 +64,10 @@
         let status = "Name:\tfawnspoke\nVmHWM:\t   12 kB\nVmRSS:\t    9 kB\n";
         assert_eq!(parse(status), ProcessMemory { resident: 9 * 1024, peak: 12 * 1024 });
         assert_eq!(parse("VmRSS:\tmany\n"), ProcessMemory::default());
-        assert!(ProcessMemory::read().peak > 0);
+        let mut reader = ProcessMemoryReader::default();
+        assert!(reader.read().peak > 0);
+        let before = reader.read().peak;
+        let grown = vec![1_u8; 8 << 20];
+        assert!(reader.read().peak > before, "read anew, {} bytes later", grown.len());
     }
 }
--- a/crates/node/src/resource_log.rs
+++ b/crates/node/src/resource_log.rs
@@ -1,7 +1,7 @@
 //! One log line a second on what the process holds, while its memory grows or it closes clients' connections.
 
 use crate::Node;
-use crate::process_memory::ProcessMemory;
+use crate::process_memory::{ProcessMemory, ProcessMemoryReader};
 use waydoor::Seconds;
 
 /// Growth of the peak memory that is worth a line.
@@ -42,12 +42,13 @@
 #[derive(Default)]
 pub struct ResourceLog {
     logged_peak: u64,
+    memory: ProcessMemoryReader,
 }
 
 impl ResourceLog {
     /// Reads the memory of the process, and returns the line of this second if there is one.
     pub fn take_line(&mut self, node: &Node, now: Seconds) -> Option<String> {
-        node.process_memory.set(ProcessMemory::read());
+        node.process_memory.set(self.memory.read());
         self.line(now, &Holders::of(node), node.config.limits.memory_mb, node.clients.closes.take())
     }
 
