Duty: the crate's page says what the duty on discovery is now

Cause: found on reading the change again: the summary of discovery_polling still said that one member polls for the others, which has ended.

Change: that line of the doc comment. No code changes.

--- a/crates/duty/src/lib.rs
+++ b/crates/duty/src/lib.rs
@@ -4,7 +4,7 @@
 //! - [`lease_term`]: for how long a member may act on its leases, measured on its own clock;
 //! - [`granter`]: the leader's side: who is granted a duty, and when an expired lease may be granted again;
 //! - [`trials`]: trials at an unavailable destination, sent by the one member that holds the duty;
-//! - [`discovery_polling`]: which member polls the discovery service while that does not answer;
+//! - [`discovery_polling`]: which member announces that the discovery service answers again;
 //! - [`duties`]: the state machine over the replicated log that combines all of these.
 //!
 //! The crate does no I/O; the current time is an argument.
